--- /dev/null
+++ b/crates/kernel/src/config_document.rs
@@ -0,0 +1,336 @@
+//! Reads the operators' folder and the stored entries into a [`Config`].
+//!
+//! The folder's files are merged by [`wasabiswitch_policy::merge`]. Each entry then is one object,
+//! read here field by field; docs/operators/configuration.md lists the fields.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::time::Duration;
+
+use wasabiswitch_policy::config::{
+    Config, Holder, Instance, Key, Pool, Queue, Service, Team, check,
+};
+use wasabiswitch_policy::merge::{EntryKey, File, FileEntry, merge};
+
+use crate::document::{Errors, Fields, LocatedError, Node, Position, Tree, canonical, parse};
+
+/// The entries of a configuration, as canonical JSON.
+pub type Entries = BTreeMap<EntryKey, String>;
+
+/// The sections that a file may have.
+pub const SECTIONS: [&str; 6] = ["services", "pools", "instances", "teams", "queues", "keys"];
+
+/// The ending of the files that are read.
+const FILE_ENDING: &str = "json";
+
+const DEADLINE_DEFAULT: Duration = Duration::from_secs(10);
+const KEEP_ANSWERS_DEFAULT: Duration = Duration::from_secs(24 * 60 * 60);
+const ATTEMPTS_DEFAULT: u32 = 3;
+const CONNECTIONS_DEFAULT: u32 = 64;
+const JOBS_MAX_DEFAULT: u32 = 100_000;
+const MEMORY_DEFAULT_BYTES: u64 = 1 << 30;
+
+/// A configuration and the entries that it was read from.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ConfigDocument {
+    /// The entries, as canonical JSON.
+    pub entries: Entries,
+    /// What they say.
+    pub config: Config,
+}
+
+/// Why a folder could not be read.
+#[derive(Debug, thiserror::Error)]
+pub enum FolderError {
+    /// The folder or a file in it could not be opened.
+    #[error("{path}: {error}")]
+    Io {
+        /// The folder or file.
+        path: String,
+        /// What went wrong.
+        error: std::io::Error,
+    },
+    /// The files have errors, which are sorted by position.
+    #[error("{}", join_lines(.0))]
+    Content(Errors),
+}
+
+fn join_lines(errors: &Errors) -> String {
+    let lines: Vec<String> = errors.iter().map(LocatedError::to_string).collect();
+    lines.join("\n")
+}
+
+/// Reads and checks the folder at `path`.
+pub fn read_folder(path: &Path) -> Result<ConfigDocument, FolderError> {
+    let texts = read_texts(path)?;
+    read_texts_as_config(&texts).map_err(FolderError::Content)
+}
+
+fn read_texts(path: &Path) -> Result<Vec<(String, String)>, FolderError> {
+    let io_error = |path: &Path, error| FolderError::Io { path: path.display().to_string(), error };
+    let listing = std::fs::read_dir(path).map_err(|error| io_error(path, error))?;
+    let mut texts = Vec::new();
+    for entry in listing {
+        let file = entry.map_err(|error| io_error(path, error))?.path();
+        if file.extension().is_none_or(|ending| ending != FILE_ENDING) {
+            continue;
+        }
+        let text = std::fs::read_to_string(&file).map_err(|error| io_error(&file, error))?;
+        let name = file.file_name().unwrap_or_default().to_string_lossy().into_owned();
+        texts.push((name, text));
+    }
+    Ok(texts)
+}
+
+/// Reads and checks files that are given as names and texts.
+pub fn read_texts_as_config(texts: &[(String, String)]) -> Result<ConfigDocument, Errors> {
+    let mut errors = Errors::new();
+    let mut files = Vec::new();
+    for (name, text) in texts {
+        match parse(name, text) {
+            Ok(tree) => files.push(read_file(name, &tree, &mut errors)),
+            Err(error) => errors.push(error),
+        }
+    }
+    let merged = merge(&files);
+    let document = read_merged(&merged, &mut errors);
+    errors.sort();
+    if errors.is_empty() { Ok(document) } else { Err(errors) }
+}
+
+/// A merged entry, whose fields may come from several files.
+type Merged = BTreeMap<EntryKey, BTreeMap<String, Tree>>;
+
+fn read_file(name: &str, tree: &Tree, errors: &mut Errors) -> File<Tree> {
+    let mut entries = Vec::new();
+    for (section, section_tree) in object_of(tree, "", errors) {
+        if !SECTIONS.contains(&section.as_str()) {
+            let detail = format!("the section is unknown; there are {}", SECTIONS.join(", "));
+            let position = section_tree.position.clone();
+            errors.push(LocatedError { position, field: section.clone(), detail });
+            continue;
+        }
+        for (entry, entry_tree) in object_of(section_tree, section, errors) {
+            let key = (section.clone(), entry.clone());
+            let fields = match &entry_tree.node {
+                Node::Null => None,
+                _ => {
+                    let path = format!("{section}.{entry}");
+                    let fields = object_of(entry_tree, &path, errors);
+                    Some(fields.map(|(name, tree)| (name.clone(), tree.clone())).collect())
+                }
+            };
+            entries.push(FileEntry { key, fields });
+        }
+    }
+    File { name: name.to_owned(), entries }
+}
+
+fn object_of<'a>(
+    tree: &'a Tree,
+    path: &str,
+    errors: &mut Errors,
+) -> impl Iterator<Item = (&'a String, &'a Tree)> + use<'a> {
+    let fields = match &tree.node {
+        Node::Object(fields) => Some(fields),
+        other => {
+            errors.push(LocatedError {
+                position: tree.position.clone(),
+                field: path.to_owned(),
+                detail: format!("expected an object, found {}", other.type_name()),
+            });
+            None
+        }
+    };
+    fields.into_iter().flatten()
+}
+
+fn read_merged(merged: &Merged, errors: &mut Errors) -> ConfigDocument {
+    let mut document = ConfigDocument::default();
+    for (key, fields) in merged {
+        let position = entry_position(key, fields);
+        read_entry(key, &position, fields, &mut document.config, errors);
+        let object = Tree { position, node: Node::Object(fields.clone()) };
+        document.entries.insert(key.clone(), canonical(&object));
+    }
+    if errors.is_empty() {
+        check_meaning(&document.config, merged, errors);
+    }
+    document
+}
+
+fn check_meaning(config: &Config, merged: &Merged, errors: &mut Errors) {
+    for error in check(config) {
+        let key = (error.section.to_owned(), error.name.clone());
+        let fields = merged.get(&key);
+        let at_field = fields.and_then(|fields| fields.get(error.field));
+        let position = match (at_field, fields) {
+            (Some(tree), _) => tree.position.clone(),
+            (None, Some(fields)) => entry_position(&key, fields),
+            (None, None) => no_position(&key),
+        };
+        let field = format!("{}.{}.{}", error.section, error.name, error.field);
+        errors.push(LocatedError { position, field, detail: error.detail });
+    }
+}
+
+fn entry_position(key: &EntryKey, fields: &BTreeMap<String, Tree>) -> Position {
+    let first = fields.values().map(|tree| &tree.position).min();
+    first.cloned().unwrap_or_else(|| no_position(key))
+}
+
+fn no_position(key: &EntryKey) -> Position {
+    Position { file: format!("{}/{}", key.0, key.1).into(), line: 1, column: 1 }
+}
+
+/// Reads stored entries, which were checked when they were accepted.
+pub fn read_entries(entries: &Entries) -> Result<Config, Errors> {
+    let mut config = Config::default();
+    let mut errors = Errors::new();
+    for (key, text) in entries {
+        read_stored_entry(key, text, &mut config, &mut errors);
+    }
+    if errors.is_empty() { Ok(config) } else { Err(errors) }
+}
+
+/// Applies changed entries to a configuration without reading the others again.
+pub fn apply_changes(
+    config: &mut Config,
+    changes: &[(EntryKey, Option<String>)],
+) -> Result<(), Errors> {
+    let mut errors = Errors::new();
+    for (key, text) in changes {
+        match text {
+            Some(text) => read_stored_entry(key, text, config, &mut errors),
+            None => remove_entry(key, config),
+        }
+    }
+    if errors.is_empty() { Ok(()) } else { Err(errors) }
+}
+
+fn read_stored_entry(key: &EntryKey, text: &str, config: &mut Config, errors: &mut Errors) {
+    let file = format!("{}/{}", key.0, key.1);
+    match parse(&file, text) {
+        Ok(Tree { position, node: Node::Object(fields) }) => {
+            read_entry(key, &position, &fields, config, errors);
+        }
+        Ok(tree) => errors.push(LocatedError {
+            position: tree.position,
+            field: String::new(),
+            detail: "expected an object".to_owned(),
+        }),
+        Err(error) => errors.push(error),
+    }
+}
+
+fn remove_entry(key: &EntryKey, config: &mut Config) {
+    let name = key.1.as_str();
+    match key.0.as_str() {
+        "services" => drop(config.services.remove(name)),
+        "pools" => drop(config.pools.remove(name)),
+        "instances" => drop(config.instances.remove(name)),
+        "teams" => drop(config.teams.remove(name)),
+        "queues" => drop(config.queues.remove(name)),
+        "keys" => drop(config.keys.remove(name)),
+        _ => {}
+    }
+}
+
+fn read_entry(
+    key: &EntryKey,
+    position: &Position,
+    fields: &BTreeMap<String, Tree>,
+    config: &mut Config,
+    errors: &mut Errors,
+) {
+    let (section, name) = (key.0.as_str(), key.1.as_str());
+    let path = format!("{section}.{name}");
+    let mut fields = Fields::new(&path, position, fields, errors);
+    match section {
+        "services" => drop(config.services.insert(name.into(), read_service(&mut fields))),
+        "pools" => drop(config.pools.insert(name.into(), read_pool(&mut fields))),
+        "instances" => drop(config.instances.insert(name.into(), read_instance(&mut fields))),
+        "teams" => drop(config.teams.insert(name.into(), read_team(&mut fields))),
+        "queues" => drop(config.queues.insert(name.into(), read_queue(&mut fields))),
+        "keys" => drop(config.keys.insert(name.into(), read_key(&mut fields))),
+        _ => fields.reject("", format!("the section {section:?} is unknown")),
+    }
+    fields.finish();
+}
+
+fn read_service(fields: &mut Fields<'_>) -> Service {
+    let deadline = fields.millis("deadline_ms").unwrap_or(DEADLINE_DEFAULT);
+    Service {
+        pool: fields.required_string("pool").into(),
+        repeatable_methods: fields.strings("repeatable_methods").unwrap_or_default(),
+        urgent: fields.flag("urgent"),
+        deadline,
+        attempts_max: fields.number_u32("attempts_max").unwrap_or(ATTEMPTS_DEFAULT),
+        keep_answers: fields.seconds("keep_answers_s").unwrap_or(KEEP_ANSWERS_DEFAULT),
+    }
+}
+
+fn read_pool(fields: &mut Fields<'_>) -> Pool {
+    Pool { unavailable_max: fields.required_u32("unavailable_max"), spare: fields.flag("spare") }
+}
+
+fn read_instance(fields: &mut Fields<'_>) -> Instance {
+    Instance {
+        pool: fields.required_string("pool").into(),
+        failure_domain: fields.required_string("failure_domain").into(),
+        data_centre: fields.required_string("data_centre").into(),
+        address: fields.required_string("address"),
+        slots: fields.required_u32("slots"),
+        connections_max: fields.number_u32("connections_max").unwrap_or(CONNECTIONS_DEFAULT),
+        cpu_milli: fields.number("cpu_milli", u64::MAX).unwrap_or(1_000),
+        memory_bytes: fields.number("memory_bytes", u64::MAX).unwrap_or(MEMORY_DEFAULT_BYTES),
+        accelerators: fields.number_u32("accelerators").unwrap_or(0),
+    }
+}
+
+fn read_team(fields: &mut Fields<'_>) -> Team {
+    Team { weight: fields.required_u32("weight"), limit_slots: fields.required_u32("limit_slots") }
+}
+
+fn read_queue(fields: &mut Fields<'_>) -> Queue {
+    Queue {
+        pool: fields.required_string("pool").into(),
+        open_team: fields.string("open_team").map(Into::into),
+        jobs_max: fields.number_u32("jobs_max").unwrap_or(JOBS_MAX_DEFAULT),
+    }
+}
+
+fn read_key(fields: &mut Fields<'_>) -> Key {
+    let team = fields.string("team");
+    let operator = fields.string("operator");
+    let digest = fields.required_string("digest");
+    let holder = match (team, operator) {
+        (Some(team), None) => Holder::Team(team.into()),
+        (None, Some(operator)) => Holder::Operator(operator),
+        _ => {
+            let detail = "a key belongs to either a team or an operator".to_owned();
+            fields.reject("team", detail);
+            Holder::Operator(String::new())
+        }
+    };
+    Key { holder, digest }
+}
+
+/// Returns the digest of all entries, which does not depend on how they came about.
+///
+/// It is the exclusive or of the digests of the entries, so that a change updates it in the time that
+/// the change takes.
+pub fn digest(entries: &Entries) -> u64 {
+    entries.iter().fold(0, |sum, (key, text)| sum ^ entry_digest(key, text))
+}
+
+/// Returns the digest of one entry.
+pub fn entry_digest(key: &EntryKey, text: &str) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    for part in [key.0.as_str(), "\0", key.1.as_str(), "\0", text] {
+        hasher.update(part.as_bytes());
+    }
+    let mut head = [0; 8];
+    head.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    u64::from_le_bytes(head)
+}
--- /dev/null
+++ b/crates/kernel/src/document/fields.rs
@@ -0,0 +1,173 @@
+//! Takes the fields of an object one by one and reports what is missing, mistyped or unknown.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::{LocatedError, Node, Position, Tree};
+
+/// The errors found so far.
+pub type Errors = Vec<LocatedError>;
+
+/// The fields of one object that have not been taken yet.
+pub struct Fields<'a> {
+    path: String,
+    position: Position,
+    rest: BTreeMap<&'a str, &'a Tree>,
+    errors: &'a mut Errors,
+}
+
+impl<'a> Fields<'a> {
+    /// Starts to read the fields of the object at `path`, which stands at `position`.
+    pub fn new(
+        path: &str,
+        position: &Position,
+        fields: &'a BTreeMap<String, Tree>,
+        errors: &'a mut Errors,
+    ) -> Fields<'a> {
+        let rest = fields.iter().map(|(name, tree)| (name.as_str(), tree)).collect();
+        Fields { path: path.to_owned(), position: position.clone(), rest, errors }
+    }
+
+    fn field_path(&self, name: &str) -> String {
+        if self.path.is_empty() { name.to_owned() } else { format!("{}.{name}", self.path) }
+    }
+
+    /// Reports an error at the field `name`.
+    fn report(&mut self, name: &str, position: &Position, detail: String) {
+        let field = self.field_path(name);
+        self.errors.push(LocatedError { position: position.clone(), field, detail });
+    }
+
+    /// Takes a field, if it is there.
+    pub fn take(&mut self, name: &str) -> Option<&'a Tree> {
+        self.rest.remove(name)
+    }
+
+    fn convert<T>(
+        &mut self,
+        name: &str,
+        expected: &str,
+        convert: impl FnOnce(&'a Node) -> Option<T>,
+    ) -> Option<T> {
+        let tree = self.take(name)?;
+        let value = convert(&tree.node);
+        if value.is_none() {
+            let detail = format!("expected {expected}, found {}", tree.node.type_name());
+            self.report(name, &tree.position, detail);
+        }
+        value
+    }
+
+    fn require<T>(&mut self, name: &str, value: Option<T>, was_there: bool) -> Option<T> {
+        if value.is_none() && !was_there {
+            let position = self.position.clone();
+            self.report(name, &position, "the field is missing".to_owned());
+        }
+        value
+    }
+
+    /// Takes an optional string.
+    pub fn string(&mut self, name: &str) -> Option<String> {
+        self.convert(name, "a string", |node| match node {
+            Node::String(text) => Some(text.clone()),
+            _ => None,
+        })
+    }
+
+    /// Takes a string that must be there; after an error the result is empty.
+    pub fn required_string(&mut self, name: &str) -> String {
+        let was_there = self.rest.contains_key(name);
+        let value = self.string(name);
+        self.require(name, value, was_there).unwrap_or_default()
+    }
+
+    /// Takes an optional whole number of at most `max`.
+    pub fn number(&mut self, name: &str, max: u64) -> Option<u64> {
+        let expected = format!("a whole number from 0 to {max}");
+        self.convert(name, &expected, |node| match node {
+            Node::Number(text) => text.parse().ok().filter(|number| *number <= max),
+            _ => None,
+        })
+    }
+
+    /// Takes a whole number of at most `max` that must be there; after an error it is one.
+    pub fn required_number(&mut self, name: &str, max: u64) -> u64 {
+        let was_there = self.rest.contains_key(name);
+        let value = self.number(name, max);
+        self.require(name, value, was_there).unwrap_or(1)
+    }
+
+    /// Takes an optional number of 32 bits.
+    pub fn number_u32(&mut self, name: &str) -> Option<u32> {
+        self.number(name, u64::from(u32::MAX)).map(|number| number as u32)
+    }
+
+    /// Takes a number of 32 bits that must be there.
+    pub fn required_u32(&mut self, name: &str) -> u32 {
+        self.required_number(name, u64::from(u32::MAX)) as u32
+    }
+
+    /// Takes an optional truth value, which is false if it is not there.
+    pub fn flag(&mut self, name: &str) -> bool {
+        self.convert(name, "true or false", |node| match node {
+            Node::Bool(value) => Some(*value),
+            _ => None,
+        })
+        .unwrap_or(false)
+    }
+
+    /// Takes an optional time in milliseconds.
+    pub fn millis(&mut self, name: &str) -> Option<Duration> {
+        self.number(name, MILLIS_MAX).map(Duration::from_millis)
+    }
+
+    /// Takes an optional time in seconds.
+    pub fn seconds(&mut self, name: &str) -> Option<Duration> {
+        self.number(name, MILLIS_MAX / 1_000).map(Duration::from_secs)
+    }
+
+    /// Takes an optional array of strings.
+    pub fn strings(&mut self, name: &str) -> Option<Vec<String>> {
+        self.convert(name, "an array of strings", |node| match node {
+            Node::Array(elements) => elements
+                .iter()
+                .map(|element| match &element.node {
+                    Node::String(text) => Some(text.clone()),
+                    _ => None,
+                })
+                .collect(),
+            _ => None,
+        })
+    }
+
+    /// Takes an optional object and reads its fields with `read`.
+    pub fn object<T>(&mut self, name: &str, read: impl FnOnce(&mut Fields<'_>) -> T) -> Option<T> {
+        let path = self.field_path(name);
+        let tree = self.take(name)?;
+        let Node::Object(fields) = &tree.node else {
+            let detail = format!("expected an object, found {}", tree.node.type_name());
+            self.report(name, &tree.position, detail);
+            return None;
+        };
+        let mut inner = Fields::new(&path, &tree.position, fields, self.errors);
+        let value = read(&mut inner);
+        inner.finish();
+        Some(value)
+    }
+
+    /// Reports an error of meaning at a field that was taken before.
+    pub fn reject(&mut self, name: &str, detail: String) {
+        let position = self.position.clone();
+        self.report(name, &position, detail);
+    }
+
+    /// Reports the fields that nobody took.
+    pub fn finish(mut self) {
+        for (name, tree) in std::mem::take(&mut self.rest) {
+            self.report(name, &tree.position, "the field is unknown".to_owned());
+        }
+    }
+}
+
+/// The longest time that a field can hold, in milliseconds: about 49 days.
+const MILLIS_MAX: u64 = u32::MAX as u64;
--- /dev/null
+++ b/crates/kernel/src/kernel.rs
@@ -0,0 +1,264 @@
+//! The kernel: what all plug-ins share, and the order in which things start and stop.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use wasabiswitch_policy::config::Holder;
+use wasabiswitch_policy::ids::{DaemonId, Epoch, KeyId};
+
+use crate::clock::Clock;
+use crate::error::{Error, ErrorKind};
+use crate::http::client::HttpClient;
+use crate::http::control::{self, ControlRoute};
+use crate::http::entry::{self, EntryRoute};
+use crate::keys::{PresentedKey, parse_digest, secrets_match};
+use crate::platform::Platform;
+use crate::plugin::{Plugin, Tick, sort};
+use crate::settings::Settings;
+use crate::store::Store;
+use crate::tables::{ActiveConfig, Tables};
+use crate::tasks::TaskTree;
+
+/// How long the tasks of the kernel may take to stop.
+const TASKS_STOP_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// What wakes the plug-ins' work before its next regular run.
+#[derive(Debug, Default)]
+pub struct Wakes {
+    /// A team needs slots or has some to give back.
+    pub teams: Notify,
+    /// A newer configuration is known to exist.
+    pub config: Notify,
+    /// A job has been submitted, cancelled or ended.
+    pub jobs: Notify,
+    /// The row of an instance has changed.
+    pub instances: Notify,
+    /// There is news for the peers.
+    pub peers: Notify,
+}
+
+/// What all plug-ins share.
+pub struct Kernel {
+    /// The settings of this daemon.
+    pub settings: Settings,
+    /// The clock.
+    pub clock: Clock,
+    /// The shared tables.
+    pub tables: Tables,
+    /// The table service and the object store.
+    pub store: Store,
+    /// The other functions of the platform.
+    pub platform: Platform,
+    /// The client for peers.
+    pub client: HttpClient,
+    /// What wakes the plug-ins' work.
+    pub wakes: Wakes,
+    /// The tasks that live as long as the daemon.
+    pub tasks: TaskTree,
+    /// The tasks of callers' requests, which a stop waits for.
+    pub request_tasks: TaskTree,
+    plugins: Vec<Plugin>,
+    entry_routes: Vec<EntryRoute>,
+    control_routes: Vec<ControlRoute>,
+    ready: AtomicBool,
+    stopping: AtomicBool,
+}
+
+impl std::fmt::Debug for Kernel {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Kernel").field("daemon", &self.settings.daemon).finish()
+    }
+}
+
+/// The listeners of a daemon that has started.
+#[derive(Debug)]
+pub struct Listening {
+    /// Where callers reach it.
+    pub entry: SocketAddr,
+    /// Where operators and peers reach it.
+    pub control: SocketAddr,
+}
+
+impl Kernel {
+    /// Creates a kernel with `plugins`, which it sorts.
+    pub fn new(
+        settings: Settings,
+        platform: Platform,
+        clock: Clock,
+        plugins: Vec<Plugin>,
+    ) -> Result<Arc<Kernel>, Error> {
+        let plugins = sort(plugins).map_err(ErrorKind::from)?;
+        let tables = Tables::new(
+            settings.daemon.clone(),
+            settings.data_centre.clone(),
+            settings.lease,
+            clock.now(),
+        );
+        let entry_routes = plugins.iter().flat_map(|plugin| plugin.entry_routes.clone()).collect();
+        let control_routes =
+            plugins.iter().flat_map(|plugin| plugin.control_routes.clone()).collect();
+        Ok(Arc::new(Kernel {
+            store: Store::new(platform.clone(), clock.clone()),
+            client: HttpClient::new(),
+            wakes: Wakes::default(),
+            tasks: TaskTree::new(),
+            request_tasks: TaskTree::new(),
+            ready: AtomicBool::new(false),
+            stopping: AtomicBool::new(false),
+            settings,
+            clock,
+            tables,
+            platform,
+            plugins,
+            entry_routes,
+            control_routes,
+        }))
+    }
+
+    /// Returns the routes of the entry listener.
+    pub fn entry_routes(&self) -> &[EntryRoute] {
+        &self.entry_routes
+    }
+
+    /// Returns the routes of the control listener.
+    pub fn control_routes(&self) -> &[ControlRoute] {
+        &self.control_routes
+    }
+
+    /// Reports whether the balancer should send requests here.
+    pub fn is_ready(&self) -> bool {
+        self.ready.load(Ordering::Acquire)
+    }
+
+    /// Reports whether a stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Acquire)
+    }
+
+    /// Returns this daemon and its current session.
+    pub fn session(&self) -> (DaemonId, Epoch) {
+        let members = self.tables.members.lock();
+        (members.own.daemon.clone(), members.own.epoch)
+    }
+
+    /// Returns the configuration in force.
+    pub fn config(&self) -> Arc<ActiveConfig> {
+        self.tables.config.lock().active.clone()
+    }
+
+    /// Returns whom a key admits, with the key's id, or `None` if it is unknown or withdrawn.
+    pub fn authenticate(&self, key: &str) -> Option<(KeyId, Holder)> {
+        let presented = PresentedKey::parse(key)?;
+        let keys = self.tables.keys.lock();
+        let entry = keys.by_id(presented.id)?;
+        presented.matches(&entry.digest).then(|| (presented.id.into(), entry.holder.clone()))
+    }
+
+    /// Returns the operator whom a key admits.
+    ///
+    /// While the configuration has no operator at all, the first operator's key of the settings does.
+    pub fn check_operator(&self, key: &str) -> Option<String> {
+        if let Some((_, Holder::Operator(name))) = self.authenticate(key) {
+            return Some(name);
+        }
+        let configured = {
+            let keys = self.tables.keys.lock();
+            keys.iter().any(|(_, entry)| matches!(entry.holder, Holder::Operator(_)))
+        };
+        let first = self.settings.first_operator_digest.as_deref().and_then(parse_digest)?;
+        let presented = PresentedKey::parse(key)?;
+        (!configured && presented.matches(&first)).then(|| "first-operator".to_owned())
+    }
+
+    /// Reports whether a key is the one that daemons present to each other.
+    pub fn check_peer(&self, key: &str) -> bool {
+        secrets_match(key, &self.settings.peer_key)
+    }
+
+    /// Tells all plug-ins, in order, that a configuration has come into force.
+    pub fn config_adopted(&self, active: &ActiveConfig) {
+        for plugin in &self.plugins {
+            (plugin.on_config)(self, active);
+        }
+    }
+
+    /// Starts the plug-ins and their regular work, but opens no listener.
+    pub async fn start_plugins(self: &Arc<Kernel>) -> Result<(), Error> {
+        for plugin in &self.plugins {
+            (plugin.start)(self.clone()).await?;
+        }
+        for tick in self.plugins.iter().flat_map(|plugin| &plugin.ticks) {
+            self.tasks.spawn_until_stopped(tick.name, run_tick(self.clone(), *tick));
+        }
+        Ok(())
+    }
+
+    /// Starts everything and returns once callers are served.
+    pub async fn start(self: &Arc<Kernel>) -> Result<Listening, Error> {
+        let entry_listener = listen(self.settings.entry_listen).await?;
+        let control_listener = listen(self.settings.control_listen).await?;
+        let listening = Listening {
+            entry: local_address(&entry_listener, self.settings.entry_listen)?,
+            control: local_address(&control_listener, self.settings.control_listen)?,
+        };
+        self.start_plugins().await?;
+        let (kernel, stop) = (self.clone(), self.tasks.stop_token());
+        self.tasks.spawn("control listener", async move {
+            if let Err(error) = control::serve(kernel, control_listener, stop).await {
+                log::error!("the control listener failed: {error}");
+            }
+        });
+        let entry_tasks = self.request_tasks.clone();
+        self.request_tasks
+            .spawn("entry listener", entry::serve(self.clone(), entry_listener, entry_tasks));
+        self.ready.store(true, Ordering::Release);
+        log::info!("ready, serving callers on {}", listening.entry);
+        Ok(listening)
+    }
+
+    /// Stops gracefully; returns whether every request in flight was finished.
+    ///
+    /// The daemon first turns unready, so that the balancer moves on, then finishes the requests in
+    /// flight, gives back what it holds, ends its session and joins its tasks.
+    pub async fn stop(self: &Arc<Kernel>) -> bool {
+        self.stopping.store(true, Ordering::Release);
+        self.ready.store(false, Ordering::Release);
+        log::info!("stopping");
+        tokio::time::sleep(self.settings.drain_notice).await;
+        let finished = self.request_tasks.join(self.settings.stop_timeout).await;
+        for plugin in self.plugins.iter().rev() {
+            (plugin.stop)(self.clone()).await;
+        }
+        let joined = self.tasks.join(TASKS_STOP_TIMEOUT).await;
+        log::info!("stopped, requests finished: {finished}, tasks joined: {joined}");
+        finished
+    }
+}
+
+async fn run_tick(kernel: Arc<Kernel>, tick: Tick) {
+    loop {
+        (tick.run)(kernel.clone()).await;
+        let pause = tokio::time::sleep((tick.every)(&kernel));
+        match tick.wake {
+            Some(wake) => {
+                tokio::select! {
+                    () = pause => {}
+                    () = wake(&kernel).notified() => {}
+                }
+            }
+            None => pause.await,
+        }
+    }
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(address).await.map_err(|error| ErrorKind::Listen { address, error }.into())
+}
+
+fn local_address(listener: &TcpListener, address: SocketAddr) -> Result<SocketAddr, Error> {
+    listener.local_addr().map_err(|error| ErrorKind::Listen { address, error }.into())
+}
--- /dev/null
+++ b/crates/kernel/src/metric.rs
@@ -0,0 +1,134 @@
+//! The names of all metrics, with their units and meanings.
+//!
+//! Counters come before log lines: whatever happens often is counted here, and only changes of state
+//! are logged. docs/operators/metrics.md lists the same metrics, and a test compares the two.
+
+use std::sync::OnceLock;
+
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+
+/// What kind of number a metric is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MetricKind {
+    /// It only grows.
+    Counter,
+    /// It goes up and down.
+    Gauge,
+    /// It is a distribution.
+    Histogram,
+}
+
+/// A metric that the daemon exports.
+#[derive(Clone, Copy, Debug)]
+pub struct Metric {
+    /// The name, which ends in its unit where it has one.
+    pub name: &'static str,
+    /// The kind of number.
+    pub kind: MetricKind,
+    /// What it tells, with its labels.
+    pub help: &'static str,
+}
+
+macro_rules! metrics_list {
+    ($($constant:ident = $name:literal, $kind:ident, $help:literal;)+) => {
+        $(#[doc = $help] pub const $constant: &str = $name;)+
+
+        /// All metrics, in the order of this file.
+        pub const ALL: &[Metric] = &[
+            $(Metric { name: $name, kind: MetricKind::$kind, help: $help }),+
+        ];
+    };
+}
+
+metrics_list! {
+    REQUESTS = "wasabiswitch_requests_total", Counter,
+        "Live requests that were answered, by service and verdict.";
+    REFUSALS = "wasabiswitch_refusals_total", Counter,
+        "Problems that callers were given, by code.";
+    REQUEST_SECONDS = "wasabiswitch_request_seconds", Histogram,
+        "Time from a live request's entry to the head of its answer, by service.";
+    ATTEMPTS = "wasabiswitch_attempts_total", Counter,
+        "Attempts at upstreams, by verdict.";
+    RETRIES = "wasabiswitch_retries_total", Counter,
+        "Attempts after the first.";
+    ANSWERS_CUT = "wasabiswitch_answers_cut_total", Counter,
+        "Answers of upstreams that ended before they were whole.";
+    QUEUE_WAITING = "wasabiswitch_queue_waiting", Gauge,
+        "Requests that wait in front of a pool, by pool.";
+    QUEUE_SHED = "wasabiswitch_queue_shed_total", Counter,
+        "Waiting requests that were shed because the queue was full.";
+    ONCE_CLAIMS = "wasabiswitch_once_claims_total", Counter,
+        "Claims of idempotency keys, by outcome.";
+    GRANTED_SLOTS = "wasabiswitch_granted_slots", Gauge,
+        "Slots that this daemon holds, by team.";
+    UPSTREAMS_EJECTED = "wasabiswitch_upstreams_ejected_total", Counter,
+        "Ejections of failing upstreams.";
+    UPSTREAMS_LEAVING = "wasabiswitch_upstreams_leaving_total", Counter,
+        "Upstreams that were found to be leaving, by who said so first.";
+    STORE_CALLS = "wasabiswitch_store_calls_total", Counter,
+        "Calls to the table service and the object store, by operation and outcome.";
+    STORE_SECONDS = "wasabiswitch_store_seconds", Histogram,
+        "Time of a call to the table service or the object store, by operation.";
+    STORE_DOUBTS = "wasabiswitch_store_doubts_total", Counter,
+        "Writes whose answer was lost and that were resolved by reading back, by outcome.";
+    SESSION_EPOCH = "wasabiswitch_session_epoch", Gauge,
+        "Epoch of this daemon's session.";
+    SESSIONS_FENCED = "wasabiswitch_sessions_fenced_total", Counter,
+        "Sessions of other daemons that this daemon has fenced.";
+    PEER_MESSAGES = "wasabiswitch_peer_messages_total", Counter,
+        "Messages to peers, by outcome.";
+    PEER_BYTES = "wasabiswitch_peer_bytes_total", Counter,
+        "Bytes of the messages to peers and of their answers.";
+    CONFIG_GENERATION = "wasabiswitch_config_generation", Gauge,
+        "Generation of the configuration in force here.";
+    CONFIG_SECONDS = "wasabiswitch_config_adopt_seconds", Histogram,
+        "Time to adopt a generation once it was known.";
+    JOBS = "wasabiswitch_jobs_total", Counter,
+        "Jobs that ended, by outcome.";
+    JOBS_QUEUED = "wasabiswitch_jobs_queued", Gauge,
+        "Jobs that wait for a worker, as the scheduler sees them.";
+    INSTANCES_UNAVAILABLE = "wasabiswitch_instances_unavailable", Gauge,
+        "Instances that are unavailable, by pool.";
+    INSTANCE_MOVES = "wasabiswitch_instance_moves_total", Counter,
+        "Moves of instances between pools that were begun.";
+    WAVE_STEPS = "wasabiswitch_wave_steps_total", Counter,
+        "Steps of maintenance waves that this daemon took.";
+    TASK_PANICS = "wasabiswitch_task_panics_total", Counter,
+        "Tasks that panicked, by task.";
+}
+
+static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
+
+/// Starts to collect metrics for the whole process; later calls do nothing.
+pub fn install() {
+    HANDLE.get_or_init(|| {
+        let recorder = PrometheusBuilder::new().build_recorder();
+        let handle = recorder.handle();
+        if metrics::set_global_recorder(recorder).is_ok() {
+            describe();
+        }
+        handle
+    });
+}
+
+fn describe() {
+    for metric in ALL {
+        match metric.kind {
+            MetricKind::Counter => metrics::describe_counter!(metric.name, metric.help),
+            MetricKind::Gauge => metrics::describe_gauge!(metric.name, metric.help),
+            MetricKind::Histogram => metrics::describe_histogram!(metric.name, metric.help),
+        }
+    }
+}
+
+/// Returns all metrics in the text format of Prometheus.
+pub fn render() -> String {
+    HANDLE.get().map(PrometheusHandle::render).unwrap_or_default()
+}
+
+/// Folds the samples of histograms, which otherwise pile up until the next [`render`].
+pub fn run_upkeep() {
+    if let Some(handle) = HANDLE.get() {
+        handle.run_upkeep();
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/settings.rs
@@ -0,0 +1,228 @@
+//! The settings file of a daemon: JSON with comments, checked as a whole.
+//!
+//! docs/operators/settings.md lists the fields with their units and defaults, and a test compares the
+//! two.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use wasabiswitch_derive::derives;
+use wasabiswitch_policy::ids::{DaemonId, DataCentre};
+use wasabiswitch_policy::session::LeaseTimes;
+
+use crate::document::{Errors, Fields, LocatedError, Node, parse};
+
+/// How the daemon reaches the platform.
+#[derives(record)]
+pub enum PlatformSettings {
+    /// Stand-ins run inside the daemon's process.
+    Embedded,
+    /// The platform's interface is at this address.
+    Address(SocketAddr),
+}
+
+/// The settings of a daemon.
+#[derives(record)]
+pub struct Settings {
+    /// The daemon's name, which no other daemon has.
+    pub daemon: DaemonId,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Where callers reach it.
+    pub entry_listen: SocketAddr,
+    /// Where operators and peers reach it.
+    pub control_listen: SocketAddr,
+    /// The secret that daemons present to each other.
+    pub peer_key: String,
+    /// How the platform is reached.
+    pub platform: PlatformSettings,
+    /// A folder that becomes the first configuration if there is none.
+    pub first_config: Option<PathBuf>,
+    /// The digest of a key that admits an operator while no configuration does.
+    pub first_operator_digest: Option<String>,
+    /// The times of the sessions' leases.
+    pub lease: LeaseTimes,
+    /// How long the daemon may be cut off before it refuses new work.
+    pub cut_off: Duration,
+    /// The most requests that wait in front of one pool.
+    pub queue_max: usize,
+    /// The largest body of a request with an idempotency key, in bytes.
+    pub once_body_max_bytes: usize,
+    /// The largest answer that is kept for repeats, in bytes.
+    pub once_answer_max_bytes: usize,
+    /// How long a stop waits between "not ready" and closing the entry listener.
+    pub drain_notice: Duration,
+    /// How long a stop waits for requests in flight.
+    pub stop_timeout: Duration,
+    /// The least severe messages that are logged.
+    pub log_level: String,
+    /// The number of worker threads; zero for one per core.
+    pub worker_threads: usize,
+}
+
+/// A field of the settings, for the operators' page.
+#[derives(value)]
+pub struct SettingsField {
+    /// The name.
+    pub name: &'static str,
+    /// The default as text, or `required`.
+    pub default: &'static str,
+}
+
+/// All fields that a settings file may have.
+pub const FIELDS: &[SettingsField] = &[
+    SettingsField { name: "daemon", default: "required" },
+    SettingsField { name: "data_centre", default: "required" },
+    SettingsField { name: "entry_listen", default: "required" },
+    SettingsField { name: "control_listen", default: "required" },
+    SettingsField { name: "peer_key", default: "required" },
+    SettingsField { name: "platform", default: "required" },
+    SettingsField { name: "first_config", default: "none" },
+    SettingsField { name: "first_operator_digest", default: "none" },
+    SettingsField { name: "lease_ms", default: "6000" },
+    SettingsField { name: "lease_margin_ms", default: "2000" },
+    SettingsField { name: "cut_off_ms", default: "3000" },
+    SettingsField { name: "queue_max", default: "1024" },
+    SettingsField { name: "once_body_max_bytes", default: "1048576" },
+    SettingsField { name: "once_answer_max_bytes", default: "65536" },
+    SettingsField { name: "drain_notice_ms", default: "1000" },
+    SettingsField { name: "stop_timeout_ms", default: "30000" },
+    SettingsField { name: "log_level", default: "info" },
+    SettingsField { name: "worker_threads", default: "0" },
+];
+
+/// The levels that `log_level` may name.
+const LOG_LEVELS: [&str; 6] = ["off", "error", "warn", "info", "debug", "trace"];
+
+/// The shortest lease that leaves room for three renewals.
+const LEASE_MIN: Duration = Duration::from_millis(300);
+
+/// The shortest secret between daemons, in bytes.
+const PEER_KEY_MIN_BYTES: usize = 16;
+
+/// Why settings could not be read.
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    /// The file could not be opened.
+    #[error("{path}: {error}")]
+    Io {
+        /// The file.
+        path: PathBuf,
+        /// What went wrong.
+        error: std::io::Error,
+    },
+    /// The file has errors.
+    #[error("{}", .0.iter().map(LocatedError::to_string).collect::<Vec<_>>().join("\n"))]
+    Content(Errors),
+}
+
+/// Reads the settings file at `path`.
+pub fn read_file(path: &Path) -> Result<Settings, SettingsError> {
+    let text = std::fs::read_to_string(path)
+        .map_err(|error| SettingsError::Io { path: path.to_owned(), error })?;
+    let name = path.display().to_string();
+    read_text(&name, &text).map_err(SettingsError::Content)
+}
+
+/// Reads settings from the text of a file.
+pub fn read_text(file: &str, text: &str) -> Result<Settings, Errors> {
+    let tree = parse(file, text).map_err(|error| vec![error])?;
+    let Node::Object(object) = &tree.node else {
+        let detail = format!("expected an object, found {}", tree.node.type_name());
+        let position = tree.position;
+        return Err(vec![LocatedError { position, field: String::new(), detail }]);
+    };
+    let mut errors = Errors::new();
+    let mut fields = Fields::new("", &tree.position, object, &mut errors);
+    let settings = read_fields(&mut fields);
+    fields.finish();
+    errors.sort();
+    if errors.is_empty() { Ok(settings) } else { Err(errors) }
+}
+
+fn read_fields(fields: &mut Fields<'_>) -> Settings {
+    let millis = |fields: &mut Fields<'_>, name: &str, default_ms: u64| {
+        fields.millis(name).unwrap_or(Duration::from_millis(default_ms))
+    };
+    let lease = millis(fields, "lease_ms", 6_000);
+    if lease < LEASE_MIN {
+        fields.reject("lease_ms", format!("a lease has at least {} ms", LEASE_MIN.as_millis()));
+    }
+    Settings {
+        daemon: fields.required_string("daemon").into(),
+        data_centre: fields.required_string("data_centre").into(),
+        entry_listen: address(fields, "entry_listen"),
+        control_listen: address(fields, "control_listen"),
+        peer_key: peer_key(fields),
+        platform: platform(fields),
+        first_config: fields.string("first_config").map(PathBuf::from),
+        first_operator_digest: fields.string("first_operator_digest"),
+        lease: LeaseTimes { lease, margin: millis(fields, "lease_margin_ms", 2_000) },
+        cut_off: millis(fields, "cut_off_ms", 3_000),
+        queue_max: size(fields, "queue_max", 1_024),
+        once_body_max_bytes: size(fields, "once_body_max_bytes", 1 << 20),
+        once_answer_max_bytes: size(fields, "once_answer_max_bytes", 64 << 10),
+        drain_notice: millis(fields, "drain_notice_ms", 1_000),
+        stop_timeout: millis(fields, "stop_timeout_ms", 30_000),
+        log_level: log_level(fields),
+        worker_threads: size(fields, "worker_threads", 0),
+    }
+}
+
+fn size(fields: &mut Fields<'_>, name: &str, default: usize) -> usize {
+    fields.number_u32(name).map_or(default, |number| number as usize)
+}
+
+fn address(fields: &mut Fields<'_>, name: &str) -> SocketAddr {
+    let text = fields.required_string(name);
+    text.parse().unwrap_or_else(|_| {
+        if !text.is_empty() {
+            fields.reject(name, format!("{text:?} is not an IP address with a port"));
+        }
+        SocketAddr::from(([127, 0, 0, 1], 0))
+    })
+}
+
+fn peer_key(fields: &mut Fields<'_>) -> String {
+    let key = fields.required_string("peer_key");
+    if !key.is_empty() && key.len() < PEER_KEY_MIN_BYTES {
+        fields.reject("peer_key", format!("the key has fewer than {PEER_KEY_MIN_BYTES} bytes"));
+    }
+    key
+}
+
+fn log_level(fields: &mut Fields<'_>) -> String {
+    let level = fields.string("log_level").unwrap_or_else(|| "info".to_owned());
+    if !LOG_LEVELS.contains(&level.as_str()) {
+        fields.reject("log_level", format!("expected one of {}", LOG_LEVELS.join(", ")));
+    }
+    level
+}
+
+fn platform(fields: &mut Fields<'_>) -> PlatformSettings {
+    let read = fields.object("platform", |inner| {
+        let embedded = inner.flag("embedded");
+        let address = inner.string("address");
+        match (embedded, address) {
+            (true, None) => PlatformSettings::Embedded,
+            (false, Some(text)) => match text.parse() {
+                Ok(address) => PlatformSettings::Address(address),
+                Err(_) => {
+                    let detail = format!("{text:?} is not an IP address with a port");
+                    inner.reject("address", detail);
+                    PlatformSettings::Embedded
+                }
+            },
+            _ => {
+                let detail = "give either \"embedded\": true or an address".to_owned();
+                inner.reject("address", detail);
+                PlatformSettings::Embedded
+            }
+        }
+    });
+    read.unwrap_or_else(|| {
+        fields.reject("platform", "expected an object with embedded or address".to_owned());
+        PlatformSettings::Embedded
+    })
+}
--- /dev/null
+++ b/crates/kernel/src/store.rs
@@ -0,0 +1,565 @@
+//! Reads and conditional writes of rows, with lost answers resolved by reading back.
+//!
+//! Every write carries a fresh write id, which the row keeps together with a few earlier ones. When the
+//! answer to a write is lost, the same conditional write is sent again: it can take effect at most
+//! once, since it names the version that it replaces. If it then meets another version, the row's
+//! list of write ids tells whether the first one took effect. An outcome that cannot be found out is
+//! reported as unknown. See docs/DESIGN.md, "The store".
+
+use std::future::Future;
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use tokio::sync::Semaphore;
+use wasabiswitch_derive::derives;
+use wasabiswitch_policy::Verdict;
+use wasabiswitch_policy::breaker::{Breaker, BreakerConfig, Permit};
+use wasabiswitch_policy::retry::backoff;
+use wasabiswitch_wire::codec::WireType;
+use wasabiswitch_wire::{decode, encode, wire_struct};
+
+use crate::clock::Clock;
+use crate::metric;
+use crate::platform::{
+    CommitOutcome, Platform, PlatformError, PlatformResult, Row, RowValue, ScanRange, Version,
+    Write,
+};
+
+/// The write ids that a row keeps.
+const RECENT_WRITES: usize = 8;
+/// How often a read-modify-write is tried before it gives up on races.
+const RACES_MAX: u32 = 16;
+/// How often a call is sent before its outcome counts as unknown or refused.
+const CALLS_MAX: u32 = 4;
+/// The longest time that one call may take.
+const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+/// The most rows that one scan returns.
+const SCAN_ROWS_MAX: usize = 1_000;
+
+/// Which work a call belongs to; each has its own bound on calls in flight.
+#[derives(value)]
+pub enum Lane {
+    /// Sessions, grants, roles and configuration.
+    Control,
+    /// Callers' requests and jobs.
+    Caller,
+    /// What operators look at.
+    Display,
+}
+
+/// The most calls in flight of each lane.
+const LANE_CALLS_MAX: [(Lane, usize); 3] =
+    [(Lane::Control, 32), (Lane::Caller, 64), (Lane::Display, 4)];
+
+/// How a call is made.
+#[derives(value)]
+pub struct CallOptions {
+    /// The work that the call belongs to.
+    pub lane: Lane,
+    /// When the call must have ended.
+    pub deadline: Instant,
+}
+
+/// Why a call failed.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the table service: {kind}")]
+pub struct StoreError {
+    kind: StoreErrorKind,
+}
+
+/// The kinds of [`StoreError`].
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[non_exhaustive]
+pub enum StoreErrorKind {
+    /// The call took no effect.
+    #[error("not reached: {0}")]
+    Unavailable(String),
+    /// The call may have taken effect.
+    #[error("outcome unknown: {0}")]
+    Unknown(String),
+    /// Others changed the row again and again.
+    #[error("too many races")]
+    Races,
+    /// A row could not be decoded.
+    #[error("row {key:?}: {detail}")]
+    Damaged {
+        /// The key of the row.
+        key: String,
+        /// What is wrong with it.
+        detail: String,
+    },
+}
+
+impl StoreError {
+    fn new(kind: StoreErrorKind) -> StoreError {
+        StoreError { kind }
+    }
+
+    /// Returns what went wrong.
+    pub fn kind(&self) -> &StoreErrorKind {
+        &self.kind
+    }
+
+    /// Returns whether the call may have taken effect.
+    pub fn verdict(&self) -> Verdict {
+        match self.kind {
+            StoreErrorKind::Unknown(_) => Verdict::MayHaveRun,
+            _ => Verdict::NotRun,
+        }
+    }
+}
+
+impl From<PlatformError> for StoreError {
+    fn from(error: PlatformError) -> StoreError {
+        StoreError::new(match error.verdict {
+            Verdict::NotRun => StoreErrorKind::Unavailable(error.detail),
+            Verdict::MayHaveRun | Verdict::Ran => StoreErrorKind::Unknown(error.detail),
+        })
+    }
+}
+
+/// The envelope of a row: the ids of its last writes, and the encoded value.
+struct Envelope {
+    recent_writes: Vec<u64>,
+    value: Vec<u8>,
+}
+
+wire_struct!(Envelope { recent_writes, value });
+
+/// A row as it was read.
+#[derives(record)]
+pub struct Stored<T> {
+    /// The version.
+    pub version: Version,
+    /// The ids of its last writes.
+    recent_writes: Vec<u64>,
+    /// The value.
+    pub value: T,
+}
+
+impl<T> Stored<T> {
+    fn without_value(&self) -> Base {
+        Base { version: self.version, recent_writes: self.recent_writes.clone() }
+    }
+}
+
+/// What a write builds on.
+#[derives(record)]
+#[derive(Default)]
+pub struct Base {
+    version: Version,
+    recent_writes: Vec<u64>,
+}
+
+impl<T> From<Option<&Stored<T>>> for Base {
+    fn from(stored: Option<&Stored<T>>) -> Base {
+        stored.map(Stored::without_value).unwrap_or_default()
+    }
+}
+
+/// A row to write or to delete.
+#[derives(record)]
+pub struct RowWrite {
+    key: String,
+    base: Base,
+    value: Option<Vec<u8>>,
+}
+
+impl RowWrite {
+    /// Prepares to write `value` over the row that was read as `base`.
+    pub fn new<T: WireType>(key: &str, base: Base, value: &T) -> RowWrite {
+        RowWrite { key: key.to_owned(), base, value: Some(encode(value)) }
+    }
+
+    /// Prepares to delete the row that was read as `base`.
+    ///
+    /// A deleted row keeps no write id, so a batch must start with a row that is written.
+    pub fn delete(key: &str, base: Base) -> RowWrite {
+        RowWrite { key: key.to_owned(), base, value: None }
+    }
+
+    fn to_platform(&self, write_id: u64) -> Write {
+        let kept = self.base.recent_writes.iter().take(RECENT_WRITES - 1);
+        let recent_writes = std::iter::once(write_id).chain(kept.copied()).collect();
+        let value = self.value.clone().map(|value| {
+            let envelope = Envelope { recent_writes, value };
+            RowValue(encode(&envelope))
+        });
+        Write { key: self.key.clone(), expected: self.base.version, value }
+    }
+}
+
+/// What to do with a row that was read.
+#[derive(Debug)]
+pub enum Change<T, R> {
+    /// Write this and, once it has taken effect, return the result.
+    Write(T, R),
+    /// Leave the row and return the result.
+    Keep(R),
+}
+
+/// The rows that a transaction has read, in the order of its keys.
+#[derives(record)]
+pub struct ReadRows {
+    rows: Vec<Option<Row>>,
+}
+
+impl ReadRows {
+    /// Decodes the row at `index`, if it exists.
+    pub fn get<T: WireType>(&self, index: usize) -> Result<Option<Stored<T>>, StoreError> {
+        self.rows[index].clone().map(open_row).transpose()
+    }
+}
+
+/// The table service and the object store, behind a breaker.
+pub struct Store {
+    platform: Platform,
+    clock: Clock,
+    lanes: [Semaphore; 3],
+    // Leaf locks: nothing else is locked while one of them is held.
+    breaker: Mutex<Breaker>,
+    answered_at: Mutex<Option<Instant>>,
+}
+
+impl Store {
+    /// Creates a store over the functions of `platform`.
+    pub fn new(platform: Platform, clock: Clock) -> Store {
+        Store {
+            platform,
+            clock,
+            lanes: LANE_CALLS_MAX.map(|(_, calls)| Semaphore::new(calls)),
+            breaker: Mutex::new(Breaker::new(BreakerConfig::default())),
+            answered_at: Mutex::new(None),
+        }
+    }
+
+    /// Returns options for a call that must end within `limit`.
+    pub fn within(&self, lane: Lane, limit: Duration) -> CallOptions {
+        CallOptions { lane, deadline: self.clock.now() + limit }
+    }
+
+    /// Returns the time before the newest call that was answered was sent.
+    pub fn answered_at(&self) -> Option<Instant> {
+        *self.answered_at.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Reads one row.
+    pub async fn read<T: WireType>(
+        &self,
+        options: CallOptions,
+        key: &str,
+    ) -> Result<Option<Stored<T>>, StoreError> {
+        let rows = self.read_rows(options, vec![key.to_owned()]).await?;
+        rows.into_iter().next().flatten().map(open_row).transpose()
+    }
+
+    async fn read_rows(
+        &self,
+        options: CallOptions,
+        keys: Vec<String>,
+    ) -> Result<Vec<Option<Row>>, StoreError> {
+        let call = || (self.platform.read)(keys.clone());
+        self.repeat("read", options, call).await.map_err(reading)
+    }
+
+    /// Reads all rows whose keys start with `prefix`, in the order of their keys.
+    pub async fn scan<T: WireType>(
+        &self,
+        options: CallOptions,
+        prefix: &str,
+    ) -> Result<Vec<(String, Stored<T>)>, StoreError> {
+        let mut stored = Vec::new();
+        let mut after = String::new();
+        loop {
+            let range = ScanRange {
+                prefix: prefix.to_owned(),
+                after: after.clone(),
+                rows_max: SCAN_ROWS_MAX,
+            };
+            let call = || (self.platform.scan)(range.clone());
+            let rows = self.repeat("scan", options, call).await.map_err(reading)?;
+            let whole = rows.len() < SCAN_ROWS_MAX;
+            for row in rows {
+                after.clone_from(&row.key);
+                stored.push((row.key.clone(), open_row(row)?));
+            }
+            if whole {
+                return Ok(stored);
+            }
+        }
+    }
+
+    /// Reads a row, decides, and writes it on condition that it has not changed, until it works.
+    ///
+    /// `decide` may be called several times and must not have effects of its own.
+    pub async fn mutate<T: WireType, R>(
+        &self,
+        options: CallOptions,
+        key: &str,
+        decide: impl FnMut(Option<&T>) -> Change<T, R>,
+    ) -> Result<R, StoreError> {
+        let stored = self.read(options, key).await?;
+        self.mutate_from(options, key, stored, decide).await
+    }
+
+    /// Like [`Store::mutate`], but starts from the assumption that the row does not exist.
+    ///
+    /// That saves a read where it is right, and costs a write that meets a conflict where it is wrong.
+    pub async fn mutate_absent<T: WireType, R>(
+        &self,
+        options: CallOptions,
+        key: &str,
+        decide: impl FnMut(Option<&T>) -> Change<T, R>,
+    ) -> Result<R, StoreError> {
+        self.mutate_from(options, key, None, decide).await
+    }
+
+    async fn mutate_from<T: WireType, R>(
+        &self,
+        options: CallOptions,
+        key: &str,
+        mut stored: Option<Stored<T>>,
+        mut decide: impl FnMut(Option<&T>) -> Change<T, R>,
+    ) -> Result<R, StoreError> {
+        for race in 1..=RACES_MAX {
+            let (value, result) = match decide(stored.as_ref().map(|stored| &stored.value)) {
+                Change::Keep(result) => return Ok(result),
+                Change::Write(value, result) => (value, result),
+            };
+            let write = RowWrite::new(key, Base::from(stored.as_ref()), &value);
+            if self.commit(options, &[write]).await? {
+                return Ok(result);
+            }
+            if race > 1 {
+                tokio::time::sleep(backoff(race, fastrand::f64())).await;
+            }
+            stored = self.read(options, key).await?;
+        }
+        Err(StoreError::new(StoreErrorKind::Races))
+    }
+
+    /// Reads rows, decides, and writes any of them together on condition that none has changed.
+    ///
+    /// `decide` may be called several times and must not have effects of its own. The first row that it
+    /// writes must not be a deletion.
+    pub async fn transact<R>(
+        &self,
+        options: CallOptions,
+        keys: &[&str],
+        mut decide: impl FnMut(&ReadRows) -> Result<Change<Vec<RowWrite>, R>, StoreError>,
+    ) -> Result<R, StoreError> {
+        for race in 1..=RACES_MAX {
+            let names = keys.iter().map(|key| (*key).to_owned()).collect();
+            let rows = ReadRows { rows: self.read_rows(options, names).await? };
+            let (writes, result) = match decide(&rows)? {
+                Change::Keep(result) => return Ok(result),
+                Change::Write(writes, result) => (writes, result),
+            };
+            if self.commit(options, &writes).await? {
+                return Ok(result);
+            }
+            tokio::time::sleep(backoff(race, fastrand::f64())).await;
+        }
+        Err(StoreError::new(StoreErrorKind::Races))
+    }
+
+    /// Writes rows together; returns whether they took effect or met a conflict.
+    pub async fn commit(
+        &self,
+        options: CallOptions,
+        writes: &[RowWrite],
+    ) -> Result<bool, StoreError> {
+        let write_id = fastrand::u64(..);
+        let batch: Vec<Write> = writes.iter().map(|write| write.to_platform(write_id)).collect();
+        let mut in_doubt = false;
+        for call in 1..=CALLS_MAX {
+            let outcome = self.call("commit", options, (self.platform.commit)(batch.clone())).await;
+            match outcome {
+                Ok(CommitOutcome::Committed(_)) => {
+                    if in_doubt {
+                        count_doubt("committed");
+                    }
+                    return Ok(true);
+                }
+                Ok(CommitOutcome::Conflict) if !in_doubt => return Ok(false),
+                Ok(CommitOutcome::Conflict) => {
+                    return self.read_back(options, &writes[0], write_id).await;
+                }
+                Err(error) if error.verdict == Verdict::NotRun && !in_doubt => {
+                    if call == CALLS_MAX || self.is_late(options) {
+                        return Err(error.into());
+                    }
+                }
+                Err(error) => {
+                    in_doubt = true;
+                    if call == CALLS_MAX || self.is_late(options) {
+                        count_doubt("unknown");
+                        return Err(StoreError::new(StoreErrorKind::Unknown(error.detail)));
+                    }
+                }
+            }
+            tokio::time::sleep(backoff(call, fastrand::f64())).await;
+        }
+        Err(StoreError::new(StoreErrorKind::Unknown("gave up".to_owned())))
+    }
+
+    /// Finds out whether a write whose answer was lost took effect, from the row's write ids.
+    async fn read_back(
+        &self,
+        options: CallOptions,
+        write: &RowWrite,
+        write_id: u64,
+    ) -> Result<bool, StoreError> {
+        let unknown = |detail: String| StoreError::new(StoreErrorKind::Unknown(detail));
+        let rows = self.read_rows(options, vec![write.key.clone()]).await;
+        let Ok(Some(Some(row))) = rows.map(|rows| rows.into_iter().next()) else {
+            count_doubt("unknown");
+            return Err(unknown("the row could not be read back".to_owned()));
+        };
+        let envelope: Envelope =
+            decode(&row.value).map_err(|error| unknown(format!("row {:?}: {error}", row.key)))?;
+        let recent = &envelope.recent_writes;
+        let ours = recent.contains(&write_id);
+        // The list shows every write after the base if it goes back to the base or to the first write.
+        let base_write = write.base.recent_writes.first();
+        let complete =
+            recent.len() < RECENT_WRITES || base_write.is_some_and(|id| recent.contains(id));
+        if !ours && !complete {
+            count_doubt("unknown");
+            return Err(unknown("the row has changed too often".to_owned()));
+        }
+        count_doubt(if ours { "committed" } else { "not-committed" });
+        Ok(ours)
+    }
+
+    /// Reads an object.
+    pub async fn get_object(
+        &self,
+        options: CallOptions,
+        name: &str,
+    ) -> Result<Option<Bytes>, StoreError> {
+        let call = || (self.platform.get_object)(name.to_owned());
+        self.repeat("get", options, call).await.map_err(reading)
+    }
+
+    /// Writes an object; the same content may be written more than once.
+    pub async fn put_object(
+        &self,
+        options: CallOptions,
+        name: &str,
+        body: Bytes,
+    ) -> Result<(), StoreError> {
+        let call = || (self.platform.put_object)((name.to_owned(), body.clone()));
+        self.repeat("put", options, call).await.map_err(StoreError::from)
+    }
+
+    /// Sends a call that may be repeated until it is answered.
+    async fn repeat<T, F>(
+        &self,
+        operation: &'static str,
+        options: CallOptions,
+        call: impl Fn() -> F,
+    ) -> PlatformResult<T>
+    where
+        F: Future<Output = PlatformResult<T>>,
+    {
+        let mut calls = 1;
+        loop {
+            match self.call(operation, options, call()).await {
+                Err(error) if calls == CALLS_MAX || self.is_late(options) => return Err(error),
+                Err(_) => tokio::time::sleep(backoff(calls, fastrand::f64())).await,
+                Ok(answer) => return Ok(answer),
+            }
+            calls += 1;
+        }
+    }
+
+    fn is_late(&self, options: CallOptions) -> bool {
+        self.clock.now() >= options.deadline
+    }
+
+    /// Makes one call within its lane, its deadline and the breaker.
+    async fn call<T>(
+        &self,
+        operation: &'static str,
+        options: CallOptions,
+        call: impl Future<Output = PlatformResult<T>>,
+    ) -> PlatformResult<T> {
+        let late = || PlatformError::not_run("the deadline has passed");
+        let left = options.deadline.saturating_duration_since(self.clock.now());
+        let lane = &self.lanes[options.lane as usize];
+        let _turn = tokio::time::timeout(left, lane.acquire()).await.map_err(|_| late())?;
+        let sent_at = self.clock.now();
+        let left = options.deadline.saturating_duration_since(sent_at).min(CALL_TIMEOUT);
+        if left.is_zero() {
+            return Err(late());
+        }
+        self.ask_breaker(operation, sent_at)?;
+        let mut unanswered = Unanswered { store: self, answered: false };
+        let outcome = tokio::time::timeout(left, call)
+            .await
+            .unwrap_or_else(|_| Err(PlatformError::may_have_run("no answer in time")));
+        unanswered.answered = true;
+        self.note(operation, sent_at, outcome.is_ok());
+        outcome
+    }
+
+    fn ask_breaker(&self, operation: &'static str, now: Instant) -> PlatformResult<()> {
+        let permit = self.breaker.lock().unwrap_or_else(PoisonError::into_inner).permit(now);
+        if permit != Permit::Refuse {
+            return Ok(());
+        }
+        metrics::counter!(metric::STORE_CALLS, "operation" => operation, "outcome" => "not-sent")
+            .increment(1);
+        Err(PlatformError::not_run("recent calls have failed, so this one was not sent"))
+    }
+
+    fn note(&self, operation: &'static str, sent_at: Instant, answered: bool) {
+        let now = self.clock.now();
+        {
+            let mut breaker = self.breaker.lock().unwrap_or_else(PoisonError::into_inner);
+            if answered { breaker.succeeded() } else { breaker.failed(now) }
+        }
+        if answered {
+            let mut answered_at = self.answered_at.lock().unwrap_or_else(PoisonError::into_inner);
+            *answered_at = (*answered_at).max(Some(sent_at));
+        }
+        let outcome = if answered { "answered" } else { "failed" };
+        metrics::counter!(metric::STORE_CALLS, "operation" => operation, "outcome" => outcome)
+            .increment(1);
+        let seconds = now.saturating_duration_since(sent_at).as_secs_f64();
+        metrics::histogram!(metric::STORE_SECONDS, "operation" => operation).record(seconds);
+    }
+}
+
+/// Tells the breaker when a call's future is dropped before its outcome is known.
+struct Unanswered<'a> {
+    store: &'a Store,
+    answered: bool,
+}
+
+impl Drop for Unanswered<'_> {
+    fn drop(&mut self) {
+        if !self.answered {
+            self.store.breaker.lock().unwrap_or_else(PoisonError::into_inner).abandoned();
+        }
+    }
+}
+
+fn count_doubt(outcome: &'static str) {
+    metrics::counter!(metric::STORE_DOUBTS, "outcome" => outcome).increment(1);
+}
+
+/// A read has no effect, so a read that fails is never in doubt.
+fn reading(error: PlatformError) -> StoreError {
+    StoreError::new(StoreErrorKind::Unavailable(error.detail))
+}
+
+fn open_row<T: WireType>(row: Row) -> Result<Stored<T>, StoreError> {
+    let damaged =
+        |detail: String| StoreError::new(StoreErrorKind::Damaged { key: row.key.clone(), detail });
+    let envelope: Envelope = decode(&row.value).map_err(|error| damaged(error.to_string()))?;
+    let value = decode(&envelope.value).map_err(|error| damaged(error.to_string()))?;
+    Ok(Stored { version: row.version, recent_writes: envelope.recent_writes, value })
+}
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,64 @@
+/*!
+Every decision of wasabiswitch, as pure functions over plain structs.
+
+# Example: who gets the slots of a full fleet
+
+```
+use wasabiswitch_policy::shares::{Claim, max_min};
+
+let claims = [
+    Claim { weight: 1, demand_slots: 10, limit_slots: 100 },
+    Claim { weight: 3, demand_slots: 50, limit_slots: 100 },
+    Claim { weight: 1, demand_slots: 1, limit_slots: 100 },
+];
+assert_eq!(max_min(&claims, 21), [5, 15, 1]);
+```
+
+# Example: may this attempt be sent again
+
+```
+use std::time::{Duration, Instant};
+use wasabiswitch_policy::Verdict;
+use wasabiswitch_policy::retry::{Attempt, RetryStep, next_step};
+
+let now = Instant::now();
+let attempt = Attempt {
+    verdict: Verdict::MayHaveRun,
+    repeatable: false,
+    attempts_made: 1,
+    attempts_max: 3,
+    deadline: now + Duration::from_secs(1),
+};
+assert_eq!(next_step(&attempt, now, true, 0.5), RetryStep::GiveUp);
+```
+
+# What belongs here
+
+A function belongs here if it decides something. Nothing here performs I/O, awaits, reads a clock or
+knows an encoding: the current time and random numbers are arguments. That keeps each rule testable
+against a naive version (see `tests/`), and lets another front end use the same rules.
+
+The reasons for the rules are in docs/DESIGN.md.
+*/
+
+pub mod breaker;
+pub mod burn;
+pub mod config;
+pub mod demand;
+pub mod generation;
+pub mod grants;
+pub mod ids;
+pub mod instance;
+pub mod jobs;
+pub mod merge;
+pub mod once;
+pub mod placement;
+pub mod queue;
+pub mod retry;
+pub mod routing;
+pub mod session;
+pub mod shares;
+mod verdict;
+pub mod waves;
+
+pub use verdict::Verdict;
--- /dev/null
+++ b/crates/policy/src/queue.rs
@@ -0,0 +1,228 @@
+//! The bounded queue in front of a pool: deficit round robin between teams, urgent work first.
+//!
+//! Each team has its own lines, so a team that sends a hundred times its share fills only its own.
+//! When the queue is full, the newest waiter of the team that is furthest over its share is shed,
+//! because it has waited least and its team has most to gain from slowing down.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Instant;
+
+use wasabiswitch_derive::derives;
+
+use crate::ids::TeamId;
+
+/// Which work goes first within a team's share.
+#[derives(value)]
+pub enum Urgency {
+    /// Someone waits for the answer.
+    Urgent,
+    /// It may wait, but must finish.
+    Deferrable,
+}
+
+/// One waiter; `handle` is the caller's own name for it.
+#[derives(value)]
+struct Waiter<K> {
+    handle: K,
+    deadline: Instant,
+}
+
+#[derives(record)]
+struct TeamLine<K> {
+    weight: u32,
+    deficit: u32,
+    urgent: VecDeque<Waiter<K>>,
+    deferrable: VecDeque<Waiter<K>>,
+}
+
+impl<K> TeamLine<K> {
+    fn len(&self) -> usize {
+        self.urgent.len() + self.deferrable.len()
+    }
+
+    fn line(&mut self, urgency: Urgency) -> &mut VecDeque<Waiter<K>> {
+        match urgency {
+            Urgency::Urgent => &mut self.urgent,
+            Urgency::Deferrable => &mut self.deferrable,
+        }
+    }
+}
+
+/// What became of a waiter that was offered to a queue.
+#[derives(value)]
+pub enum Offer<K> {
+    /// It waits.
+    Queued,
+    /// It waits, and `0` was shed to make room.
+    QueuedInPlaceOf(K),
+    /// It was refused itself.
+    Refused,
+}
+
+/// A queue of waiters of several teams.
+#[derives(record)]
+pub struct FairQueue<K> {
+    teams: BTreeMap<TeamId, TeamLine<K>>,
+    // The teams with waiters, in the order in which they are served.
+    round: VecDeque<TeamId>,
+    waiting: usize,
+    waiting_max: usize,
+}
+
+impl<K: Copy + PartialEq> FairQueue<K> {
+    /// Creates an empty queue that holds at most `waiting_max` waiters.
+    pub fn new(waiting_max: usize) -> FairQueue<K> {
+        FairQueue { teams: BTreeMap::new(), round: VecDeque::new(), waiting: 0, waiting_max }
+    }
+
+    /// Returns the number of waiters.
+    pub fn len(&self) -> usize {
+        self.waiting
+    }
+
+    /// Reports whether nobody waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting == 0
+    }
+
+    /// Returns the number of waiters of one team.
+    pub fn team_len(&self, team: &str) -> usize {
+        self.teams.get(team).map_or(0, TeamLine::len)
+    }
+
+    /// Adds a waiter, or sheds one if the queue is full.
+    pub fn offer(
+        &mut self,
+        team: &TeamId,
+        weight: u32,
+        urgency: Urgency,
+        deadline: Instant,
+        handle: K,
+    ) -> Offer<K> {
+        let mut shed = None;
+        if self.waiting >= self.waiting_max {
+            let over = self.most_over_share(team, weight);
+            if over == *team {
+                return Offer::Refused;
+            }
+            shed = self.shed_newest(&over);
+            if shed.is_none() {
+                return Offer::Refused;
+            }
+        }
+        self.push(team, weight, urgency, Waiter { handle, deadline });
+        shed.map_or(Offer::Queued, Offer::QueuedInPlaceOf)
+    }
+
+    fn push(&mut self, team: &TeamId, weight: u32, urgency: Urgency, waiter: Waiter<K>) {
+        let line = self.teams.entry(team.clone()).or_insert_with(|| TeamLine {
+            weight,
+            deficit: 0,
+            urgent: VecDeque::new(),
+            deferrable: VecDeque::new(),
+        });
+        line.weight = weight;
+        if line.len() == 0 {
+            self.round.push_back(team.clone());
+        }
+        line.line(urgency).push_back(waiter);
+        self.waiting += 1;
+    }
+
+    /// Returns the team with the most waiters per weight, counting one more for `team`.
+    fn most_over_share(&self, team: &TeamId, weight: u32) -> TeamId {
+        let own = self.team_len(team) + 1;
+        let mut worst = (team.clone(), own as u64, u64::from(weight.max(1)));
+        for (name, line) in &self.teams {
+            let length = line.len() as u64;
+            let line_weight = u64::from(line.weight.max(1));
+            if name != team && length * worst.2 > worst.1 * line_weight {
+                worst = (name.clone(), length, line_weight);
+            }
+        }
+        worst.0
+    }
+
+    fn shed_newest(&mut self, team: &TeamId) -> Option<K> {
+        let line = self.teams.get_mut(team)?;
+        let waiter = line.deferrable.pop_back().or_else(|| line.urgent.pop_back())?;
+        self.waiting -= 1;
+        self.forget_if_empty(team);
+        Some(waiter.handle)
+    }
+
+    /// Takes the next waiter whose team `may_run`, urgent before deferrable across all teams.
+    pub fn take(&mut self, mut may_run: impl FnMut(&TeamId) -> bool) -> Option<K> {
+        self.take_of(Urgency::Urgent, &mut may_run)
+            .or_else(|| self.take_of(Urgency::Deferrable, &mut may_run))
+    }
+
+    fn take_of(
+        &mut self,
+        urgency: Urgency,
+        may_run: &mut impl FnMut(&TeamId) -> bool,
+    ) -> Option<K> {
+        for _ in 0..self.round.len() {
+            let team = self.round.front()?.clone();
+            let line = self.teams.get_mut(&team)?;
+            if line.line(urgency).is_empty() || !may_run(&team) {
+                self.round.rotate_left(1);
+                continue;
+            }
+            if line.deficit == 0 {
+                line.deficit = line.weight.max(1);
+            }
+            line.deficit -= 1;
+            let turn_over = line.deficit == 0;
+            let waiter = line.line(urgency).pop_front()?;
+            self.waiting -= 1;
+            if !self.forget_if_empty(&team) && turn_over {
+                self.round.rotate_left(1);
+            }
+            return Some(waiter.handle);
+        }
+        None
+    }
+
+    /// Removes a waiter that no longer waits; returns whether it was there.
+    pub fn remove(&mut self, team: &TeamId, handle: K) -> bool {
+        let Some(line) = self.teams.get_mut(team) else { return false };
+        let before = line.len();
+        line.urgent.retain(|waiter| waiter.handle != handle);
+        line.deferrable.retain(|waiter| waiter.handle != handle);
+        let removed = before - line.len();
+        self.waiting -= removed;
+        self.forget_if_empty(team);
+        removed > 0
+    }
+
+    /// Removes and returns all waiters whose deadline has passed.
+    pub fn expire(&mut self, now: Instant) -> Vec<K> {
+        let mut expired = Vec::new();
+        for line in self.teams.values_mut() {
+            for waiters in [&mut line.urgent, &mut line.deferrable] {
+                waiters.retain(|waiter| {
+                    let late = waiter.deadline <= now;
+                    if late {
+                        expired.push(waiter.handle);
+                    }
+                    !late
+                });
+            }
+        }
+        self.waiting -= expired.len();
+        self.teams.retain(|_, line| line.len() > 0);
+        self.round.retain(|team| self.teams.contains_key(team));
+        expired
+    }
+
+    // A team without waiters keeps no deficit, so an idle team cannot save up a burst.
+    fn forget_if_empty(&mut self, team: &TeamId) -> bool {
+        let empty = self.teams.get(team).is_some_and(|line| line.len() == 0);
+        if empty {
+            self.teams.remove(team);
+            self.round.retain(|name| name != team);
+        }
+        empty
+    }
+}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,223 @@
+/*!
+Stand-ins for what surrounds the daemon: the platform's services, its workers, and upstreams.
+
+# Example: a table service whose answer is lost
+
+```
+# tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap().block_on(async {
+use wasabiswitch_kernel::clock::Clock;
+use wasabiswitch_kernel::platform::{RowValue, Write};
+use wasabiswitch_standin::{Fault, Operation, StandIn};
+
+let standin = StandIn::new(Clock::tokio());
+let platform = standin.platform();
+standin.faults().inject(Operation::Commit, Fault::EffectWithoutAnswer, 1);
+
+let write = Write { key: "a".into(), expected: 0, value: Some(RowValue(vec![1])) };
+assert!((platform.commit)(vec![write]).await.is_err());
+let rows = (platform.read)(vec!["a".into()]).await.unwrap();
+assert!(rows[0].is_some(), "the write took effect although its answer was lost");
+# });
+```
+
+The same state is served in process, through [`StandIn::platform`], and over a loopback socket, through
+[`http::serve`]. The quickstart and the tests use both. Every operation asks [`Faults`] first, which
+refuses, delays, hangs, loses the answer, delivers twice or answers from the past.
+*/
+
+mod faults;
+pub mod http;
+mod instances;
+mod table;
+pub mod upstream;
+mod workers;
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use bytes::Bytes;
+use futures_util::FutureExt as _;
+use wasabiswitch_kernel::clock::Clock;
+use wasabiswitch_kernel::platform::{
+    Platform, PlatformError, PlatformFn, PlatformResult, SyncRequest,
+};
+use wasabiswitch_policy::ids::InstanceId;
+
+pub use faults::{Fault, Faults, Operation};
+pub use instances::InstanceList;
+pub use table::TableService;
+pub use workers::{Workers, task_outcome};
+
+/// How often an operation was served, in the order of [`Operation`].
+pub type OperationCounts = HashMap<Operation, u64>;
+
+/// A worker and what it is told.
+type WorkerCall = (InstanceId, SyncRequest);
+
+/// The platform's state, without any of its interfaces.
+#[derive(Debug)]
+struct State {
+    table: TableService,
+    // What stale answers are given from.
+    old_table: TableService,
+    objects: HashMap<String, Bytes>,
+    instances: InstanceList,
+    workers: Workers,
+    counts: OperationCounts,
+}
+
+/// A platform inside this process; clones share their state.
+#[derive(Clone, Debug)]
+pub struct StandIn {
+    state: Arc<Mutex<State>>,
+    faults: Faults,
+    clock: Clock,
+}
+
+impl StandIn {
+    /// Creates a platform without instances, rows and faults.
+    pub fn new(clock: Clock) -> StandIn {
+        let state = State {
+            table: TableService::default(),
+            old_table: TableService::default(),
+            objects: HashMap::new(),
+            instances: InstanceList::default(),
+            workers: Workers::default(),
+            counts: HashMap::new(),
+        };
+        StandIn { state: Arc::new(Mutex::new(state)), faults: Faults::default(), clock }
+    }
+
+    /// Returns the plan of faults.
+    pub fn faults(&self) -> &Faults {
+        &self.faults
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Changes the list of instances.
+    pub fn with_instances<T>(&self, change: impl FnOnce(&mut InstanceList) -> T) -> T {
+        change(&mut self.state().instances)
+    }
+
+    /// Changes the workers.
+    pub fn with_workers<T>(&self, change: impl FnOnce(&mut Workers) -> T) -> T {
+        change(&mut self.state().workers)
+    }
+
+    /// Reads the table service behind the back of its interface.
+    pub fn with_table<T>(&self, read: impl FnOnce(&mut TableService) -> T) -> T {
+        read(&mut self.state().table)
+    }
+
+    /// Remembers the rows as they are now for later stale answers.
+    pub fn keep_for_stale_answers(&self) {
+        let mut state = self.state();
+        state.old_table = state.table.clone();
+    }
+
+    /// Returns how often each operation has been served.
+    pub fn counts(&self) -> OperationCounts {
+        self.state().counts.clone()
+    }
+
+    /// Returns the platform's functions over this state.
+    pub fn platform(&self) -> Platform {
+        Platform {
+            read: self.function(Operation::Read, |state, keys: Vec<String>, stale, _| {
+                let table = if stale { &state.old_table } else { &state.table };
+                keys.iter().map(|key| table.read(key)).collect()
+            }),
+            scan: self.function(
+                Operation::Scan,
+                |state, range: wasabiswitch_kernel::platform::ScanRange, stale, _| {
+                    let table = if stale { &state.old_table } else { &state.table };
+                    table.scan(&range.prefix, &range.after, range.rows_max)
+                },
+            ),
+            commit: self
+                .function(Operation::Commit, |state, writes, _, _| state.table.commit(writes)),
+            get_object: self.function(Operation::GetObject, |state, name: String, _, _| {
+                state.objects.get(&name).cloned()
+            }),
+            put_object: self.function(Operation::PutObject, |state, (name, body), _, _| {
+                state.objects.insert(name, body);
+            }),
+            list_instances: self
+                .function(Operation::List, |state, (), _, clock| state.instances.list(clock.now())),
+            sync_worker: self.function(Operation::Sync, |state, argument: WorkerCall, _, clock| {
+                let (instance, request) = argument;
+                let now = clock.now();
+                let boot = state.instances.boot(&instance);
+                state.workers.sync(&instance, boot, &request, now)
+            }),
+            reboot: self.function(
+                Operation::Reboot,
+                |state, instance: Arc<str>, _, clock: &Clock| {
+                    state.workers.reboot(&instance);
+                    state.instances.reboot(&instance, clock.now());
+                },
+            ),
+        }
+    }
+
+    fn function<A, T>(
+        &self,
+        operation: Operation,
+        run: impl Fn(&mut State, A, bool, &Clock) -> T + Send + Sync + 'static,
+    ) -> PlatformFn<A, T>
+    where
+        A: Clone + Send + 'static,
+        T: Send + 'static,
+    {
+        let standin = self.clone();
+        let run = Arc::new(run);
+        Arc::new(move |argument: A| {
+            let (standin, run) = (standin.clone(), run.clone());
+            async move { standin.serve(operation, argument, &*run).await }.boxed()
+        })
+    }
+
+    async fn serve<A: Clone, T>(
+        &self,
+        operation: Operation,
+        argument: A,
+        run: &(dyn Fn(&mut State, A, bool, &Clock) -> T + Send + Sync),
+    ) -> PlatformResult<T> {
+        let fault = self.faults.next(operation);
+        match fault {
+            Some(Fault::Refuse) => return Err(PlatformError::not_run("refused by plan")),
+            Some(Fault::Hang) => std::future::pending().await,
+            Some(Fault::Slow(delay)) => tokio::time::sleep(delay).await,
+            _ => {}
+        }
+        let stale = fault == Some(Fault::Stale);
+        let answer = self.run_once(operation, argument.clone(), stale, run);
+        match fault {
+            Some(Fault::EffectWithoutAnswer) => {
+                Err(PlatformError::may_have_run("the answer was lost by plan"))
+            }
+            Some(Fault::EffectThenSlow(delay)) => {
+                tokio::time::sleep(delay).await;
+                Ok(answer)
+            }
+            // The request is delivered twice; the caller sees the second answer.
+            Some(Fault::Twice) => Ok(self.run_once(operation, argument, stale, run)),
+            _ => Ok(answer),
+        }
+    }
+
+    fn run_once<A, T>(
+        &self,
+        operation: Operation,
+        argument: A,
+        stale: bool,
+        run: &(dyn Fn(&mut State, A, bool, &Clock) -> T + Send + Sync),
+    ) -> T {
+        let mut state = self.state();
+        *state.counts.entry(operation).or_default() += 1;
+        run(&mut state, argument, stale, &self.clock)
+    }
+}
