--- a/crates/kernel/src/config_document.rs
+++ b/crates/kernel/src/config_document.rs
@@ -313,7 +313,25 @@
             Holder::Operator(String::new())
         }
     };
-    Key { holder, digest }
+    Key { holder, digest, granted: fields.flag("granted"), withdrawn: fields.flag("withdrawn") }
+}
+
+/// Carries over to the entries of a folder what commands have done to keys since.
+///
+/// Granted keys stand in no file and stay; withdrawn keys stay withdrawn while the folder still has
+/// them with the same digest.
+pub fn keep_key_commands(before: &Entries, after: &mut Entries) {
+    let key_entries = before.iter().filter(|(key, _)| key.0 == "keys");
+    for (key, text) in key_entries {
+        let Ok(config) = read_entries(&Entries::from([(key.clone(), text.clone())])) else {
+            continue;
+        };
+        let Some(known) = config.keys.get(key.1.as_str()) else { continue };
+        let same_digest = after.get(key).is_none_or(|text| text.contains(&known.digest));
+        if (known.granted && !after.contains_key(key)) || (known.withdrawn && same_digest) {
+            after.insert(key.clone(), text.clone());
+        }
+    }
 }
 
 /// Returns the digest of all entries, which does not depend on how they came about.
--- a/crates/kernel/src/http/problem.rs
+++ b/crates/kernel/src/http/problem.rs
@@ -57,7 +57,6 @@
     QUEUE_FULL = "queue-full", 429, "The queue is full, and the team is furthest over its share.";
     CUT_OFF = "cut-off", 503,
         "The daemon reaches neither the table service nor its peers and cannot check keys.";
-    STOPPING = "stopping", 503, "The daemon is stopping; another one will answer.";
     NO_UPSTREAM = "no-upstream", 503, "No upstream of the service accepts work now.";
     STORE_DOWN = "store-down", 503, "The table service cannot be reached, and this needs it.";
     UPSTREAM_FAILED = "upstream-failed", 502, "The upstream gave no whole answer.";
--- a/crates/kernel/src/kernel.rs
+++ b/crates/kernel/src/kernel.rs
@@ -1,8 +1,8 @@
 //! The kernel: what all plug-ins share, and the order in which things start and stop.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use tokio::net::TcpListener;
@@ -64,6 +64,7 @@
     plugins: Vec<Plugin>,
     entry_routes: Vec<EntryRoute>,
     control_routes: Vec<ControlRoute>,
+    control_address: OnceLock<SocketAddr>,
     ready: AtomicBool,
     stopping: AtomicBool,
 }
@@ -107,6 +108,7 @@
             wakes: Wakes::default(),
             tasks: TaskTree::new(),
             request_tasks: TaskTree::new(),
+            control_address: OnceLock::new(),
             ready: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             settings,
@@ -129,6 +131,11 @@
         &self.control_routes
     }
 
+    /// Returns where operators and peers reach this daemon.
+    pub fn control_address(&self) -> SocketAddr {
+        self.control_address.get().copied().unwrap_or(self.settings.control_listen)
+    }
+
     /// Reports whether the balancer should send requests here.
     pub fn is_ready(&self) -> bool {
         self.ready.load(Ordering::Acquire)
@@ -205,6 +212,7 @@
             entry: local_address(&entry_listener, self.settings.entry_listen)?,
             control: local_address(&control_listener, self.settings.control_listen)?,
         };
+        let _ = self.control_address.set(listening.control);
         self.start_plugins().await?;
         let (kernel, stop) = (self.clone(), self.tasks.stop_token());
         self.tasks.spawn("control listener", async move {
--- a/crates/kernel/src/store.rs
+++ b/crates/kernel/src/store.rs
@@ -22,8 +22,8 @@
 use crate::clock::Clock;
 use crate::metric;
 use crate::platform::{
-    CommitOutcome, Platform, PlatformError, PlatformResult, Row, RowValue, ScanRange, Version,
-    Write,
+    CommitOutcome, ListedInstance, Platform, PlatformError, PlatformResult, Row, RowValue,
+    ScanRange, Version, Write,
 };
 
 /// The write ids that a row keeps.
@@ -339,6 +339,16 @@
         Err(StoreError::new(StoreErrorKind::Races))
     }
 
+    /// Reads several rows together.
+    pub async fn read_many(
+        &self,
+        options: CallOptions,
+        keys: &[&str],
+    ) -> Result<ReadRows, StoreError> {
+        let names = keys.iter().map(|key| (*key).to_owned()).collect();
+        Ok(ReadRows { rows: self.read_rows(options, names).await? })
+    }
+
     /// Reads rows, decides, and writes any of them together on condition that none has changed.
     ///
     /// `decide` may be called several times and must not have effects of its own. The first row that it
@@ -350,8 +360,7 @@
         mut decide: impl FnMut(&ReadRows) -> Result<Change<Vec<RowWrite>, R>, StoreError>,
     ) -> Result<R, StoreError> {
         for race in 1..=RACES_MAX {
-            let names = keys.iter().map(|key| (*key).to_owned()).collect();
-            let rows = ReadRows { rows: self.read_rows(options, names).await? };
+            let rows = self.read_many(options, keys).await?;
             let (writes, result) = match decide(&rows)? {
                 Change::Keep(result) => return Ok(result),
                 Change::Write(writes, result) => (writes, result),
@@ -454,6 +463,14 @@
         self.repeat("put", options, call).await.map_err(StoreError::from)
     }
 
+    /// Reads the platform's list of instances, which is late.
+    pub async fn list_instances(
+        &self,
+        options: CallOptions,
+    ) -> Result<Vec<ListedInstance>, StoreError> {
+        self.repeat("list", options, || (self.platform.list_instances)(())).await.map_err(reading)
+    }
+
     /// Sends a call that may be repeated until it is answered.
     async fn repeat<T, F>(
         &self,
--- a/crates/kernel/src/tables/members.rs
+++ b/crates/kernel/src/tables/members.rs
@@ -34,6 +34,8 @@
     pub epoch: Epoch,
     /// Its lease.
     pub lease: Lease,
+    /// Counts the loads that this daemon has published.
+    pub load_sequence: u64,
     /// The control roles that the current session holds.
     pub roles: BTreeSet<&'static str>,
 }
@@ -68,6 +70,7 @@
                 data_centre,
                 epoch: 0,
                 lease: Lease::new(times),
+                load_sequence: 0,
                 roles: BTreeSet::new(),
             },
             watch: SessionWatch::default(),
--- a/crates/kernel/src/tables/rows.rs
+++ b/crates/kernel/src/tables/rows.rs
@@ -3,10 +3,10 @@
 // The macro for typed keys implements a trait of `slotmap` that is unsafe to implement by hand.
 #![allow(unsafe_code)]
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use hyper::client::conn::http1::SendRequest;
 use slotmap::{SlotMap, new_key_type};
@@ -16,10 +16,10 @@
 use wasabiswitch_policy::config::{Config, Holder};
 use wasabiswitch_policy::demand::RunTimes;
 use wasabiswitch_policy::ids::{
-    BootId, FailureDomain, Generation, InstanceId, PoolId, ServiceId, TeamId,
+    BootId, FailureDomain, Generation, InstanceId, JobId, PoolId, ServiceId, TeamId,
 };
 use wasabiswitch_policy::instance::{InstanceRow, PoolRow};
-use wasabiswitch_policy::jobs::JobRow;
+use wasabiswitch_policy::jobs::{JobRow, JobState};
 use wasabiswitch_policy::queue::FairQueue;
 use wasabiswitch_policy::retry::RetryBudget;
 use wasabiswitch_policy::routing::{Health, Leaving};
@@ -101,6 +101,8 @@
 pub struct InstancesTable {
     /// The instances, by id.
     pub table: Table<InstanceHandle, InstanceEntry>,
+    /// Whether the platform's list has been read.
+    pub list_read: bool,
     /// The change up to which the rows were read; `None` before the first read.
     pub feed_sequence: Option<u64>,
     /// The pools' rows as last read.
@@ -237,6 +239,30 @@
     pub running: u32,
     /// The requests that this daemon may have running in the pool.
     pub capacity: u32,
+    /// The running and waiting requests of each team.
+    pub demand: HashMap<TeamId, u32>,
+}
+
+impl Gate {
+    /// Creates a gate that lets one request through until its capacity is known.
+    pub fn new(queue: FairQueue<RequestHandle>) -> Gate {
+        Gate { queue, running: 0, capacity: 1, demand: HashMap::new() }
+    }
+
+    /// Records that a request has come.
+    pub fn note_came(&mut self, team: &TeamId) {
+        match self.demand.get_mut(team) {
+            Some(demand) => *demand += 1,
+            None => drop(self.demand.insert(team.clone(), 1)),
+        }
+    }
+
+    /// Records that a request has ended or was refused.
+    pub fn note_left(&mut self, team: &TeamId) {
+        if let Some(demand) = self.demand.get_mut(team) {
+            *demand = demand.saturating_sub(1);
+        }
+    }
 }
 
 /// The requests that wait.
@@ -255,8 +281,8 @@
     pub row: JobRow,
     /// When it was first seen, on this daemon's clock.
     pub seen_at: Instant,
-    /// When its worker last confirmed the attempt, on this daemon's clock.
-    pub confirmed_at: Option<Instant>,
+    /// Before when its worker may last have renewed the attempt's lease, on this daemon's clock.
+    pub confirmed_at: Instant,
     /// The order in which the scheduler saw it.
     pub order: u64,
 }
@@ -270,12 +296,30 @@
     pub run_times: HashMap<(TeamId, String), RunTimes>,
     /// The results of each worker.
     pub records: HashMap<InstanceId, wasabiswitch_policy::placement::Record>,
-    /// Until when a worker is set aside.
+    /// Since when workers are set aside.
     pub set_aside: HashMap<InstanceId, Instant>,
+    /// The attempts of which a call may have reached a worker.
+    pub tried: HashSet<(JobId, u32)>,
+    /// The teams whose jobs may hold slots.
+    pub teams_with_slots: BTreeSet<TeamId>,
     /// The order of the next job that is seen.
     pub next_order: u64,
-    /// How long ago usage was reported, at most.
-    pub usage_lag: Duration,
+}
+
+impl JobsTable {
+    /// Forgets the jobs, when another daemon has become the scheduler.
+    pub fn forget(&mut self) {
+        self.table.retain(|_, _| false);
+        self.tried.clear();
+    }
+
+    /// Returns how many jobs are known to wait in a queue.
+    pub fn queued_in(&self, queue: &str) -> u32 {
+        let queued = self.table.iter().filter(|(_, entry)| {
+            *entry.row.spec.queue == *queue && entry.row.state == JobState::Queued
+        });
+        queued.count() as u32
+    }
 }
 
 /// A wave at its controller.
--- /dev/null
+++ b/crates/plugins/src/jobs/rows.rs
@@ -0,0 +1,129 @@
+//! Reads and writes the rows of jobs, and the slots that running jobs hold.
+
+use std::time::Duration;
+
+use wasabiswitch_kernel::Kernel;
+use wasabiswitch_kernel::store::{Base, CallOptions, Change, Lane, RowWrite, StoreError};
+use wasabiswitch_policy::grants::{GrantRequest, GrantRow, adjust};
+use wasabiswitch_policy::jobs::{Event, JobRow, JobState, apply};
+
+use crate::limits::GRANT_PREFIX;
+
+/// The key prefix of jobs that have not ended.
+pub const JOB_PREFIX: &str = "job/";
+/// The key prefix of jobs that have ended.
+pub const ENDED_PREFIX: &str = "ended/";
+/// The holder of the slots of running jobs, which no session is, so that they outlive the scheduler's.
+pub const JOBS_GRANT_HOLDER: &str = "@jobs";
+/// How long a change may take.
+const CHANGE_TIMEOUT: Duration = Duration::from_secs(2);
+
+pub(super) fn job_key(job: &str) -> String {
+    format!("{JOB_PREFIX}{job}")
+}
+
+pub(super) fn ended_key(job: &str) -> String {
+    format!("{ENDED_PREFIX}{job}")
+}
+
+pub(super) fn options(kernel: &Kernel, lane: Lane) -> CallOptions {
+    kernel.store.within(lane, CHANGE_TIMEOUT)
+}
+
+/// Reads a job, whether it has ended or not.
+pub(super) async fn read_job(kernel: &Kernel, job: &str) -> Result<Option<JobRow>, StoreError> {
+    let keys = [&*job_key(job), &*ended_key(job)];
+    let rows = kernel.store.read_many(options(kernel, Lane::Caller), &keys).await?;
+    let active = rows.get::<JobRow>(0)?;
+    let row = match active {
+        Some(active) => Some(active),
+        None => rows.get::<JobRow>(1)?,
+    };
+    Ok(row.map(|stored| stored.value))
+}
+
+/// Adds a job, unless its id is known already; returns the row that is there then.
+///
+/// An id that stands for an idempotency key is found among the ended jobs as well, so that a repeated
+/// submission never runs again.
+pub(super) async fn add_job(
+    kernel: &Kernel,
+    job: &str,
+    row: &JobRow,
+) -> Result<JobRow, StoreError> {
+    let keys = [&*job_key(job), &*ended_key(job)];
+    kernel
+        .store
+        .transact(options(kernel, Lane::Caller), &keys, |rows| {
+            let known = match rows.get::<JobRow>(0)? {
+                Some(active) => Some(active),
+                None => rows.get::<JobRow>(1)?,
+            };
+            Ok(match known {
+                Some(known) => Change::Keep(known.value),
+                None => {
+                    let write = RowWrite::new(keys[0], Base::default(), row);
+                    Change::Write(vec![write], row.clone())
+                }
+            })
+        })
+        .await
+}
+
+/// Applies an event to a job's row; returns the new row, or `None` if the event did not fit.
+///
+/// A job that ends is moved to the rows of ended jobs in the same batch.
+pub(super) async fn change_job(
+    kernel: &Kernel,
+    lane: Lane,
+    job: &str,
+    event: &Event,
+) -> Result<Option<JobRow>, StoreError> {
+    let keys = [&*job_key(job), &*ended_key(job)];
+    kernel
+        .store
+        .transact(options(kernel, lane), &keys, |rows| {
+            let Some(stored) = rows.get::<JobRow>(0)? else { return Ok(Change::Keep(None)) };
+            let Some(after) = apply(&stored.value, event) else { return Ok(Change::Keep(None)) };
+            let base = Base::from(Some(&stored));
+            let writes = if matches!(after.state, JobState::Ended(_)) {
+                let ended = rows.get::<JobRow>(1)?;
+                vec![
+                    RowWrite::new(keys[1], Base::from(ended.as_ref()), &after),
+                    RowWrite::delete(keys[0], base),
+                ]
+            } else {
+                vec![RowWrite::new(keys[0], base, &after)]
+            };
+            Ok(Change::Write(writes, Some(after)))
+        })
+        .await
+}
+
+/// Sets how many slots of a team its running jobs hold; returns how many it got.
+pub(super) async fn hold_job_slots(
+    kernel: &Kernel,
+    team: &str,
+    wanted_slots: u32,
+    running_slots: u32,
+) -> Result<u32, StoreError> {
+    let config = kernel.config();
+    let limit_slots = config.config.teams.get(team).map_or(0, |team| team.limit_slots);
+    let request = GrantRequest {
+        daemon: JOBS_GRANT_HOLDER.into(),
+        epoch: 0,
+        wanted_slots,
+        running_slots,
+        limit_slots,
+    };
+    let key = format!("{GRANT_PREFIX}{team}");
+    kernel
+        .store
+        .mutate(options(kernel, Lane::Control), &key, |row: Option<&GrantRow>| {
+            let before = row.cloned().unwrap_or_default();
+            let after = adjust(&before, &request);
+            let held = after.held_slots(JOBS_GRANT_HOLDER, 0);
+            if after == before { Change::Keep(held) } else { Change::Write(after, held) }
+        })
+        .await
+}
--- /dev/null
+++ b/crates/plugins/src/jobs/scheduler.rs
@@ -0,0 +1,281 @@
+//! The loop of the daemon that holds the role `jobs`.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use wasabiswitch_kernel::store::{Lane, StoreError};
+use wasabiswitch_kernel::tables::{JobEntry, JobsTable, Subject};
+use wasabiswitch_kernel::{Kernel, metric};
+use wasabiswitch_policy::ids::{InstanceId, JobId, PoolId, TeamId};
+use wasabiswitch_policy::jobs::{Claim, Event, JobRow, JobState, Outcome, Resources};
+use wasabiswitch_policy::placement::{Placement, Standing, Waiting, Worker, impossible, place};
+
+use super::rows::{JOB_PREFIX, change_job, hold_job_slots, options};
+use super::sync::sync_workers;
+use crate::membership::hold_role;
+use crate::pools::current_row;
+
+/// The role of the daemon that schedules jobs.
+pub const JOBS_ROLE: &str = "jobs";
+/// The most jobs that are placed at once.
+const PLACE_MAX: usize = 64;
+/// The quantile of the learned run times that a job is expected to take.
+const EXPECTED_QUANTILE: f64 = 0.9;
+/// How long a worker that failed everything is set aside before a job is tried there again.
+const SET_ASIDE_FOR: Duration = Duration::from_secs(60);
+
+pub(super) async fn tick(kernel: &Arc<Kernel>) {
+    if !hold_role(kernel, JOBS_ROLE).await {
+        kernel.tables.jobs.lock().forget();
+        return;
+    }
+    if load_jobs(kernel).await.is_err() {
+        return;
+    }
+    sync_workers(kernel).await;
+    end_withdrawn(kernel).await;
+    place_jobs(kernel).await;
+}
+
+/// Brings the table up to date with the rows.
+async fn load_jobs(kernel: &Kernel) -> Result<(), StoreError> {
+    let rows = kernel.store.scan::<JobRow>(options(kernel, Lane::Control), JOB_PREFIX).await?;
+    let now = kernel.clock.now();
+    let mut jobs = kernel.tables.jobs.lock();
+    let present: BTreeMap<JobId, JobRow> = rows
+        .into_iter()
+        .map(|(key, stored)| (key[JOB_PREFIX.len()..].into(), stored.value))
+        .collect();
+    jobs.table.retain(|id, _| present.contains_key(id));
+    for (id, row) in present {
+        let order = jobs.next_order;
+        let fresh = jobs.table.find(&id).is_none();
+        let (_, entry) = jobs.table.get_or_insert(&id, || JobEntry {
+            row: row.clone(),
+            seen_at: now,
+            // A worker may have renewed the attempt's lease until now, as far as this daemon knows.
+            confirmed_at: now,
+            order,
+        });
+        entry.row = row;
+        if fresh {
+            jobs.next_order += 1;
+        }
+    }
+    let JobsTable { table, tried, .. } = &mut *jobs;
+    tried.retain(|(id, _)| table.find(id).is_some());
+    let queued = table.iter().filter(|(_, entry)| entry.row.state == JobState::Queued).count();
+    metrics::gauge!(metric::JOBS_QUEUED).set(queued as f64);
+    Ok(())
+}
+
+/// Cancels queued jobs whose key was withdrawn; running ones may finish.
+async fn end_withdrawn(kernel: &Kernel) {
+    let active = kernel.config();
+    let withdrawn: Vec<JobId> = {
+        let jobs = kernel.tables.jobs.lock();
+        let queued = jobs.table.iter().filter(|(_, entry)| entry.row.state == JobState::Queued);
+        queued
+            .filter(|(_, entry)| {
+                let key = entry.row.spec.key.as_ref();
+                key.is_some_and(|key| active.config.key_in_force(key).is_none())
+            })
+            .map(|(id, _)| id.clone())
+            .collect()
+    };
+    for id in withdrawn {
+        change(kernel, &id, &Event::Cancel, "its key was withdrawn").await;
+    }
+}
+
+/// Applies an event to a job, books the row, and records the decision.
+pub(super) async fn change(kernel: &Kernel, id: &JobId, event: &Event, reason: &str) -> bool {
+    let Ok(Some(row)) = change_job(kernel, Lane::Control, id, event).await else { return false };
+    let now = kernel.clock.now();
+    {
+        let mut jobs = kernel.tables.jobs.lock();
+        if let JobState::Ended(outcome) = row.state {
+            metrics::counter!(metric::JOBS, "outcome" => outcome_name(outcome)).increment(1);
+            jobs.table.remove(id);
+        } else if let Some(entry) = jobs.table.by_id_mut(id) {
+            entry.row = row.clone();
+            entry.confirmed_at = now;
+        }
+    }
+    let numbers = vec![("attempt", i64::from(row.attempt))];
+    let action = action_name(event);
+    kernel.tables.journal.lock().record(now, Subject::Job, id, action, reason, numbers);
+    true
+}
+
+fn outcome_name(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Done => "done",
+        Outcome::Failed => "failed",
+        Outcome::Cancelled => "cancelled",
+        Outcome::Impossible => "impossible",
+        Outcome::InDoubt => "in-doubt",
+    }
+}
+
+fn action_name(event: &Event) -> &'static str {
+    match event {
+        Event::Claim(_) => "placed",
+        Event::Started(_) => "started",
+        Event::Done(_) => "done",
+        Event::Failed(_) => "failed",
+        Event::NotStarted(_) => "not started",
+        Event::Lost(_) => "lost",
+        Event::Cancel => "cancelled",
+        Event::Impossible(_) => "impossible",
+    }
+}
+
+async fn place_jobs(kernel: &Kernel) {
+    let pools: Vec<PoolId> = kernel.config().config.pools.keys().cloned().collect();
+    for pool in pools {
+        let workers = workers_of(kernel, &pool);
+        let (waiting, rejected) = waiting_in(kernel, &pool, &workers);
+        for (id, why) in rejected {
+            change(kernel, &id, &Event::Impossible(why.clone()), &why).await;
+        }
+        if waiting.is_empty() {
+            continue;
+        }
+        let teams = standings(kernel, &waiting).await;
+        for placement in place(&waiting, &workers, &teams).into_iter().take(PLACE_MAX) {
+            claim(kernel, &placement).await;
+        }
+    }
+}
+
+async fn claim(kernel: &Kernel, placement: &Placement) {
+    let (daemon, epoch) = kernel.session();
+    let claim = Claim { daemon, epoch, instance: placement.instance.clone() };
+    let reason = format!("worker {} fits best", placement.instance);
+    change(kernel, &placement.job, &Event::Claim(claim), &reason).await;
+}
+
+/// Returns the workers of a pool with what the placed jobs leave of them.
+fn workers_of(kernel: &Kernel, pool: &PoolId) -> Vec<Worker> {
+    let now = kernel.clock.now();
+    let used = used_by_worker(kernel);
+    let config = kernel.config();
+    let members = crate::pools::pool_view(kernel, pool).domains;
+    let mut workers = Vec::new();
+    for id in members.keys() {
+        let Some(configured) = config.config.instances.get(id) else { continue };
+        let serves = current_row(kernel, id)
+            .is_some_and(|row| row.state == wasabiswitch_policy::instance::InstanceState::Serving);
+        let accepts = {
+            let upstreams = kernel.tables.upstreams.lock();
+            upstreams.table.by_id(id).is_some_and(|upstream| upstream.accepts_work())
+        };
+        let set_aside = is_set_aside(kernel, id, now);
+        let total = Resources {
+            cpu_milli: configured.cpu_milli,
+            memory_bytes: configured.memory_bytes,
+            accelerators: configured.accelerators,
+        };
+        let free = total.less(&used.get(id).copied().unwrap_or_default());
+        let usable = serves && accepts && !set_aside;
+        workers.push(Worker { instance: id.clone(), total, free, usable });
+    }
+    workers
+}
+
+fn is_set_aside(kernel: &Kernel, instance: &InstanceId, now: Instant) -> bool {
+    let jobs = kernel.tables.jobs.lock();
+    jobs.set_aside.get(instance).is_some_and(|since| now < *since + SET_ASIDE_FOR)
+}
+
+fn used_by_worker(kernel: &Kernel) -> BTreeMap<InstanceId, Resources> {
+    let jobs = kernel.tables.jobs.lock();
+    let mut used: BTreeMap<InstanceId, Resources> = BTreeMap::new();
+    for (_, entry) in jobs.table.iter() {
+        if let JobState::Claimed(claim) | JobState::Started(claim) = &entry.row.state {
+            let sum = used.entry(claim.instance.clone()).or_default();
+            let own = entry.row.spec.resources;
+            sum.cpu_milli += own.cpu_milli;
+            sum.memory_bytes += own.memory_bytes;
+            sum.accelerators += own.accelerators;
+        }
+    }
+    used
+}
+
+type Rejected = Vec<(JobId, String)>;
+
+/// Returns the jobs that wait for a pool, and those that can never run there with the reasons.
+fn waiting_in(kernel: &Kernel, pool: &PoolId, workers: &[Worker]) -> (Vec<Waiting>, Rejected) {
+    let config = kernel.config();
+    let now = kernel.clock.now();
+    let jobs = kernel.tables.jobs.lock();
+    let mut waiting = Vec::new();
+    let mut rejected = Vec::new();
+    for (id, entry) in jobs.table.iter() {
+        let queue = config.config.queues.get(&entry.row.spec.queue);
+        let here = queue.is_some_and(|queue| queue.pool == *pool);
+        if !here || entry.row.state != JobState::Queued {
+            continue;
+        }
+        match impossible(&entry.row.spec.resources, workers) {
+            Some(why) => rejected.push((id.clone(), why)),
+            None => {
+                let kind = (entry.row.spec.team.clone(), entry.row.spec.kind.clone());
+                let declared_ms = entry.row.spec.run_time_ms;
+                let expected_ms = jobs
+                    .run_times
+                    .get(&kind)
+                    .map_or(declared_ms, |times| times.quantile_ms(EXPECTED_QUANTILE, declared_ms));
+                waiting.push(waiting_job(id, entry, expected_ms, now));
+            }
+        }
+    }
+    (waiting, rejected)
+}
+
+fn waiting_job(id: &JobId, entry: &JobEntry, expected_ms: u64, now: Instant) -> Waiting {
+    let waited_ms = now.saturating_duration_since(entry.seen_at).as_millis() as i64;
+    let deadline_ms = match entry.row.spec.deadline_ms {
+        0 => i64::MAX / 2,
+        deadline_ms => deadline_ms.min(i64::MAX as u64 / 2) as i64,
+    };
+    Waiting {
+        job: id.clone(),
+        team: entry.row.spec.team.clone(),
+        resources: entry.row.spec.resources,
+        slack_ms: deadline_ms - waited_ms - expected_ms as i64,
+        order: entry.order,
+        failed_on: entry.row.failed_on.iter().cloned().collect(),
+    }
+}
+
+/// Returns where each waiting team stands, after taking the slots that its jobs would need.
+async fn standings(kernel: &Kernel, waiting: &[Waiting]) -> BTreeMap<TeamId, Standing> {
+    let mut waiting_by_team: BTreeMap<TeamId, u32> = BTreeMap::new();
+    for job in waiting {
+        *waiting_by_team.entry(job.team.clone()).or_default() += 1;
+    }
+    let mut standings = BTreeMap::new();
+    for (team, count) in waiting_by_team {
+        let running = running_jobs(kernel, &team);
+        let wanted = running + count.min(PLACE_MAX as u32);
+        let Ok(held) = hold_job_slots(kernel, &team, wanted, running).await else { continue };
+        let weight = kernel.config().config.teams.get(&team).map_or(1, |team| team.weight);
+        standings.insert(team, Standing { weight, running, limit: held });
+    }
+    standings
+}
+
+/// Returns how many jobs of a team hold a slot.
+pub(super) fn running_jobs(kernel: &Kernel, team: &str) -> u32 {
+    let jobs = kernel.tables.jobs.lock();
+    let running = jobs.table.iter().filter(|(_, entry)| {
+        let state = &entry.row.state;
+        *entry.row.spec.team == *team
+            && matches!(state, JobState::Claimed(_) | JobState::Started(_))
+    });
+    running.count() as u32
+}
--- /dev/null
+++ b/crates/plugins/src/limits/admission.rs
@@ -0,0 +1,238 @@
+//! Lets requests run, makes them wait, or refuses them.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use tokio::sync::oneshot;
+use wasabiswitch_kernel::http::problem::{DEADLINE, OVER_LIMIT, Problem, QUEUE_FULL};
+use wasabiswitch_kernel::lock::Guard;
+use wasabiswitch_kernel::tables::{Gate, RequestHandle, RequestsTable, TeamsTable, WaitingRequest};
+use wasabiswitch_kernel::{Kernel, metric};
+use wasabiswitch_policy::ids::{PoolId, TeamId};
+use wasabiswitch_policy::queue::{FairQueue, Offer, Urgency};
+
+use crate::membership::check_admission;
+
+/// How long a caller is told to wait when its team's queue is full.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// A request that wants to run.
+#[derive(Clone, Debug)]
+pub struct Admission {
+    /// Its team.
+    pub team: TeamId,
+    /// The pool that would run it.
+    pub pool: PoolId,
+    /// Which work goes first.
+    pub urgency: Urgency,
+    /// When it must have been answered.
+    pub deadline: Instant,
+}
+
+/// The right to have one request running; dropping it gives the slot to the next.
+pub struct Permit {
+    kernel: Arc<Kernel>,
+    team: TeamId,
+    pool: PoolId,
+}
+
+impl std::fmt::Debug for Permit {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Permit").field("team", &self.team).field("pool", &self.pool).finish()
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let mut teams = self.kernel.tables.teams.lock();
+        let mut requests = self.kernel.tables.requests.lock();
+        if let Some(team) = teams.table.by_id_mut(&self.team) {
+            team.running -= 1;
+        }
+        if let Some(gate) = requests.gates.get_mut(&self.pool) {
+            gate.running -= 1;
+            gate.note_left(&self.team);
+        }
+        let now = self.kernel.clock.now();
+        pump(&mut teams, &mut requests, &self.pool, now);
+    }
+}
+
+/// Waits until a request may run, for as long as its deadline allows.
+pub async fn admit(kernel: &Arc<Kernel>, admission: &Admission) -> Result<Permit, Problem> {
+    check_admission(kernel)?;
+    let wait = match begin(kernel, admission)? {
+        Begun::Running(permit) => return Ok(permit),
+        Begun::Waiting(wait) => wait,
+    };
+    kernel.wakes.teams.notify_one();
+    let left = admission.deadline.saturating_duration_since(kernel.clock.now());
+    wait.finish(left).await
+}
+
+enum Begun {
+    Running(Permit),
+    Waiting(Wait),
+}
+
+fn begin(kernel: &Arc<Kernel>, admission: &Admission) -> Result<Begun, Problem> {
+    let now = kernel.clock.now();
+    let mut teams = kernel.tables.teams.lock();
+    let mut requests = kernel.tables.requests.lock();
+    let unknown = || Problem::not_run(OVER_LIMIT, "the team is not configured any more");
+    let team = teams.table.by_id_mut(&admission.team).ok_or_else(unknown)?;
+    let queue_max = kernel.settings.queue_max;
+    let RequestsTable { waiting, gates } = &mut *requests;
+    let gate = gates.entry(admission.pool.clone()).or_insert_with(|| new_gate(queue_max));
+    gate.note_came(&admission.team);
+    let free = gate.running < gate.capacity && gate.queue.team_len(&admission.team) == 0;
+    if free && team.running < team.held_slots {
+        team.running += 1;
+        team.busy_at = now;
+        gate.running += 1;
+        return Ok(Begun::Running(permit(kernel, admission)));
+    }
+    let weight = team.weight;
+    let (sender, receiver) = oneshot::channel();
+    let handle = waiting.insert(WaitingRequest {
+        team: admission.team.clone(),
+        pool: admission.pool.clone(),
+        admitted: sender,
+    });
+    let deadline = admission.deadline;
+    let offer = gate.queue.offer(&admission.team, weight, admission.urgency, deadline, handle);
+    match offer {
+        Offer::Queued => {}
+        Offer::QueuedInPlaceOf(shed) => drop_waiting(&mut teams, &mut requests, shed),
+        Offer::Refused => {
+            waiting.remove(handle);
+            gate.note_left(&admission.team);
+            return Err(queue_full());
+        }
+    }
+    if let Some(team) = teams.table.by_id_mut(&admission.team) {
+        team.waiting += 1;
+    }
+    pump(&mut teams, &mut requests, &admission.pool, now);
+    drop((requests, teams));
+    let admission = admission.clone();
+    Ok(Begun::Waiting(Wait { kernel: kernel.clone(), admission, handle, receiver, over: false }))
+}
+
+fn new_gate(queue_max: usize) -> Gate {
+    Gate::new(FairQueue::new(queue_max))
+}
+
+fn permit(kernel: &Arc<Kernel>, admission: &Admission) -> Permit {
+    Permit { kernel: kernel.clone(), team: admission.team.clone(), pool: admission.pool.clone() }
+}
+
+fn queue_full() -> Problem {
+    metrics::counter!(metric::QUEUE_SHED).increment(1);
+    Problem::not_run(QUEUE_FULL, "the queue is full, and the team is furthest over its share")
+        .retry_after(RETRY_AFTER)
+}
+
+/// Takes a waiting request out of the tables; its caller sees that its sender is gone.
+fn drop_waiting(teams: &mut TeamsTable, requests: &mut RequestsTable, handle: RequestHandle) {
+    let Some(waiting) = requests.waiting.remove(handle) else { return };
+    if let Some(team) = teams.table.by_id_mut(&waiting.team) {
+        team.waiting -= 1;
+    }
+    if let Some(gate) = requests.gates.get_mut(&waiting.pool) {
+        gate.note_left(&waiting.team);
+    }
+}
+
+/// Starts waiting requests of a pool while there are slots for them.
+fn pump(teams: &mut TeamsTable, requests: &mut RequestsTable, pool: &PoolId, now: Instant) {
+    loop {
+        let Some(gate) = requests.gates.get_mut(pool) else { return };
+        if gate.running >= gate.capacity {
+            return;
+        }
+        let may_run = |team: &TeamId| {
+            teams.table.by_id(team).is_some_and(|entry| entry.running < entry.held_slots)
+        };
+        let Some(handle) = gate.queue.take(may_run) else { return };
+        let Some(waiting) = requests.waiting.remove(handle) else { continue };
+        let Some(team) = teams.table.by_id_mut(&waiting.team) else { continue };
+        team.waiting -= 1;
+        // A caller that has gone away is told nothing and takes no slot.
+        if waiting.admitted.send(()).is_err() {
+            gate.note_left(&waiting.team);
+            continue;
+        }
+        team.running += 1;
+        team.busy_at = now;
+        gate.running += 1;
+    }
+}
+
+/// Starts waiting requests of all pools while there are slots for them.
+pub(super) fn pump_all(kernel: &Kernel) {
+    let now = kernel.clock.now();
+    let mut teams = kernel.tables.teams.lock();
+    let mut requests: Guard<'_, RequestsTable> = kernel.tables.requests.lock();
+    let pools: Vec<PoolId> = requests.gates.keys().cloned().collect();
+    for pool in pools {
+        pump(&mut teams, &mut requests, &pool, now);
+    }
+}
+
+/// A request that waits; dropping it leaves the queue.
+struct Wait {
+    kernel: Arc<Kernel>,
+    admission: Admission,
+    handle: RequestHandle,
+    receiver: oneshot::Receiver<()>,
+    over: bool,
+}
+
+impl Wait {
+    async fn finish(mut self, left: Duration) -> Result<Permit, Problem> {
+        match tokio::time::timeout(left, &mut self.receiver).await {
+            Ok(Ok(())) => {
+                self.over = true;
+                Ok(permit(&self.kernel, &self.admission))
+            }
+            Ok(Err(_)) => {
+                self.over = true;
+                Err(queue_full())
+            }
+            Err(_) => Err(self.too_late()),
+        }
+    }
+
+    fn too_late(&self) -> Problem {
+        let teams = self.kernel.tables.teams.lock();
+        let team = teams.table.by_id(&self.admission.team);
+        let at_limit = team.is_some_and(|team| team.running >= team.held_slots);
+        let problem = if at_limit {
+            Problem::not_run(OVER_LIMIT, "the team had no free slot before the deadline")
+        } else {
+            Problem::not_run(DEADLINE, "the pool had no free slot before the deadline")
+        };
+        problem.retry_after(RETRY_AFTER)
+    }
+}
+
+impl Drop for Wait {
+    fn drop(&mut self) {
+        if self.over {
+            return;
+        }
+        let mut teams = self.kernel.tables.teams.lock();
+        let mut requests = self.kernel.tables.requests.lock();
+        // Requests are admitted under these locks, so from here on the answer does not change.
+        if self.receiver.try_recv().is_ok() {
+            drop((requests, teams));
+            drop(permit(&self.kernel, &self.admission));
+            return;
+        }
+        if let Some(gate) = requests.gates.get_mut(&self.admission.pool) {
+            gate.queue.remove(&self.admission.team, self.handle);
+        }
+        drop_waiting(&mut teams, &mut requests, self.handle);
+    }
+}
--- /dev/null
+++ b/crates/plugins/src/limits/mod.rs
@@ -0,0 +1,84 @@
+//! Keeps teams within their limits and shares.
+//!
+//! A request runs only inside a slot that this daemon holds for its team, so the sum over all daemons
+//! stays within the limit whatever fails. When a pool is full, requests wait in its queue, and teams get
+//! their weighted shares. See docs/DESIGN.md, "Limits" and "Shares".
+
+mod admission;
+mod grants;
+mod portions;
+
+use std::time::Duration;
+
+use futures_util::FutureExt as _;
+use wasabiswitch_kernel::Kernel;
+use wasabiswitch_kernel::plugin::{Plugin, Registration, Tick};
+use wasabiswitch_kernel::tables::{ActiveConfig, TeamEntry};
+use wasabiswitch_wire::message::TeamLoad;
+
+pub use admission::{Admission, Permit, admit};
+pub use grants::{GRANT_PREFIX, adjust_team, give_back_all, reclaim_and_adjust};
+pub use portions::update_portions;
+
+/// How often grants are adjusted without a cause.
+const ADJUST_EVERY: Duration = Duration::from_millis(250);
+/// How often the portions of pools are worked out.
+const PORTIONS_EVERY: Duration = Duration::from_millis(250);
+
+fn plugin() -> Plugin {
+    Plugin {
+        on_config: load_teams,
+        ticks: vec![
+            Tick {
+                name: "grants",
+                every: |_| ADJUST_EVERY,
+                wake: Some(|kernel| &kernel.wakes.teams),
+                run: |kernel| async move { grants::adjust_all(&kernel).await }.boxed(),
+            },
+            Tick {
+                name: "portions",
+                every: |_| PORTIONS_EVERY,
+                wake: None,
+                run: |kernel| async move { update_portions(&kernel) }.boxed(),
+            },
+        ],
+        stop: |kernel| async move { give_back_all(&kernel).await }.boxed(),
+        ..Plugin::new("limits", &["membership", "config", "keys", "peers"])
+    }
+}
+
+inventory::submit! { Registration(plugin) }
+
+fn load_teams(kernel: &Kernel, active: &ActiveConfig) {
+    let now = kernel.clock.now();
+    let mut teams = kernel.tables.teams.lock();
+    for (id, team) in &active.config.teams {
+        let (_, entry) =
+            teams.table.get_or_insert(id, || TeamEntry::new(team.weight, team.limit_slots, now));
+        entry.weight = team.weight;
+        entry.limit_slots = team.limit_slots;
+    }
+    // A team that is gone is kept while it has slots, so that they can be given back.
+    teams.table.retain(|id, entry| {
+        let configured = active.config.teams.contains_key(id);
+        if !configured {
+            entry.limit_slots = 0;
+        }
+        configured || entry.running > 0 || entry.held_slots > 0
+    });
+    drop(teams);
+    kernel.wakes.teams.notify_one();
+}
+
+/// Returns the running and waiting requests of each team in each pool, at this daemon.
+pub fn demand_by_pool(kernel: &Kernel) -> Vec<TeamLoad> {
+    let requests = kernel.tables.requests.lock();
+    let loads = requests.gates.iter().flat_map(|(pool, gate)| {
+        gate.demand.iter().filter(|(_, slots)| **slots > 0).map(|(team, slots)| TeamLoad {
+            pool: pool.clone(),
+            team: team.clone(),
+            demand_slots: *slots,
+        })
+    });
+    loads.collect()
+}
--- /dev/null
+++ b/crates/plugins/src/live/relay.rs
@@ -0,0 +1,93 @@
+//! Passes an upstream's answer on to the caller, whole or visibly broken.
+//!
+//! The body is streamed, with the caller's pace as back-pressure. The connection goes back to the pool
+//! only after the last byte; on any error it is closed, and the caller's stream ends in an error, so
+//! that a cut answer never looks whole.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use http_body::{Body as _, Frame, SizeHint};
+use http_body_util::BodyExt as _;
+use hyper::body::Incoming;
+use wasabiswitch_kernel::http::{Body, BodyError};
+use wasabiswitch_kernel::metric;
+use wasabiswitch_kernel::tables::Connection;
+
+use super::upstream::Place;
+use crate::limits::Permit;
+
+/// What is held until an answer has been passed on.
+struct Held {
+    place: Place,
+    connection: Connection,
+    // Frees the team's slot when the answer has ended.
+    _permit: Permit,
+}
+
+/// The body of an answer on its way to the caller.
+struct Relayed {
+    body: Incoming,
+    held: Option<Held>,
+}
+
+/// Wraps the body of an answer.
+pub(super) fn relay(body: Incoming, place: Place, connection: Connection, permit: Permit) -> Body {
+    let held = Held { place, connection, _permit: permit };
+    if body.is_end_stream() {
+        finish(held);
+        return wasabiswitch_kernel::http::full_body(Bytes::new());
+    }
+    Relayed { body, held: Some(held) }.boxed_unsync()
+}
+
+/// Ends an answer that was passed on whole.
+fn finish(held: Held) {
+    held.place.note_outcome(true);
+    held.place.put_idle(held.connection);
+}
+
+impl http_body::Body for Relayed {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let polled = Pin::new(&mut self.body).poll_frame(context);
+        match polled {
+            Poll::Pending => Poll::Pending,
+            Poll::Ready(Some(Ok(frame))) => {
+                if self.body.is_end_stream()
+                    && let Some(held) = self.held.take()
+                {
+                    finish(held);
+                }
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Poll::Ready(Some(Err(error))) => {
+                metrics::counter!(metric::ANSWERS_CUT).increment(1);
+                if let Some(held) = self.held.take() {
+                    held.place.note_outcome(false);
+                }
+                Poll::Ready(Some(Err(error.into())))
+            }
+            Poll::Ready(None) => {
+                if let Some(held) = self.held.take() {
+                    finish(held);
+                }
+                Poll::Ready(None)
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- /dev/null
+++ b/crates/plugins/src/live/request.rs
@@ -0,0 +1,131 @@
+//! A live request, checked and with its deadline fixed.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use http::header::{self, HeaderMap, HeaderName};
+use http::{Method, Uri};
+use wasabiswitch_kernel::Kernel;
+use wasabiswitch_kernel::http::Body;
+use wasabiswitch_kernel::http::entry::EntryRequest;
+use wasabiswitch_kernel::http::problem::{BAD_KEY, BAD_REQUEST, NOT_FOUND, NOT_YOURS, Problem};
+use wasabiswitch_policy::config::{Holder, Service};
+use wasabiswitch_policy::ids::{RequestId, ServiceId, TeamId};
+use wasabiswitch_policy::queue::Urgency;
+
+use crate::limits::Admission;
+
+/// The header by which a caller shortens the deadline, in milliseconds.
+pub const DEADLINE_HEADER: HeaderName = HeaderName::from_static("x-wasabiswitch-deadline-ms");
+/// The header that names a request which may run at most once.
+const IDEMPOTENCY_HEADER: HeaderName = HeaderName::from_static("idempotency-key");
+/// The longest idempotency key, in bytes.
+const IDEMPOTENCY_KEY_MAX_BYTES: usize = 255;
+
+/// A live request.
+pub(crate) struct Live {
+    pub(crate) request_id: RequestId,
+    pub(crate) team: TeamId,
+    pub(crate) service_id: ServiceId,
+    pub(crate) service: Service,
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Body,
+    pub(crate) idempotency_key: Option<String>,
+    pub(crate) deadline: Instant,
+}
+
+impl Live {
+    /// Returns what the limits plug-in needs to know.
+    pub(crate) fn admission(&self) -> Admission {
+        Admission {
+            team: self.team.clone(),
+            pool: self.service.pool.clone(),
+            urgency: if self.service.urgent { Urgency::Urgent } else { Urgency::Deferrable },
+            deadline: self.deadline,
+        }
+    }
+
+    /// Reports whether the request may be sent again after doubt.
+    pub(crate) fn is_repeatable(&self) -> bool {
+        let method = self.method.as_str();
+        self.idempotency_key.is_none()
+            && self.service.repeatable_methods.iter().any(|own| own == method)
+    }
+}
+
+/// Checks a request and fixes its deadline.
+pub(crate) fn accept(kernel: &Arc<Kernel>, request: EntryRequest) -> Result<Live, Problem> {
+    let now = kernel.clock.now();
+    let team = authenticate_team(kernel, request.http.headers())?;
+    let (name, path) = request.rest.split_once('/').unwrap_or((&request.rest, ""));
+    let active = kernel.config();
+    let (service_id, service) = active
+        .config
+        .services
+        .get_key_value(name)
+        .ok_or_else(|| Problem::not_run(NOT_FOUND, format!("there is no service {name:?}")))?;
+    let (head, body) = request.http.into_parts();
+    let deadline = now + deadline_of(&head.headers, service.deadline)?;
+    Ok(Live {
+        request_id: request.request_id,
+        team,
+        service_id: service_id.clone(),
+        service: service.clone(),
+        method: head.method,
+        uri: inner_uri(path, head.uri.query())?,
+        idempotency_key: idempotency_key(&head.headers)?,
+        headers: head.headers,
+        body,
+        deadline,
+    })
+}
+
+/// Returns the team whose key came with a request.
+pub(crate) fn authenticate_team(kernel: &Kernel, headers: &HeaderMap) -> Result<TeamId, Problem> {
+    let presented = headers
+        .get(header::AUTHORIZATION)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.strip_prefix("Bearer "));
+    let holder = presented.and_then(|key| kernel.authenticate(key));
+    match holder {
+        Some((_, Holder::Team(team))) => Ok(team),
+        Some((_, Holder::Operator(_))) => {
+            Err(Problem::not_run(NOT_YOURS, "an operator's key submits no work"))
+        }
+        None => Err(Problem::not_run(BAD_KEY, "the key is missing, unknown or withdrawn")),
+    }
+}
+
+fn deadline_of(headers: &HeaderMap, longest: Duration) -> Result<Duration, Problem> {
+    let Some(value) = headers.get(DEADLINE_HEADER) else { return Ok(longest) };
+    let millis = value.to_str().ok().and_then(|text| text.parse::<u64>().ok());
+    let millis = millis.ok_or_else(|| {
+        let detail = format!("{DEADLINE_HEADER} is not a whole number of milliseconds");
+        Problem::not_run(BAD_REQUEST, detail)
+    })?;
+    Ok(Duration::from_millis(millis).min(longest))
+}
+
+fn idempotency_key(headers: &HeaderMap) -> Result<Option<String>, Problem> {
+    let Some(value) = headers.get(IDEMPOTENCY_HEADER) else { return Ok(None) };
+    let text = value
+        .to_str()
+        .ok()
+        .filter(|text| !text.is_empty() && text.len() <= IDEMPOTENCY_KEY_MAX_BYTES);
+    let text = text.ok_or_else(|| {
+        let detail =
+            format!("an idempotency key has 1 to {IDEMPOTENCY_KEY_MAX_BYTES} visible characters");
+        Problem::not_run(BAD_REQUEST, detail)
+    })?;
+    Ok(Some(text.to_owned()))
+}
+
+fn inner_uri(path: &str, query: Option<&str>) -> Result<Uri, Problem> {
+    let text = match query {
+        Some(query) => format!("/{path}?{query}"),
+        None => format!("/{path}"),
+    };
+    text.parse().map_err(|_| Problem::not_run(BAD_REQUEST, "the path is malformed"))
+}
--- /dev/null
+++ b/crates/plugins/src/maintenance.rs
@@ -0,0 +1,270 @@
+//! Runs maintenance waves.
+//!
+//! All progress of a wave is in its row, so that any daemon can go on with it. The daemon that holds the
+//! role `fleet` takes the steps that `wasabiswitch_policy::waves` decides; the fleet controller then
+//! takes each instance through drain, reboot and return. See docs/operators/waves.md.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::FutureExt as _;
+use http::Method;
+use serde_json::{Value, json};
+use wasabiswitch_kernel::Kernel;
+use wasabiswitch_kernel::http::control::{Access, ControlReply, ControlRequest, ControlResult};
+use wasabiswitch_kernel::http::problem::{CONFLICT, INVALID, NOT_FOUND, Problem};
+use wasabiswitch_kernel::metric;
+use wasabiswitch_kernel::plugin::{Plugin, Registration, Tick};
+use wasabiswitch_kernel::store::{Base, CallOptions, Change, Lane, RowWrite, StoreError, Stored};
+use wasabiswitch_kernel::tables::Subject;
+use wasabiswitch_policy::ids::{FailureDomain, InstanceId, WaveId};
+use wasabiswitch_policy::instance::{InstanceState, Reason, plan_down};
+use wasabiswitch_policy::waves::{Sight, WaveRow, WaveState, WaveStep, next_step, start};
+
+use crate::membership::hold_role;
+use crate::pools::{
+    FLEET_ROLE, RowChange, current_row, plan_down_instance, pool_view, settle_time,
+};
+use crate::route::{control, store_problem};
+
+/// The key prefix of waves.
+pub const WAVE_PREFIX: &str = "wave/";
+/// How often waves are looked at.
+const STEP_EVERY: Duration = Duration::from_secs(1);
+/// How long a change may take.
+const CHANGE_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long an instance may be down or joining before it counts as lost.
+const RETURN_TIMEOUT: Duration = Duration::from_secs(15 * 60);
+
+fn plugin() -> Plugin {
+    Plugin {
+        control_routes: vec![
+            control(Method::POST, "/v1/waves", Access::Operator, start_route),
+            control(Method::GET, "/v1/waves", Access::Operator, status_route),
+            control(Method::POST, "/v1/waves/:id/stop", Access::Operator, stop_route),
+        ],
+        ticks: vec![Tick {
+            name: "waves",
+            every: |_| STEP_EVERY,
+            wake: None,
+            run: |kernel| async move { tick(&kernel).await }.boxed(),
+        }],
+        ..Plugin::new("maintenance", &["pools"])
+    }
+}
+
+inventory::submit! { Registration(plugin) }
+
+fn wave_key(wave: &str) -> String {
+    format!("{WAVE_PREFIX}{wave}")
+}
+
+fn options(kernel: &Kernel) -> CallOptions {
+    kernel.store.within(Lane::Control, CHANGE_TIMEOUT)
+}
+
+async fn read_waves(kernel: &Kernel) -> Result<Vec<(WaveId, Stored<WaveRow>)>, StoreError> {
+    let rows = kernel.store.scan::<WaveRow>(options(kernel), WAVE_PREFIX).await?;
+    Ok(rows.into_iter().map(|(key, row)| (key[WAVE_PREFIX.len()..].into(), row)).collect())
+}
+
+async fn tick(kernel: &Arc<Kernel>) {
+    if !hold_role(kernel, FLEET_ROLE).await {
+        return;
+    }
+    let Ok(waves) = read_waves(kernel).await else { return };
+    for (id, stored) in waves {
+        if stored.value.state == WaveState::Running {
+            step(kernel, &id, stored).await;
+        }
+    }
+}
+
+/// Takes steps of one wave until it has to wait.
+async fn step(kernel: &Kernel, id: &WaveId, mut stored: Stored<WaveRow>) {
+    for _ in 0..stored.value.waiting.len() + 2 {
+        let row = &stored.value;
+        let sight = |instance: &InstanceId| sight_of(kernel, id, row, instance);
+        let may_drain = |instance: &InstanceId| budget_allows(kernel, row, instance);
+        let (next, drain) = match next_step(row, sight, may_drain) {
+            WaveStep::Wait => return,
+            WaveStep::Advance(next) => (next, None),
+            WaveStep::Drain(instance, next) => (next, Some(instance)),
+        };
+        let write = RowWrite::new(&wave_key(id), Base::from(Some(&stored)), &next);
+        let written = match &drain {
+            None => kernel.store.commit(options(kernel), &[write]).await.unwrap_or(false),
+            Some(instance) => drain_instance(kernel, id, instance, &write).await,
+        };
+        // Whoever changed the rows first, the next look at them decides again.
+        if !written {
+            return;
+        }
+        record(kernel, id, &stored.value, &next, drain.as_ref());
+        metrics::counter!(metric::WAVE_STEPS).increment(1);
+        let Ok(Some(fresh)) = kernel.store.read(options(kernel), &wave_key(id)).await else {
+            return;
+        };
+        stored = fresh;
+    }
+}
+
+/// Takes an instance down in the same batch that books it in the wave's row.
+async fn drain_instance(
+    kernel: &Kernel,
+    wave: &WaveId,
+    instance: &InstanceId,
+    write: &RowWrite,
+) -> bool {
+    let reason = Reason::Wave(wave.clone());
+    let outcome = plan_down_instance(kernel, instance, &reason, Some(write)).await;
+    matches!(outcome, Ok(RowChange::Changed(_)))
+}
+
+fn sight_of(kernel: &Kernel, wave: &WaveId, row: &WaveRow, instance: &InstanceId) -> Sight {
+    let Some(instance_row) = current_row(kernel, instance) else { return Sight::Gone };
+    let own = |reason: &Reason| matches!(reason, Reason::Wave(id) if id == wave);
+    match &instance_row.state {
+        InstanceState::Serving if instance_row.pool != row.pool => Sight::Gone,
+        InstanceState::Serving => Sight::Serving,
+        InstanceState::Leaving(reason)
+        | InstanceState::Down(reason, _)
+        | InstanceState::Joining(reason) => {
+            if !own(reason) {
+                Sight::Elsewhere
+            } else if is_overdue(kernel, row, instance) {
+                Sight::Lost
+            } else {
+                Sight::Underway
+            }
+        }
+    }
+}
+
+fn is_overdue(kernel: &Kernel, row: &WaveRow, instance: &InstanceId) -> bool {
+    let now = kernel.clock.now();
+    let limit = settle_time(kernel, &row.pool) + RETURN_TIMEOUT;
+    let instances = kernel.tables.instances.lock();
+    let since = instances.table.by_id(instance).and_then(|entry| entry.state_since);
+    since.is_some_and(|since| now >= since + limit)
+}
+
+fn budget_allows(kernel: &Kernel, row: &WaveRow, instance: &InstanceId) -> bool {
+    let view = pool_view(kernel, &row.pool);
+    let instances = kernel.tables.instances.lock();
+    let books = instances.pools.get(&row.pool).cloned().unwrap_or_default();
+    plan_down(&books, &view, instance).is_ok()
+}
+
+fn record(
+    kernel: &Kernel,
+    id: &WaveId,
+    before: &WaveRow,
+    after: &WaveRow,
+    drain: Option<&InstanceId>,
+) {
+    let (action, reason) = match (&after.state, drain) {
+        (WaveState::Halted(why), _) => ("halted", why.clone()),
+        (WaveState::Finished, _) => ("finished", "every instance was maintained".to_owned()),
+        (_, Some(instance)) => ("drains", format!("{instance} is next and the budget allows it")),
+        _ => ("advanced", "instances have come back".to_owned()),
+    };
+    if before.state != after.state {
+        log::info!("wave {id}: {action}: {reason}");
+    }
+    let numbers = vec![
+        ("waiting", after.waiting.len() as i64),
+        ("active", after.active.len() as i64),
+        ("done", after.done.len() as i64),
+        ("failed", after.failed.len() as i64),
+        ("batch", i64::from(after.batch)),
+    ];
+    let now = kernel.clock.now();
+    kernel.tables.journal.lock().record(now, Subject::Wave, id, action, reason, numbers);
+}
+
+async fn start_route(kernel: Arc<Kernel>, request: ControlRequest) -> ControlResult {
+    let pool = request.query.get("pool").cloned().unwrap_or_default();
+    if !kernel.config().config.pools.contains_key(pool.as_str()) {
+        return Err(Problem::not_run(INVALID, format!("there is no pool named {pool:?}")));
+    }
+    let waves = read_waves(&kernel).await.map_err(|error| store_problem(&error))?;
+    let running = waves.iter().find(|(_, stored)| {
+        *stored.value.pool == *pool && stored.value.state == WaveState::Running
+    });
+    if let Some((id, _)) = running {
+        return Err(Problem::not_run(CONFLICT, format!("wave {id} maintains this pool already")));
+    }
+    let row = start(pool.as_str().into(), &members_with_load(&kernel, &pool));
+    // The pool and a count name the wave, so that of two operators who start one, one wins.
+    let count = waves.iter().filter(|(_, stored)| *stored.value.pool == *pool).count();
+    let id: WaveId = format!("{pool}-{}", count + 1).into();
+    let won = kernel
+        .store
+        .mutate_absent(options(&kernel), &wave_key(&id), |known: Option<&WaveRow>| match known {
+            None => Change::Write(row.clone(), true),
+            Some(_) => Change::Keep(false),
+        })
+        .await
+        .map_err(|error| store_problem(&error))?;
+    if !won {
+        return Err(Problem::not_run(CONFLICT, format!("wave {id} was started by someone else")));
+    }
+    Ok(ControlReply::json(&wave_json(&id, &row)))
+}
+
+fn members_with_load(kernel: &Kernel, pool: &str) -> BTreeMap<InstanceId, (FailureDomain, u32)> {
+    let domains = pool_view(kernel, pool).domains;
+    let upstreams = kernel.tables.upstreams.lock();
+    let members = domains.into_iter().map(|(id, domain)| {
+        let load = upstreams.table.by_id(&id).map_or(0, |upstream| upstream.outstanding);
+        (id, (domain, load))
+    });
+    members.collect()
+}
+
+async fn status_route(kernel: Arc<Kernel>, _: ControlRequest) -> ControlResult {
+    let waves = read_waves(&kernel).await.map_err(|error| store_problem(&error))?;
+    let waves: Vec<Value> = waves.iter().map(|(id, stored)| wave_json(id, &stored.value)).collect();
+    Ok(ControlReply::json(&json!({ "waves": waves })))
+}
+
+async fn stop_route(kernel: Arc<Kernel>, request: ControlRequest) -> ControlResult {
+    let id = request.param("id");
+    let stopped = kernel
+        .store
+        .mutate(options(&kernel), &wave_key(id), |row: Option<&WaveRow>| match row {
+            Some(row) if row.state == WaveState::Running => {
+                let next = WaveRow { state: WaveState::Stopped, ..row.clone() };
+                Change::Write(next.clone(), Some(next))
+            }
+            Some(row) => Change::Keep(Some(row.clone())),
+            None => Change::Keep(None),
+        })
+        .await
+        .map_err(|error| store_problem(&error))?;
+    let row =
+        stopped.ok_or_else(|| Problem::not_run(NOT_FOUND, format!("there is no wave {id:?}")))?;
+    Ok(ControlReply::json(&wave_json(id, &row)))
+}
+
+fn wave_json(id: &str, row: &WaveRow) -> Value {
+    let (state, why) = match &row.state {
+        WaveState::Running => ("running", ""),
+        WaveState::Halted(why) => ("halted", why.as_str()),
+        WaveState::Stopped => ("stopped", "an operator stopped it"),
+        WaveState::Finished => ("finished", ""),
+    };
+    json!({
+        "wave": id,
+        "pool": row.pool,
+        "state": state,
+        "why": why,
+        "waiting": row.waiting.len(),
+        "active": row.active,
+        "done": row.done.len(),
+        "failed": row.failed,
+        "batch": row.batch,
+    })
+}
--- /dev/null
+++ b/crates/plugins/src/membership.rs
@@ -0,0 +1,299 @@
+//! Keeps this daemon's session and watches those of the others.
+//!
+//! Whatever a daemon holds in the table service, it holds under its session: slots, roles, claims of
+//! jobs and of idempotency keys. One renewal keeps all of it and one fence takes it back. The rules are
+//! in `wasabiswitch_policy::session`; docs/DESIGN.md, "Sessions", has the reasons.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use futures_util::FutureExt as _;
+use wasabiswitch_kernel::http::problem::{CUT_OFF, Problem};
+use wasabiswitch_kernel::plugin::{Plugin, Registration, Tick};
+use wasabiswitch_kernel::store::{CallOptions, Change, Lane, StoreError};
+use wasabiswitch_kernel::tables::{Member, MembersTable, Subject};
+use wasabiswitch_kernel::{Error, Kernel, metric};
+use wasabiswitch_policy::ids::{DaemonId, Epoch};
+use wasabiswitch_policy::session::{
+    Lapsed, RoleRow, SessionRow, end, fence, renew, start, take_role,
+};
+
+/// The key prefix of session rows.
+const SESSION_PREFIX: &str = "session/";
+/// The key prefix of role rows.
+const ROLE_PREFIX: &str = "role/";
+/// How long a renewal may take before it is given up.
+const RENEW_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long the first session may take to start.
+const START_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long callers are told to wait by a daemon that cannot admit them.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+fn plugin() -> Plugin {
+    Plugin {
+        start: |kernel| async move { start_plugin(kernel).await }.boxed(),
+        ticks: vec![Tick {
+            name: "session",
+            every: |kernel| kernel.settings.lease.renew_every(),
+            wake: None,
+            run: |kernel| async move { tick(&kernel).await }.boxed(),
+        }],
+        stop: |kernel| async move { end_session(&kernel).await }.boxed(),
+        ..Plugin::new("membership", &[])
+    }
+}
+
+inventory::submit! { Registration(plugin) }
+
+fn session_key(daemon: &str) -> String {
+    format!("{SESSION_PREFIX}{daemon}")
+}
+
+async fn start_plugin(kernel: Arc<Kernel>) -> Result<(), Error> {
+    start_session(&kernel, kernel.store.within(Lane::Control, START_TIMEOUT)).await?;
+    let _ = read_sessions(&kernel).await;
+    Ok(())
+}
+
+/// Starts a new session, which fences this daemon's earlier ones.
+async fn start_session(kernel: &Kernel, options: CallOptions) -> Result<(), StoreError> {
+    let settings = &kernel.settings;
+    let address = kernel.control_address().to_string();
+    let sent_at = kernel.clock.now();
+    let epoch = kernel
+        .store
+        .mutate(options, &session_key(&settings.daemon), |row: Option<&SessionRow>| {
+            let next = start(row, &settings.daemon, &address, &settings.data_centre);
+            let epoch = next.epoch;
+            Change::Write(next, epoch)
+        })
+        .await?;
+    let mut members = kernel.tables.members.lock();
+    members.own.epoch = epoch;
+    members.own.lease = wasabiswitch_policy::session::Lease::new(settings.lease);
+    members.own.lease.renewed(sent_at);
+    members.own.roles.clear();
+    drop(members);
+    forget_slots(kernel);
+    metrics::gauge!(metric::SESSION_EPOCH).set(epoch as f64);
+    log::info!("session {epoch} has started");
+    Ok(())
+}
+
+/// The slots of an earlier session are not this session's to use.
+fn forget_slots(kernel: &Kernel) {
+    let mut teams = kernel.tables.teams.lock();
+    for team in teams.table.iter_mut() {
+        team.held_slots = 0;
+    }
+}
+
+async fn tick(kernel: &Kernel) {
+    renew_session(kernel).await;
+    if read_sessions(kernel).await.is_ok() {
+        fence_lapsed(kernel).await;
+    }
+}
+
+/// Renews the session, or starts a new one if this one was fenced.
+pub async fn renew_session(kernel: &Kernel) {
+    let (daemon, epoch) = kernel.session();
+    let sent_at = kernel.clock.now();
+    let options = kernel.store.within(Lane::Control, RENEW_TIMEOUT);
+    let renewed = kernel
+        .store
+        .mutate(options, &session_key(&daemon), |row: Option<&SessionRow>| {
+            match renew(row, epoch) {
+                Some(next) => Change::Write(next, true),
+                None => Change::Keep(false),
+            }
+        })
+        .await;
+    match renewed {
+        Ok(true) => kernel.tables.members.lock().own.lease.renewed(sent_at),
+        Ok(false) => {
+            kernel.tables.members.lock().own.lease.lose();
+            log::warn!("session {epoch} was fenced");
+            let _ = start_session(kernel, options).await;
+        }
+        // The lease runs on; whether work goes on without it is decided at each admission.
+        Err(_) => {}
+    }
+}
+
+/// Reads all session rows and updates what is known of the daemons.
+pub async fn read_sessions(kernel: &Kernel) -> Result<(), StoreError> {
+    let options = kernel.store.within(Lane::Control, RENEW_TIMEOUT);
+    let rows = kernel.store.scan::<SessionRow>(options, SESSION_PREFIX).await?;
+    let read_at = kernel.clock.now();
+    let mut members = kernel.tables.members.lock();
+    let members = &mut *members;
+    let times = members.times;
+    members.watch.begin(read_at, times.renew_every() * 2);
+    for (_, stored) in rows {
+        members.watch.observe(&stored.value, times, read_at);
+        update_member(members, stored.value);
+    }
+    let live: BTreeSet<DaemonId> = members.watch.live().into_iter().map(|(id, _)| id).collect();
+    members.table.retain(|id, _| live.contains(id));
+    members.reach.set_live(live);
+    Ok(())
+}
+
+fn update_member(members: &mut MembersTable, row: SessionRow) {
+    let id = row.daemon.clone();
+    let (_, member) =
+        members.table.get_or_insert(&id, || Member { row: row.clone(), generation: 0, load: None });
+    if member.row.epoch != row.epoch {
+        member.load = None;
+        member.generation = 0;
+    }
+    member.row = row;
+}
+
+async fn fence_lapsed(kernel: &Kernel) {
+    let lapsed = {
+        let members = kernel.tables.members.lock();
+        let own = members.own.daemon.clone();
+        let may_fence =
+            |lapsed: &Lapsed| lapsed.daemon != own && members.reach.may_fence(lapsed.lapsed_at);
+        let mut lapsed = members.watch.lapsed();
+        lapsed.retain(may_fence);
+        lapsed
+    };
+    for session in lapsed {
+        let _ = fence_session(kernel, &session).await;
+    }
+}
+
+async fn fence_session(kernel: &Kernel, lapsed: &Lapsed) -> Result<(), StoreError> {
+    let options = kernel.store.within(Lane::Control, RENEW_TIMEOUT);
+    let fenced = kernel
+        .store
+        .mutate(options, &session_key(&lapsed.daemon), |row: Option<&SessionRow>| {
+            match row.and_then(|row| fence(row, lapsed.epoch, lapsed.renewals)) {
+                Some(next) => Change::Write(next.clone(), Some(next)),
+                None => Change::Keep(None),
+            }
+        })
+        .await?;
+    let Some(row) = fenced else { return Ok(()) };
+    let now = kernel.clock.now();
+    {
+        let mut members = kernel.tables.members.lock();
+        let times = members.times;
+        members.watch.observe(&row, times, now);
+        let mut journal = kernel.tables.journal.lock();
+        journal.record(
+            now,
+            Subject::Daemon,
+            &lapsed.daemon,
+            "fenced",
+            "its session was not renewed for the lease time and the margin",
+            vec![("epoch", lapsed.epoch as i64), ("renewals", lapsed.renewals as i64)],
+        );
+    }
+    metrics::counter!(metric::SESSIONS_FENCED).increment(1);
+    log::warn!("fenced session {} of {}", lapsed.epoch, lapsed.daemon);
+    Ok(())
+}
+
+async fn end_session(kernel: &Kernel) {
+    let (daemon, epoch) = kernel.session();
+    let options = kernel.store.within(Lane::Control, RENEW_TIMEOUT);
+    let ended = kernel
+        .store
+        .mutate(options, &session_key(&daemon), |row: Option<&SessionRow>| match end(row, epoch) {
+            Some(next) => Change::Write(next, ()),
+            None => Change::Keep(()),
+        })
+        .await;
+    kernel.tables.members.lock().own.lease.lose();
+    if ended.is_err() {
+        log::warn!("session {epoch} could not be ended and will be fenced");
+    }
+}
+
+/// Checks whether this daemon may admit new work now.
+pub fn check_admission(kernel: &Kernel) -> Result<(), Problem> {
+    let now = kernel.clock.now();
+    let mut members = kernel.tables.members.lock();
+    if let Some(answered_at) = kernel.store.answered_at() {
+        members.reach.store_answered(answered_at);
+    }
+    let refused = |detail: &str| Problem::not_run(CUT_OFF, detail).retry_after(RETRY_AFTER);
+    if members.reach.is_cut_off(now, kernel.settings.cut_off) {
+        return Err(refused("this daemon reaches neither the table service nor its peers"));
+    }
+    if !session_allows_work(&members, now, kernel.settings.cut_off) {
+        return Err(refused("the session of this daemon is not in force"));
+    }
+    Ok(())
+}
+
+fn session_allows_work(members: &MembersTable, now: Instant, cut_off: Duration) -> bool {
+    let lease = &members.own.lease;
+    let Some(counted_from) = lease.counted_from() else { return false };
+    lease.is_held(now) || members.reach.may_go_on(counted_from, members.times, now, cut_off)
+}
+
+/// Reports whether this daemon holds its lease, without which nothing may be claimed or controlled.
+pub fn holds_lease(kernel: &Kernel) -> bool {
+    let now = kernel.clock.now();
+    kernel.tables.members.lock().own.lease.is_held(now)
+}
+
+/// Takes a control role if it is free; returns whether this daemon holds it.
+///
+/// Roles go with the session, so that holding one costs no writes.
+pub async fn hold_role(kernel: &Kernel, role: &'static str) -> bool {
+    if !holds_lease(kernel) || kernel.is_stopping() {
+        return false;
+    }
+    let (daemon, epoch) = kernel.session();
+    if kernel.tables.members.lock().own.roles.contains(role) {
+        return true;
+    }
+    let options = kernel.store.within(Lane::Control, RENEW_TIMEOUT);
+    let taken = kernel
+        .store
+        .mutate(options, &format!("{ROLE_PREFIX}{role}"), |row: Option<&RoleRow>| {
+            let is_ours = row.is_some_and(|row| row.daemon == daemon && row.epoch == epoch);
+            if is_ours {
+                return Change::Keep(true);
+            }
+            match take_role(row, &daemon, epoch, |other, at| session_is_over(kernel, other, at)) {
+                Some(next) => Change::Write(next, true),
+                None => Change::Keep(false),
+            }
+        })
+        .await
+        .unwrap_or(false);
+    if taken {
+        let mut members = kernel.tables.members.lock();
+        if members.own.epoch == epoch {
+            members.own.roles.insert(role);
+        }
+        log::info!("took the role {role}");
+    }
+    taken
+}
+
+fn session_is_over(kernel: &Kernel, daemon: &str, epoch: Epoch) -> bool {
+    kernel.tables.members.lock().watch.is_over(daemon, epoch)
+}
+
+/// Returns the live daemons other than this one, with the addresses of their control listeners.
+pub fn live_peers(kernel: &Kernel) -> Vec<(DaemonId, String)> {
+    let members = kernel.tables.members.lock();
+    let own = members.own.daemon.clone();
+    let mut peers: Vec<(DaemonId, String)> = members
+        .table
+        .iter()
+        .filter(|(id, _)| ***id != *own)
+        .map(|(id, member)| (id.clone(), member.row.address.clone()))
+        .collect();
+    peers.sort();
+    peers
+}
--- /dev/null
+++ b/crates/plugins/src/peers.rs
@@ -0,0 +1,278 @@
+//! Exchanges small deltas with other daemons.
+//!
+//! Every half second a daemon sends a bounded message to a few peers in rotation. News spreads in
+//! rounds, because each receiver passes it on. Nothing that a promise rests on is agreed here: the
+//! messages only make daemons look at the table service sooner, or go on without it. See
+//! docs/DESIGN.md, "Peers".
+
+use std::hash::{DefaultHasher, Hash as _, Hasher as _};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use futures_util::FutureExt as _;
+use futures_util::future::join_all;
+use http::Method;
+use wasabiswitch_kernel::http::client::Outgoing;
+use wasabiswitch_kernel::http::control::{Access, ControlReply, ControlRequest, ControlResult};
+use wasabiswitch_kernel::http::problem::{BAD_REQUEST, Problem};
+use wasabiswitch_kernel::plugin::{Plugin, Registration, Tick};
+use wasabiswitch_kernel::tables::MembersTable;
+use wasabiswitch_kernel::{Kernel, metric};
+use wasabiswitch_policy::ids::{BootId, InstanceId, TeamId};
+use wasabiswitch_wire::message::{
+    DaemonLoad, LEAVING_MAX, LOADS_MAX, PeerMessage, PeerReply, TEAM_LOADS_MAX, TeamLoad,
+};
+use wasabiswitch_wire::{decode, encode};
+
+use crate::membership::live_peers;
+use crate::route::control;
+
+/// Where daemons receive messages.
+pub const MESSAGE_PATH: &str = "/peer/v1/message";
+/// How often messages are sent.
+const SEND_EVERY: Duration = Duration::from_millis(500);
+/// The peers that get a message each time.
+const FANOUT: usize = 2;
+/// How long a message may take.
+const SEND_TIMEOUT: Duration = Duration::from_millis(400);
+/// How long another daemon's call for slots is heeded.
+const SHORT_FOR: Duration = Duration::from_secs(2);
+
+fn plugin() -> Plugin {
+    Plugin {
+        control_routes: vec![control(Method::POST, MESSAGE_PATH, Access::Peer, receive)],
+        ticks: vec![Tick {
+            name: "peers",
+            every: |_| SEND_EVERY,
+            wake: Some(|kernel| &kernel.wakes.peers),
+            run: |kernel| async move { send_round(&kernel).await }.boxed(),
+        }],
+        ..Plugin::new("peers", &["membership", "config"])
+    }
+}
+
+inventory::submit! { Registration(plugin) }
+
+/// Counts the rounds of all daemons in the process, which only serves to rotate the peers.
+static ROUND: AtomicU64 = AtomicU64::new(0);
+
+/// Sends one round of messages.
+pub async fn send_round(kernel: &Arc<Kernel>) {
+    let peers = live_peers(kernel);
+    if peers.is_empty() {
+        return;
+    }
+    let round = ROUND.fetch_add(1, Ordering::Relaxed) as usize;
+    let first = round * FANOUT + fastrand::usize(..peers.len());
+    let count = FANOUT.min(peers.len());
+    let chosen = (0..count).map(|step| &peers[(first + step) % peers.len()].1);
+    join_all(chosen.map(|address| send(kernel, address, false))).await;
+}
+
+async fn send(kernel: &Arc<Kernel>, address: &str, all_leaving: bool) {
+    let body = encode(&message(kernel, all_leaving));
+    metrics::counter!(metric::PEER_BYTES).increment(body.len() as u64);
+    let outgoing = Outgoing {
+        method: Method::POST,
+        path: MESSAGE_PATH,
+        authorization: Some(&kernel.settings.peer_key),
+        body: body.into(),
+    };
+    let Ok(address_parsed) = address.parse() else { return };
+    let sent_at = kernel.clock.now();
+    let send_call = kernel.client.send(address_parsed, outgoing);
+    let answer = tokio::time::timeout(SEND_TIMEOUT, send_call).await;
+    let reply = match answer {
+        Ok(Ok(answer)) => decode::<PeerReply>(&answer.body).ok(),
+        _ => None,
+    };
+    let outcome = if reply.is_some() { "answered" } else { "failed" };
+    metrics::counter!(metric::PEER_MESSAGES, "outcome" => outcome).increment(1);
+    let Some(reply) = reply else { return };
+    note_reply(kernel, &reply, sent_at);
+    if reply.send_all_leaving && !all_leaving {
+        Box::pin(send(kernel, address, true)).await;
+    }
+}
+
+/// Takes in what a peer answered to a message that was sent at `sent_at`.
+pub fn note_reply(kernel: &Kernel, reply: &PeerReply, sent_at: Instant) {
+    let newer = {
+        let mut members = kernel.tables.members.lock();
+        members.reach.peer_answered(&reply.from, sent_at);
+        // The age is as of the answer, so counting it from before the message errs to the old side;
+        // counting from now errs to the new side, which is the safe one.
+        note_store_age(&mut members, kernel.clock.now(), reply.store_age_ms);
+        note_generation(&mut members, &reply.from, reply.generation);
+        reply.generation
+    };
+    if newer > kernel.config().generation {
+        kernel.wakes.config.notify_one();
+    }
+}
+
+fn note_store_age(members: &mut MembersTable, now: Instant, age_ms: u64) {
+    if let Some(at) = now.checked_sub(Duration::from_millis(age_ms)) {
+        members.reach.note_store_news(at);
+    }
+}
+
+fn note_generation(members: &mut MembersTable, from: &str, generation: u64) {
+    if let Some(member) = members.table.by_id_mut(from) {
+        member.generation = member.generation.max(generation);
+    }
+}
+
+/// Returns a message that only tells the generation and the contact with the store.
+pub fn message_without_news(kernel: &Kernel) -> PeerMessage {
+    let generation = kernel.config().generation;
+    let now = kernel.clock.now();
+    let members = kernel.tables.members.lock();
+    PeerMessage {
+        from: members.own.daemon.clone(),
+        epoch: members.own.epoch,
+        generation,
+        loads: Vec::new(),
+        leaving: Vec::new(),
+        leaving_digest: 0,
+        short_teams: Vec::new(),
+        store_age_ms: members.reach.store_news_age(now).as_millis() as u64,
+    }
+}
+
+fn message(kernel: &Kernel, all_leaving: bool) -> PeerMessage {
+    let base = message_without_news(kernel);
+    let mut loads = vec![own_load(kernel)];
+    loads.extend(other_loads(kernel));
+    let mut leaving = leaving_boots(kernel);
+    let leaving_digest = digest_of(&leaving);
+    if !all_leaving {
+        fastrand::shuffle(&mut leaving);
+        leaving.truncate(LEAVING_MAX);
+    }
+    PeerMessage { loads, leaving, leaving_digest, short_teams: short_teams(kernel), ..base }
+}
+
+/// Returns the demand of the teams at this daemon, the largest first.
+fn own_load(kernel: &Kernel) -> DaemonLoad {
+    let mut teams = crate::limits::demand_by_pool(kernel);
+    teams.sort_by_key(|load| std::cmp::Reverse(load.demand_slots));
+    teams.truncate(TEAM_LOADS_MAX);
+    let mut members = kernel.tables.members.lock();
+    let own = &mut members.own;
+    own.load_sequence += 1;
+    DaemonLoad { daemon: own.daemon.clone(), epoch: own.epoch, sequence: own.load_sequence, teams }
+}
+
+/// Returns the loads of a few other daemons, those heard of last.
+fn other_loads(kernel: &Kernel) -> Vec<DaemonLoad> {
+    let members = kernel.tables.members.lock();
+    let mut known: Vec<&(DaemonLoad, Instant)> =
+        members.table.iter().filter_map(|(_, member)| member.load.as_ref()).collect();
+    known.sort_by_key(|(_, heard_at)| std::cmp::Reverse(*heard_at));
+    known.into_iter().take(LOADS_MAX - 1).map(|(load, _)| load.clone()).collect()
+}
+
+fn leaving_boots(kernel: &Kernel) -> Vec<(InstanceId, BootId)> {
+    let upstreams = kernel.tables.upstreams.lock();
+    let mut leaving: Vec<(InstanceId, BootId)> = upstreams
+        .table
+        .iter()
+        .filter(|(_, upstream)| upstream.leaving.covers(upstream.boot))
+        .map(|(id, upstream)| (id.clone(), upstream.boot))
+        .collect();
+    leaving.sort();
+    leaving
+}
+
+fn digest_of(leaving: &[(InstanceId, BootId)]) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    leaving.hash(&mut hasher);
+    hasher.finish()
+}
+
+fn short_teams(kernel: &Kernel) -> Vec<TeamId> {
+    let teams = kernel.tables.teams.lock();
+    let short = teams.table.iter().filter(|(_, team)| team.short_since.is_some());
+    short.map(|(id, _)| id.clone()).take(TEAM_LOADS_MAX).collect()
+}
+
+async fn receive(kernel: Arc<Kernel>, request: ControlRequest) -> ControlResult {
+    let message: PeerMessage =
+        decode(&request.body).map_err(|error| Problem::not_run(BAD_REQUEST, error.to_string()))?;
+    Ok(ControlReply::binary(encode(&take_in(&kernel, message))))
+}
+
+/// Takes in a message and returns the answer.
+pub fn take_in(kernel: &Kernel, message: PeerMessage) -> PeerReply {
+    let now = kernel.clock.now();
+    let generation = message.generation;
+    {
+        let mut members = kernel.tables.members.lock();
+        note_store_age(&mut members, now, message.store_age_ms);
+        note_generation(&mut members, &message.from, generation);
+        for load in message.loads {
+            note_load(&mut members, load, now);
+        }
+    }
+    note_short_teams(kernel, &message.short_teams, now);
+    for (instance, boot) in &message.leaving {
+        crate::pools::note_leaving(kernel, instance, *boot, "peer");
+    }
+    let own_generation = kernel.config().generation;
+    if generation > own_generation {
+        kernel.wakes.config.notify_one();
+    }
+    let own_digest = digest_of(&leaving_boots(kernel));
+    let told = message.leaving_digest != 0;
+    let members = kernel.tables.members.lock();
+    PeerReply {
+        from: members.own.daemon.clone(),
+        epoch: members.own.epoch,
+        generation: own_generation,
+        send_all_leaving: told && own_digest != message.leaving_digest,
+        store_age_ms: members.reach.store_news_age(now).as_millis() as u64,
+    }
+}
+
+/// Keeps the newest load of each daemon; one that comes by a detour may be older than what is known.
+fn note_load(members: &mut MembersTable, load: DaemonLoad, now: Instant) {
+    if load.daemon == members.own.daemon {
+        return;
+    }
+    let Some(member) = members.table.by_id_mut(&load.daemon) else { return };
+    let newer = member
+        .load
+        .as_ref()
+        .is_none_or(|(known, _)| (load.epoch, load.sequence) > (known.epoch, known.sequence));
+    if newer && load.epoch == member.row.epoch {
+        member.load = Some((load, now));
+    }
+}
+
+fn note_short_teams(kernel: &Kernel, short: &[TeamId], now: Instant) {
+    let mut teams = kernel.tables.teams.lock();
+    let mut any = false;
+    for id in short {
+        if let Some(team) = teams.table.by_id_mut(id) {
+            team.others_short_until = Some(now + SHORT_FOR);
+            any |= team.held_slots > team.demand_slots();
+        }
+    }
+    drop(teams);
+    if any {
+        kernel.wakes.teams.notify_one();
+    }
+}
+
+/// Returns the loads of all live daemons, this one first.
+pub fn all_loads(kernel: &Kernel) -> Vec<Vec<TeamLoad>> {
+    let own = crate::limits::demand_by_pool(kernel);
+    let members = kernel.tables.members.lock();
+    let own_id = members.own.daemon.clone();
+    let others = members.table.iter().filter(|(id, _)| **id != own_id);
+    let loads = others
+        .map(|(_, member)| member.load.as_ref().map_or(Vec::new(), |(load, _)| load.teams.clone()));
+    std::iter::once(own).chain(loads).collect()
+}
--- /dev/null
+++ b/crates/plugins/src/pools/controller.rs
@@ -0,0 +1,161 @@
+//! Takes each instance that is not serving through its steps.
+//!
+//! Only the daemon that holds the role `fleet` does this. It decides from the rows and the platform's
+//! list, so that another daemon can go on at any step.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use wasabiswitch_kernel::Kernel;
+use wasabiswitch_kernel::platform::{SyncRequest, TaskState};
+use wasabiswitch_kernel::tables::{InstanceEntry, Subject};
+use wasabiswitch_policy::ids::{BootId, InstanceId, PoolId};
+use wasabiswitch_policy::instance::{
+    Cause, Event, InstanceRow, InstanceState, Reason, note_available, note_failure,
+};
+
+use super::rows::{RowChange, change_instance, change_pool};
+use super::view::current_row;
+use crate::membership::hold_role;
+
+/// The role of the daemon that controls the fleet.
+pub const FLEET_ROLE: &str = "fleet";
+/// How long an instance must be seen to run before it serves again.
+const JOIN_TIME: Duration = Duration::from_secs(2);
+/// How long the platform may take to reboot an instance before it is asked again.
+const REBOOT_AGAIN_AFTER: Duration = Duration::from_secs(60);
+
+/// Returns how long it takes until every daemon knows that an instance leaves, or admits nothing.
+pub fn notice_time(kernel: &Kernel) -> Duration {
+    kernel.settings.cut_off + super::READ_EVERY
+}
+
+/// Returns how long an instance that leaves may still have requests.
+///
+/// Every request has a deadline that was fixed when it entered, so the last one ends that long after
+/// the last daemon has noticed.
+pub fn settle_time(kernel: &Kernel, pool: &PoolId) -> Duration {
+    let config = kernel.config();
+    let services = config.config.services.values().filter(|service| service.pool == *pool);
+    let longest = services.map(|service| service.deadline).max().unwrap_or_default();
+    notice_time(kernel) + longest
+}
+
+/// An instance with what this daemon knows of it.
+struct Seen {
+    id: InstanceId,
+    row: InstanceRow,
+    boot: BootId,
+    listed: bool,
+    since: Instant,
+}
+
+pub(super) async fn tick(kernel: &Arc<Kernel>) {
+    if !hold_role(kernel, FLEET_ROLE).await {
+        return;
+    }
+    note_failures(kernel).await;
+    for seen in out_of_service(kernel) {
+        advance(kernel, &seen).await;
+    }
+}
+
+fn out_of_service(kernel: &Kernel) -> Vec<Seen> {
+    let now = kernel.clock.now();
+    let instances = kernel.tables.instances.lock();
+    let out = instances.table.iter().filter_map(|(id, entry)| {
+        let row = entry.row.clone().filter(|row| row.state != InstanceState::Serving)?;
+        Some(Seen {
+            id: id.clone(),
+            row,
+            boot: entry.listed_boot,
+            listed: entry.listed,
+            since: entry.state_since.unwrap_or(now),
+        })
+    });
+    out.collect()
+}
+
+async fn advance(kernel: &Kernel, seen: &Seen) {
+    let age = kernel.clock.now().saturating_duration_since(seen.since);
+    match &seen.row.state {
+        InstanceState::Serving => {}
+        InstanceState::Leaving(_) => {
+            let settled = age >= settle_time(kernel, &seen.row.pool);
+            if settled && has_no_tasks(kernel, &seen.id).await {
+                change(kernel, seen, Event::Drained(seen.boot), "drained").await;
+            }
+        }
+        InstanceState::Down(Reason::Wave(_), boot) if seen.boot > *boot => {
+            if seen.listed {
+                change(kernel, seen, Event::Seen(seen.boot), "rebooted").await;
+            }
+        }
+        InstanceState::Down(Reason::Wave(_), _) => reboot(kernel, &seen.id, age).await,
+        InstanceState::Down(_, _) => {}
+        InstanceState::Joining(_) => {
+            if seen.listed && age >= JOIN_TIME {
+                change(kernel, seen, Event::Served, "serves").await;
+            }
+        }
+    }
+}
+
+/// Asks the worker itself; one that cannot be asked is not taken to be drained.
+async fn has_no_tasks(kernel: &Kernel, instance: &InstanceId) -> bool {
+    let call = (kernel.platform.sync_worker)((instance.clone(), SyncRequest::default()));
+    match tokio::time::timeout(super::READ_EVERY, call).await {
+        Ok(Ok(reply)) => !reply.tasks.iter().any(|task| task.state == TaskState::Running),
+        _ => false,
+    }
+}
+
+async fn reboot(kernel: &Kernel, instance: &InstanceId, age: Duration) {
+    // The reboot is asked for soon after the instance is down, and again if nothing comes of it.
+    let asks = age.as_secs() / REBOOT_AGAIN_AFTER.as_secs();
+    let since_ask = age - REBOOT_AGAIN_AFTER * asks as u32;
+    if since_ask <= super::READ_EVERY {
+        let call = (kernel.platform.reboot)(instance.clone());
+        let _ = tokio::time::timeout(super::READ_EVERY, call).await;
+    }
+}
+
+async fn change(kernel: &Kernel, seen: &Seen, event: Event, action: &'static str) {
+    let outcome = change_instance(kernel, &seen.id, &event).await;
+    let Ok(RowChange::Changed(row)) = outcome else { return };
+    let reason = format!("it was {:?} and is {:?}", seen.row.state, row.state);
+    let now = kernel.clock.now();
+    let numbers = vec![("boot", seen.boot as i64)];
+    let mut journal = kernel.tables.journal.lock();
+    journal.record(now, Subject::Instance, &seen.id, action, reason, numbers);
+}
+
+/// Books instances that have left the list without a reason, and those that are back.
+async fn note_failures(kernel: &Kernel) {
+    for (id, entry) in known_instances(kernel) {
+        let Some(row) = current_row(kernel, &id) else { continue };
+        let cause = {
+            let instances = kernel.tables.instances.lock();
+            instances.pools.get(&row.pool).and_then(|pool| pool.unavailable.get(&id).copied())
+        };
+        let failed = !entry.listed;
+        let outcome = match cause {
+            None if failed => change_pool(kernel, &row.pool, |pool| note_failure(pool, &id)).await,
+            Some(Cause::Failure) if !failed => {
+                change_pool(kernel, &row.pool, |pool| note_available(pool, &id)).await
+            }
+            _ => Ok(()),
+        };
+        if outcome.is_err() {
+            return;
+        }
+    }
+}
+
+fn known_instances(kernel: &Kernel) -> Vec<(InstanceId, InstanceEntry)> {
+    let instances = kernel.tables.instances.lock();
+    if !instances.list_read {
+        return Vec::new();
+    }
+    instances.table.iter().map(|(id, entry)| (id.clone(), entry.clone())).collect()
+}
--- /dev/null
+++ b/crates/plugins/src/pools/rows.rs
@@ -0,0 +1,231 @@
+//! Reads and writes the rows of instances and pools.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use wasabiswitch_kernel::Kernel;
+use wasabiswitch_kernel::store::{Base, CallOptions, Change, Lane, RowWrite, StoreError, Stored};
+use wasabiswitch_policy::ids::{InstanceId, PoolId};
+use wasabiswitch_policy::instance::{
+    Denied, Event, FeedNews, FeedRow, InstanceRow, InstanceState, Misfit, PoolRow, Reason, apply,
+    note_available, plan_down,
+};
+
+use super::view::{configured_row, pool_view};
+
+/// The key of the feed of changes.
+const FEED_KEY: &str = "instance-feed";
+/// The key prefix of instance rows.
+const INSTANCE_PREFIX: &str = "instance/";
+/// The key prefix of pool rows.
+const POOL_PREFIX: &str = "pool/";
+/// How long a change may take.
+const CHANGE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Returns the key of an instance's row.
+pub fn instance_key(instance: &str) -> String {
+    format!("{INSTANCE_PREFIX}{instance}")
+}
+
+/// Returns the key of a pool's row.
+pub fn pool_key(pool: &str) -> String {
+    format!("{POOL_PREFIX}{pool}")
+}
+
+/// What became of a change of an instance's row.
+#[derive(Clone, Debug, PartialEq)]
+pub enum RowChange {
+    /// The row is now this.
+    Changed(InstanceRow),
+    /// The event did not fit the row.
+    Misfit(Misfit),
+    /// The pool's budget does not allow it.
+    Denied(Denied),
+    /// There is no such instance.
+    Unknown,
+}
+
+fn options(kernel: &Kernel) -> CallOptions {
+    kernel.store.within(Lane::Control, CHANGE_TIMEOUT)
+}
+
+/// Applies an event to an instance's row, and to its pool's row where it comes back to service.
+pub async fn change_instance(
+    kernel: &Kernel,
+    instance: &InstanceId,
+    event: &Event,
+) -> Result<RowChange, StoreError> {
+    let Some(configured) = configured_row(kernel, instance) else { return Ok(RowChange::Unknown) };
+    let pool = super::current_row(kernel, instance).map_or(configured.pool.clone(), |r| r.pool);
+    let keys = [&*instance_key(instance), FEED_KEY, &*pool_key(&pool)];
+    let outcome = kernel
+        .store
+        .transact(options(kernel), &keys, |rows| {
+            let stored = rows.get::<InstanceRow>(0)?;
+            let before = stored.as_ref().map_or(&configured, |stored| &stored.value);
+            let after = match apply(before, event) {
+                Ok(after) => after,
+                Err(misfit) => return Ok(Change::Keep(RowChange::Misfit(misfit))),
+            };
+            if stored.is_some() && after == *before {
+                return Ok(Change::Keep(RowChange::Changed(after)));
+            }
+            let feed = rows.get::<FeedRow>(1)?;
+            let mut writes = vec![
+                RowWrite::new(keys[0], Base::from(stored.as_ref()), &after),
+                feed_write(feed.as_ref(), instance),
+            ];
+            // A move takes the instance off the books of the pool that it leaves.
+            if after.state == InstanceState::Serving || after.pool != before.pool {
+                let pool_row = rows.get::<PoolRow>(2)?;
+                writes.extend(available_write(keys[2], pool_row.as_ref(), instance));
+            }
+            Ok(Change::Write(writes, RowChange::Changed(after)))
+        })
+        .await?;
+    note_change(kernel, instance, &outcome);
+    Ok(outcome)
+}
+
+fn feed_write(feed: Option<&Stored<FeedRow>>, instance: &InstanceId) -> RowWrite {
+    let next = feed.map(|stored| stored.value.clone()).unwrap_or_default().after_change(instance);
+    RowWrite::new(FEED_KEY, Base::from(feed), &next)
+}
+
+fn available_write(
+    key: &str,
+    row: Option<&Stored<PoolRow>>,
+    instance: &InstanceId,
+) -> Option<RowWrite> {
+    let stored = row?;
+    let next = note_available(&stored.value, instance);
+    (next != stored.value).then(|| RowWrite::new(key, Base::from(row), &next))
+}
+
+/// Takes an instance out of service on purpose, if the budget of its pool allows it.
+///
+/// The pool's row and the instance's row are written together, so that of two controllers that race
+/// for the last of the budget one meets a conflict and decides again. `also` adds a write that must
+/// take effect with them, such as the progress of a wave.
+pub async fn plan_down_instance(
+    kernel: &Kernel,
+    instance: &InstanceId,
+    reason: &Reason,
+    also: Option<&RowWrite>,
+) -> Result<RowChange, StoreError> {
+    let Some(configured) = configured_row(kernel, instance) else { return Ok(RowChange::Unknown) };
+    let pool = super::current_row(kernel, instance).map_or(configured.pool.clone(), |r| r.pool);
+    let view = pool_view(kernel, &pool);
+    let keys = [&*instance_key(instance), FEED_KEY, &*pool_key(&pool)];
+    let outcome = kernel
+        .store
+        .transact(options(kernel), &keys, |rows| {
+            let stored = rows.get::<InstanceRow>(0)?;
+            let before = stored.as_ref().map_or(&configured, |stored| &stored.value);
+            let after = match apply(before, &Event::Drain(reason.clone())) {
+                Ok(after) if after == *before => {
+                    return Ok(Change::Keep(RowChange::Changed(after)));
+                }
+                Ok(after) => after,
+                Err(misfit) => return Ok(Change::Keep(RowChange::Misfit(misfit))),
+            };
+            let pool_row = rows.get::<PoolRow>(2)?;
+            let books = pool_row.as_ref().map(|row| row.value.clone()).unwrap_or_default();
+            let next_books = match plan_down(&books, &view, instance) {
+                Ok(next) => next,
+                Err(denied) => return Ok(Change::Keep(RowChange::Denied(denied))),
+            };
+            let feed = rows.get::<FeedRow>(1)?;
+            let mut writes = vec![
+                RowWrite::new(keys[0], Base::from(stored.as_ref()), &after),
+                feed_write(feed.as_ref(), instance),
+                RowWrite::new(keys[2], Base::from(pool_row.as_ref()), &next_books),
+            ];
+            writes.extend(also.cloned());
+            Ok(Change::Write(writes, RowChange::Changed(after)))
+        })
+        .await?;
+    note_change(kernel, instance, &outcome);
+    Ok(outcome)
+}
+
+fn note_change(kernel: &Kernel, instance: &InstanceId, outcome: &RowChange) {
+    let RowChange::Changed(row) = outcome else { return };
+    set_row(kernel, instance, row.clone());
+    kernel.wakes.instances.notify_one();
+}
+
+fn set_row(kernel: &Kernel, instance: &InstanceId, row: InstanceRow) {
+    let now = kernel.clock.now();
+    let mut instances = kernel.tables.instances.lock();
+    let (_, entry) = instances.table.get_or_insert(instance, Default::default);
+    if entry.row.as_ref() != Some(&row) {
+        entry.state_since = Some(now);
+        entry.row = Some(row);
+    }
+}
+
+/// Writes a pool's row as `change` says, if that changes it.
+pub(super) async fn change_pool(
+    kernel: &Kernel,
+    pool: &PoolId,
+    change: impl Fn(&PoolRow) -> PoolRow,
+) -> Result<(), StoreError> {
+    let after = kernel
+        .store
+        .mutate(options(kernel), &pool_key(pool), |row: Option<&PoolRow>| {
+            let before = row.cloned().unwrap_or_default();
+            let after = change(&before);
+            if after == before { Change::Keep(after) } else { Change::Write(after.clone(), after) }
+        })
+        .await?;
+    kernel.tables.instances.lock().pools.insert(pool.clone(), after);
+    Ok(())
+}
+
+/// Reads the rows that have changed since the last read.
+pub async fn read_feed(kernel: &Kernel) -> Result<(), StoreError> {
+    let options = options(kernel);
+    let feed = kernel.store.read::<FeedRow>(options, FEED_KEY).await?;
+    let feed = feed.map(|stored| stored.value).unwrap_or_default();
+    let known = kernel.tables.instances.lock().feed_sequence;
+    let news = known.map_or(FeedNews::All, |sequence| feed.since(sequence));
+    match news {
+        FeedNews::Changed(ids) if ids.is_empty() => return Ok(()),
+        FeedNews::Changed(ids) => read_instances(kernel, &ids).await?,
+        FeedNews::All => read_every_instance(kernel).await?,
+    }
+    read_pools(kernel).await?;
+    kernel.tables.instances.lock().feed_sequence = Some(feed.sequence);
+    Ok(())
+}
+
+async fn read_instances(kernel: &Kernel, ids: &[InstanceId]) -> Result<(), StoreError> {
+    let keys: Vec<String> = ids.iter().map(|id| instance_key(id)).collect();
+    let keys: Vec<&str> = keys.iter().map(String::as_str).collect();
+    let rows = kernel.store.read_many(options(kernel), &keys).await?;
+    for (index, id) in ids.iter().enumerate() {
+        if let Some(stored) = rows.get::<InstanceRow>(index)? {
+            set_row(kernel, id, stored.value);
+        }
+    }
+    Ok(())
+}
+
+async fn read_every_instance(kernel: &Kernel) -> Result<(), StoreError> {
+    let rows = kernel.store.scan::<InstanceRow>(options(kernel), INSTANCE_PREFIX).await?;
+    for (key, stored) in rows {
+        set_row(kernel, &key[INSTANCE_PREFIX.len()..].into(), stored.value);
+    }
+    Ok(())
+}
+
+async fn read_pools(kernel: &Kernel) -> Result<(), StoreError> {
+    let rows = kernel.store.scan::<PoolRow>(options(kernel), POOL_PREFIX).await?;
+    let pools: BTreeMap<PoolId, PoolRow> = rows
+        .into_iter()
+        .map(|(key, stored)| (key[POOL_PREFIX.len()..].into(), stored.value))
+        .collect();
+    kernel.tables.instances.lock().pools = pools;
+    Ok(())
+}
--- /dev/null
+++ b/crates/plugins/src/pools/view.rs
@@ -0,0 +1,165 @@
+//! What this daemon makes of the configuration, the rows and the platform's list together.
+
+use std::collections::HashMap;
+use std::time::Instant;
+
+use wasabiswitch_kernel::store::Lane;
+use wasabiswitch_kernel::tables::{InstanceEntry, UpstreamEntry};
+use wasabiswitch_kernel::{Kernel, metric};
+use wasabiswitch_policy::config::Instance;
+use wasabiswitch_policy::ids::{BootId, InstanceId};
+use wasabiswitch_policy::instance::{InstanceRow, InstanceState, PoolView};
+use wasabiswitch_policy::routing::{Health, Leaving};
+
+/// Returns the row that an instance has before it is first written.
+pub(super) fn configured_row(kernel: &Kernel, instance: &str) -> Option<InstanceRow> {
+    let config = kernel.config();
+    let configured = config.config.instances.get(instance)?;
+    Some(InstanceRow { pool: configured.pool.clone(), state: InstanceState::Serving })
+}
+
+/// Returns an instance's row as this daemon knows it.
+pub fn current_row(kernel: &Kernel, instance: &str) -> Option<InstanceRow> {
+    let configured = configured_row(kernel, instance)?;
+    let instances = kernel.tables.instances.lock();
+    let entry = instances.table.by_id(instance);
+    Some(entry.and_then(|entry| entry.row.clone()).unwrap_or(configured))
+}
+
+/// Returns the members of a pool with their failure domains, and its budget.
+pub fn pool_view(kernel: &Kernel, pool: &str) -> PoolView {
+    let config = kernel.config();
+    let instances = kernel.tables.instances.lock();
+    let domains = config
+        .config
+        .instances
+        .iter()
+        .filter(|(id, configured)| {
+            let row = instances.table.by_id(id).and_then(|entry| entry.row.as_ref());
+            **row.map_or(&configured.pool, |row| &row.pool) == *pool
+        })
+        .map(|(id, configured)| (id.clone(), configured.failure_domain.clone()))
+        .collect();
+    let unavailable_max = config.config.pools.get(pool).map_or(0, |pool| pool.unavailable_max);
+    PoolView { unavailable_max, domains }
+}
+
+/// Reads the platform's list of instances, which is late.
+pub async fn list_instances(kernel: &Kernel) {
+    let options = kernel.store.within(Lane::Control, super::READ_EVERY);
+    let Ok(list) = kernel.store.list_instances(options).await else { return };
+    let mut boots: HashMap<String, BootId> = HashMap::new();
+    for listed in list {
+        if listed.leaving {
+            note_leaving(kernel, &listed.instance.as_str().into(), listed.boot, "list");
+        }
+        boots.insert(listed.instance, listed.boot);
+    }
+    let config = kernel.config();
+    let mut instances = kernel.tables.instances.lock();
+    for id in config.config.instances.keys() {
+        let (_, entry) = instances.table.get_or_insert(id, InstanceEntry::default);
+        entry.listed = boots.contains_key(&**id);
+        // The list may be answered from the past, but a boot never goes back.
+        entry.listed_boot = entry.listed_boot.max(boots.get(&**id).copied().unwrap_or(0));
+    }
+    instances.list_read = true;
+}
+
+/// Records that a boot of an instance is leaving; the first to say so counts.
+pub fn note_leaving(kernel: &Kernel, instance: &InstanceId, boot: BootId, source: &'static str) {
+    let news = {
+        let mut upstreams = kernel.tables.upstreams.lock();
+        let upstream = upstreams.table.by_id_mut(instance);
+        upstream.is_some_and(|upstream| {
+            let news = upstream.leaving.note(boot);
+            if news {
+                upstream.idle.clear();
+            }
+            news
+        })
+    };
+    if news {
+        metrics::counter!(metric::UPSTREAMS_LEAVING, "source" => source).increment(1);
+        kernel.wakes.peers.notify_one();
+    }
+}
+
+/// Brings the table of upstreams up to date with the configuration, the rows and the list.
+pub fn refresh_upstreams(kernel: &Kernel) {
+    let config = kernel.config();
+    let now = kernel.clock.now();
+    let daemons = kernel.tables.members.lock().reach.live().len().max(1) as u32;
+    let instances = kernel.tables.instances.lock();
+    let mut upstreams = kernel.tables.upstreams.lock();
+    let upstreams = &mut *upstreams;
+    upstreams.table.retain(|id, _| config.config.instances.contains_key(id));
+    upstreams.by_pool.clear();
+    for (id, configured) in &config.config.instances {
+        let seen = instances.table.by_id(id);
+        let Some(fresh) = upstream_of(id, configured, seen, instances.list_read, daemons, now)
+        else {
+            continue;
+        };
+        let pool = fresh.pool.clone();
+        let handle = match upstreams.table.find(id) {
+            Some(handle) => {
+                if let Some(known) = upstreams.table.get_mut(handle) {
+                    update(known, fresh);
+                }
+                handle
+            }
+            None => upstreams.table.set(id, fresh),
+        };
+        upstreams.by_pool.entry(pool).or_default().push(handle);
+    }
+}
+
+fn upstream_of(
+    id: &InstanceId,
+    configured: &Instance,
+    seen: Option<&InstanceEntry>,
+    list_read: bool,
+    daemons: u32,
+    now: Instant,
+) -> Option<UpstreamEntry> {
+    let row = seen.and_then(|entry| entry.row.as_ref());
+    let serves = row.is_none_or(|row| row.state == InstanceState::Serving);
+    let listed = !list_read || seen.is_some_and(|entry| entry.listed);
+    let connections = (configured.connections_max / daemons).max(1);
+    Some(UpstreamEntry {
+        instance: id.clone(),
+        address: configured.address.parse().ok()?,
+        pool: row.map_or_else(|| configured.pool.clone(), |row| row.pool.clone()),
+        failure_domain: configured.failure_domain.clone(),
+        capacity: configured.slots.min(connections),
+        outstanding: 0,
+        boot: seen.map_or(0, |entry| entry.listed_boot),
+        serving: serves && listed,
+        // An instance that serves when it is first seen is taken to be warm.
+        serving_since: now.checked_sub(WARM).unwrap_or(now),
+        leaving: Leaving::default(),
+        health: Health::new(now),
+        idle: Vec::new(),
+    })
+}
+
+/// How long ago an instance that is seen for the first time is taken to have begun to serve.
+const WARM: std::time::Duration = std::time::Duration::from_secs(60);
+
+fn update(known: &mut UpstreamEntry, fresh: UpstreamEntry) {
+    let came_back = fresh.serving && !known.serving || fresh.boot > known.boot;
+    if came_back {
+        // The fresh entry's time lies before; a slow start begins now.
+        known.serving_since = fresh.serving_since + WARM;
+    }
+    if !fresh.serving || fresh.boot > known.boot || fresh.address != known.address {
+        known.idle.clear();
+    }
+    known.address = fresh.address;
+    known.pool = fresh.pool;
+    known.failure_domain = fresh.failure_domain;
+    known.capacity = fresh.capacity;
+    known.boot = fresh.boot;
+    known.serving = fresh.serving;
+}
--- /dev/null
+++ b/crates/plugins/src/report/mod.rs
@@ -0,0 +1,140 @@
+//! Reports how fast services and teams use up the failures that their objective allows.
+//!
+//! Each daemon keeps the outcomes that passed through it, in memory and for a bounded time; the command
+//! line adds up the daemons. docs/operators/burn-report.md tells how to read the report.
+
+mod html;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use http::Method;
+use serde_json::{Value, json};
+use wasabiswitch_kernel::Kernel;
+use wasabiswitch_kernel::http::control::{Access, ControlReply, ControlRequest, ControlResult};
+use wasabiswitch_kernel::plugin::{Plugin, Registration};
+use wasabiswitch_kernel::tables::ServiceStats;
+use wasabiswitch_policy::burn::{Alert, Counts, History, alert, burn_rate};
+use wasabiswitch_policy::ids::{ServiceId, TeamId};
+
+use crate::route::control;
+
+/// How far the history reaches back.
+const HISTORY_SPAN: Duration = Duration::from_secs(6 * 60 * 60);
+/// The part of requests that must be good.
+pub const OBJECTIVE: f64 = 0.999;
+/// The windows of the report: short, middle and long.
+pub const WINDOWS: [(&str, Duration); 3] = [
+    ("5m", Duration::from_secs(5 * 60)),
+    ("1h", Duration::from_secs(60 * 60)),
+    ("6h", Duration::from_secs(6 * 60 * 60)),
+];
+
+fn plugin() -> Plugin {
+    Plugin {
+        control_routes: vec![
+            control(Method::GET, "/v1/report/burn", Access::Operator, burn),
+            control(Method::GET, "/v1/report/burn.html", Access::Operator, burn_html),
+        ],
+        ..Plugin::new("report", &["limits"])
+    }
+}
+
+inventory::submit! { Registration(plugin) }
+
+/// Records the outcome of one request.
+pub fn note_outcome(kernel: &Kernel, team: &TeamId, service: &ServiceId, good: bool, now: Instant) {
+    let mut teams = kernel.tables.teams.lock();
+    let Some(team) = teams.table.by_id_mut(team) else { return };
+    if let Some(stats) = team.stats.get_mut(service) {
+        stats.history.record(good, now);
+        return;
+    }
+    let mut history = History::new(now, HISTORY_SPAN);
+    history.record(good, now);
+    team.stats.insert(service.clone(), ServiceStats { history });
+}
+
+/// The burn of one service for one team.
+pub(crate) struct BurnLine {
+    team: TeamId,
+    service: ServiceId,
+    // In the order of `WINDOWS`.
+    windows: [Counts; 3],
+    // Oldest first.
+    buckets: Vec<Counts>,
+}
+
+impl BurnLine {
+    fn rates(&self) -> [f64; 3] {
+        self.windows.map(|counts| burn_rate(counts, OBJECTIVE))
+    }
+
+    fn alert(&self) -> Alert {
+        let [short, middle, long] = self.rates();
+        alert(short, middle, long)
+    }
+
+    /// The part of the long window's budget that is left.
+    fn budget_left(&self) -> f64 {
+        (1.0 - self.rates()[2]).max(0.0)
+    }
+}
+
+fn alert_name(alert: Alert) -> &'static str {
+    match alert {
+        Alert::None => "none",
+        Alert::Slow => "slow",
+        Alert::Fast => "fast",
+    }
+}
+
+fn lines(kernel: &Kernel) -> Vec<BurnLine> {
+    let now = kernel.clock.now();
+    let teams = kernel.tables.teams.lock();
+    let mut lines: BTreeMap<(TeamId, ServiceId), BurnLine> = BTreeMap::new();
+    for (team, entry) in teams.table.iter() {
+        for (service, stats) in &entry.stats {
+            let line = BurnLine {
+                team: team.clone(),
+                service: service.clone(),
+                windows: WINDOWS.map(|(_, window)| stats.history.sum(window, now)),
+                buckets: stats.history.buckets().copied().collect(),
+            };
+            lines.insert((team.clone(), service.clone()), line);
+        }
+    }
+    lines.into_values().collect()
+}
+
+async fn burn(kernel: Arc<Kernel>, _: ControlRequest) -> ControlResult {
+    let lines: Vec<Value> = lines(&kernel).iter().map(line_json).collect();
+    Ok(ControlReply::json(&json!({
+        "daemon": kernel.settings.daemon,
+        "objective": OBJECTIVE,
+        "lines": lines,
+    })))
+}
+
+fn line_json(line: &BurnLine) -> Value {
+    let windows: Vec<Value> = WINDOWS
+        .iter()
+        .zip(line.windows.iter().zip(line.rates()))
+        .map(|((name, _), (counts, rate))| {
+            json!({ "window": name, "total": counts.total, "bad": counts.bad, "burn": rate })
+        })
+        .collect();
+    json!({
+        "team": line.team,
+        "service": line.service,
+        "windows": windows,
+        "alert": alert_name(line.alert()),
+        "budget_left": line.budget_left(),
+    })
+}
+
+async fn burn_html(kernel: Arc<Kernel>, _: ControlRequest) -> ControlResult {
+    let page = html::page(&kernel.settings.daemon, &lines(&kernel));
+    Ok(ControlReply { content_type: "text/html; charset=utf-8", ..ControlReply::text(page) })
+}
--- a/crates/policy/src/config.rs
+++ b/crates/policy/src/config.rs
@@ -116,6 +116,17 @@
     pub holder: Holder,
     /// The digest of the secret part, in lower-case hexadecimal.
     pub digest: String,
+    /// Whether a command granted it, so that it stands in no file of the folder.
+    pub granted: bool,
+    /// Whether a command withdrew it; an entry stays behind, so that the folder does not revive it.
+    pub withdrawn: bool,
+}
+
+impl Config {
+    /// Returns a key that may be presented.
+    pub fn key_in_force(&self, id: &str) -> Option<&Key> {
+        self.keys.get(id).filter(|key| !key.withdrawn)
+    }
 }
 
 /// An error in the meaning of a configuration.
