--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -5,6 +5,7 @@
 use http::Method;
 use serde_json::Value;
 use wasabiswitch_kernel::http::client::{HttpClient, Outgoing};
+use wasabiswitch_kernel::network::Network;
 use wasabiswitch_policy::Verdict;
 
 use crate::Exit;
@@ -47,7 +48,7 @@
 impl Daemon {
     pub(crate) fn new(address: SocketAddr) -> Daemon {
         let key = std::env::var(KEY_VARIABLE).unwrap_or_default();
-        Daemon { address, key, client: HttpClient::new() }
+        Daemon { address, key, client: HttpClient::new(Network::tcp()) }
     }
 
     pub(crate) async fn get(&self, path: &str) -> Result<Value, Failure> {
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -18,6 +18,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use wasabiswitch_kernel::clock::Clock;
 use wasabiswitch_kernel::http::client::HttpClient;
+use wasabiswitch_kernel::network::Network;
 use wasabiswitch_kernel::platform::{Platform, http};
 use wasabiswitch_kernel::plugin::registered;
 use wasabiswitch_kernel::settings::{self, PlatformSettings, Settings};
@@ -91,7 +92,7 @@
     let standins = TaskTree::new();
     let platform = connect(&settings, &standins).await?;
     let stop_timeout = settings.stop_timeout;
-    let kernel = Kernel::new(settings, platform, Clock::tokio(), registered())?;
+    let kernel = Kernel::new(settings, platform, Network::tcp(), Clock::tokio(), registered())?;
     kernel.start().await?;
     signals.next().await;
     let finished = tokio::select! {
@@ -110,7 +111,7 @@
         PlatformSettings::Address(address) => address,
         PlatformSettings::Embedded => embedded::start(settings, standins).await?,
     };
-    Ok(http::connect(address, HttpClient::new()))
+    Ok(http::connect(address, HttpClient::new(Network::tcp())))
 }
 
 /// The signals that stop the daemon.
--- a/crates/kernel/src/http/client.rs
+++ b/crates/kernel/src/http/client.rs
@@ -13,9 +13,10 @@
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
 use wasabiswitch_policy::Verdict;
 
+use crate::network::Network;
+
 /// The most idle connections that are kept for one address.
 const IDLE_MAX: usize = 16;
 /// The longest time that a connection takes to open.
@@ -88,14 +89,15 @@
 /// The client; clones share their connections.
 #[derive(Clone, Debug, Default)]
 pub struct HttpClient {
+    network: Network,
     // A leaf lock: nothing else is locked while it is held.
     idle: Arc<Mutex<HashMap<SocketAddr, Vec<Connection>>>>,
 }
 
 impl HttpClient {
     /// Creates a client without connections.
-    pub fn new() -> HttpClient {
-        HttpClient::default()
+    pub fn new(network: Network) -> HttpClient {
+        HttpClient { network, idle: Arc::default() }
     }
 
     /// Sends a request and reads the whole answer.
@@ -109,7 +111,7 @@
         loop {
             let (mut connection, reused) = match self.take_idle(address) {
                 Some(connection) => (connection, true),
-                None => (open(address).await.map_err(error)?, false),
+                None => (self.open(address).await.map_err(error)?, false),
             };
             match connection.try_send_request(request).await {
                 Ok(answer) => {
@@ -127,6 +129,20 @@
         }
     }
 
+    async fn open(&self, address: SocketAddr) -> Result<Connection, ClientErrorKind> {
+        let stream = tokio::time::timeout(CONNECT_TIMEOUT, (self.network.dial)(address))
+            .await
+            .map_err(|elapsed| ClientErrorKind::Connect(elapsed.into()))?
+            .map_err(ClientErrorKind::Connect)?;
+        let (sender, connection) =
+            handshake(TokioIo::new(stream)).await.map_err(|error| not_sent(&error))?;
+        // The connection ends when its sender is dropped, so nothing needs to join this task.
+        tokio::spawn(async move {
+            let _ = connection.await;
+        });
+        Ok(sender)
+    }
+
     fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.get_mut(&address)?;
@@ -162,20 +178,6 @@
     builder.body(body).map_err(|error| ClientErrorKind::NotSent(error.to_string()))
 }
 
-async fn open(address: SocketAddr) -> Result<Connection, ClientErrorKind> {
-    let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
-        .await
-        .map_err(|elapsed| ClientErrorKind::Connect(elapsed.into()))?
-        .map_err(ClientErrorKind::Connect)?;
-    stream.set_nodelay(true).map_err(ClientErrorKind::Connect)?;
-    let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(|e| not_sent(&e))?;
-    // The connection ends when its sender is dropped, so nothing needs to join this task.
-    tokio::spawn(async move {
-        let _ = connection.await;
-    });
-    Ok(sender)
-}
-
 async fn read_answer(
     answer: http::Response<hyper::body::Incoming>,
 ) -> Result<Answer, ClientErrorKind> {
--- a/crates/kernel/src/http/control.rs
+++ b/crates/kernel/src/http/control.rs
@@ -10,13 +10,15 @@
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
 use http::{Method, StatusCode, header};
+use poem::Server;
 use poem::endpoint::make;
 use poem::listener::TcpAcceptor;
-use poem::{EndpointExt as _, Route, RouteMethod, Server};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
-use super::problem::{BAD_KEY, BODY_TOO_LARGE, Problem, REQUEST_ID_HEADER, VERDICT_HEADER};
+use super::problem::{
+    BAD_KEY, BODY_TOO_LARGE, NOT_FOUND, Problem, REQUEST_ID_HEADER, VERDICT_HEADER,
+};
 use crate::kernel::Kernel;
 
 /// The largest body of a request, in bytes.
@@ -122,36 +124,26 @@
     stop: CancellationToken,
 ) -> std::io::Result<()> {
     let acceptor = TcpAcceptor::from_tokio(listener)?;
-    let endpoint = build_routes(&kernel);
+    let endpoint = make(move |request| answer(kernel.clone(), request));
     Server::new_with_acceptor(acceptor)
         .run_with_graceful_shutdown(endpoint, stop.cancelled_owned(), Some(STOP_TIMEOUT))
         .await
 }
 
-fn build_routes(kernel: &Arc<Kernel>) -> Route {
-    let mut by_path: BTreeMap<&str, Vec<ControlRoute>> = BTreeMap::new();
-    for route in kernel.control_routes() {
-        by_path.entry(route.path).or_default().push(route.clone());
-    }
-    by_path.into_iter().fold(Route::new(), |routes, (path, own)| {
-        let methods = own.into_iter().fold(RouteMethod::new(), |methods, route| {
-            let method = route.method.clone();
-            let kernel = kernel.clone();
-            let endpoint = make(move |request| answer(kernel.clone(), route.clone(), request));
-            methods.method(method, endpoint.boxed())
-        });
-        routes.at(path, methods)
-    })
-}
-
-async fn answer(
-    kernel: Arc<Kernel>,
-    route: ControlRoute,
-    request: poem::Request,
-) -> poem::Response {
-    let result = match read_request(&kernel, &route, request).await {
-        Ok(request) => (route.handler)(kernel, request).await,
-        Err(problem) => Err(problem),
+async fn answer(kernel: Arc<Kernel>, mut request: poem::Request) -> poem::Response {
+    let header = request.header(header::AUTHORIZATION).map(str::to_owned);
+    let asked = Asked {
+        method: request.method().clone(),
+        path: request.uri().path().to_owned(),
+        query: request.params::<BTreeMap<String, String>>().unwrap_or_default(),
+        authorization: header,
+    };
+    let result = match request.take_body().into_bytes_limit(BODY_MAX_BYTES).await {
+        Ok(body) => dispatch(&kernel, asked, body).await,
+        Err(_) => {
+            let detail = format!("a body has at most {BODY_MAX_BYTES} bytes");
+            Err(Problem::not_run(BODY_TOO_LARGE, detail))
+        }
     };
     match result {
         Ok(reply) => poem::Response::builder()
@@ -174,36 +166,59 @@
     builder.body(problem.to_json())
 }
 
-async fn read_request(
-    kernel: &Arc<Kernel>,
-    route: &ControlRoute,
-    mut request: poem::Request,
-) -> Result<ControlRequest, Problem> {
-    let operator = check_access(kernel, route.access, &request)?;
-    let params = path_params(route.path, &request);
-    let query = request.params::<BTreeMap<String, String>>().unwrap_or_default();
-    let body = request.take_body().into_bytes_limit(BODY_MAX_BYTES).await.map_err(|_| {
-        Problem::not_run(BODY_TOO_LARGE, format!("a body has at most {BODY_MAX_BYTES} bytes"))
-    })?;
-    Ok(ControlRequest { operator, params, query, body })
+/// The head of a request on the control listener.
+#[derive(Clone, Debug)]
+pub struct Asked {
+    /// The method.
+    pub method: Method,
+    /// The path, without its query.
+    pub path: String,
+    /// The query's names and values.
+    pub query: BTreeMap<String, String>,
+    /// The `authorization` header.
+    pub authorization: Option<String>,
 }
 
-fn path_params(path: &str, request: &poem::Request) -> BTreeMap<String, String> {
-    let names = path.split('/').filter_map(|part| part.strip_prefix(':'));
-    names
-        .filter_map(|name| {
-            request.raw_path_param(name).map(|value| (name.to_owned(), value.to_owned()))
-        })
-        .collect()
+/// Checks the key of a request and answers it; tests call this without a socket.
+pub async fn dispatch(kernel: &Arc<Kernel>, asked: Asked, body: Bytes) -> ControlResult {
+    let found = kernel
+        .control_routes()
+        .iter()
+        .filter(|route| route.method == asked.method)
+        .find_map(|route| Some((route, match_path(route.path, &asked.path)?)));
+    let Some((route, params)) = found else {
+        let detail = format!("nothing answers {} {}", asked.method, asked.path);
+        return Err(Problem::not_run(NOT_FOUND, detail));
+    };
+    let operator = check_access(kernel, route.access, asked.authorization.as_deref())?;
+    let request = ControlRequest { operator, params, query: asked.query, body };
+    (route.handler)(kernel.clone(), request).await
+}
+
+/// Returns the named parts of a path if it has the form of a route.
+fn match_path(form: &str, path: &str) -> Option<BTreeMap<String, String>> {
+    let (forms, parts) = (form.split('/'), path.split('/'));
+    if forms.clone().count() != parts.clone().count() {
+        return None;
+    }
+    let mut params = BTreeMap::new();
+    for (form, part) in forms.zip(parts) {
+        match form.strip_prefix(':') {
+            Some(name) => drop(params.insert(name.to_owned(), part.to_owned())),
+            None if form == part => {}
+            None => return None,
+        }
+    }
+    Some(params)
 }
 
 fn check_access(
     kernel: &Arc<Kernel>,
     access: Access,
-    request: &poem::Request,
+    authorization: Option<&str>,
 ) -> Result<String, Problem> {
     let refused = || Problem::not_run(BAD_KEY, "the key is missing, unknown or withdrawn");
-    let key = request.header(header::AUTHORIZATION).and_then(|value| value.strip_prefix("Bearer "));
+    let key = authorization.and_then(|value| value.strip_prefix("Bearer "));
     match access {
         Access::Open => Ok(String::new()),
         Access::Operator => kernel.check_operator(key.unwrap_or("")).ok_or_else(refused),
--- a/crates/kernel/src/kernel.rs
+++ b/crates/kernel/src/kernel.rs
@@ -16,6 +16,7 @@
 use crate::http::control::{self, ControlRoute};
 use crate::http::entry::{self, EntryRoute};
 use crate::keys::{PresentedKey, parse_digest, secrets_match};
+use crate::network::Network;
 use crate::platform::Platform;
 use crate::plugin::{Plugin, Tick, sort};
 use crate::settings::Settings;
@@ -53,6 +54,8 @@
     pub store: Store,
     /// The other functions of the platform.
     pub platform: Platform,
+    /// The way to upstreams and peers.
+    pub network: Network,
     /// The client for peers.
     pub client: HttpClient,
     /// What wakes the plug-ins' work.
@@ -89,6 +92,7 @@
     pub fn new(
         settings: Settings,
         platform: Platform,
+        network: Network,
         clock: Clock,
         plugins: Vec<Plugin>,
     ) -> Result<Arc<Kernel>, Error> {
@@ -104,7 +108,8 @@
             plugins.iter().flat_map(|plugin| plugin.control_routes.clone()).collect();
         Ok(Arc::new(Kernel {
             store: Store::new(platform.clone(), clock.clone()),
-            client: HttpClient::new(),
+            client: HttpClient::new(network.clone()),
+            network,
             wakes: Wakes::default(),
             tasks: TaskTree::new(),
             request_tasks: TaskTree::new(),
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -31,7 +31,7 @@
 - [`plugin`]: plug-ins, their registration and their order.
 - [`tables`] and [`lock`]: the shared tables, and the order of their locks.
 - [`tasks`]: tasks whose parents join them.
-- [`clock`] and [`platform`]: the outside world, as structs of functions.
+- [`clock`], [`network`] and [`platform`]: the outside world, as structs of functions.
 - [`store`]: conditional writes whose lost answers are resolved.
 - [`http`]: the two listeners and the problems that callers see.
 - [`document`], [`settings`] and [`config_document`]: files whose errors have positions.
@@ -49,6 +49,7 @@
 pub mod keys;
 pub mod lock;
 pub mod metric;
+pub mod network;
 pub mod platform;
 pub mod plugin;
 pub mod settings;
--- a/crates/kernel/src/store.rs
+++ b/crates/kernel/src/store.rs
@@ -210,6 +210,13 @@
     pub fn get<T: WireType>(&self, index: usize) -> Result<Option<Stored<T>>, StoreError> {
         self.rows[index].clone().map(open_row).transpose()
     }
+
+    /// Reports whether any of the rows was written under `write_id`.
+    fn show_write(&self, write_id: u64) -> bool {
+        self.rows.iter().flatten().any(|row| {
+            decode::<Envelope>(&row.value).is_ok_and(|row| row.recent_writes.contains(&write_id))
+        })
+    }
 }
 
 /// The table service and the object store, behind a breaker.
@@ -328,13 +335,18 @@
                 Change::Write(value, result) => (value, result),
             };
             let write = RowWrite::new(key, Base::from(stored.as_ref()), &value);
-            if self.commit(options, &[write]).await? {
+            let write_id = fastrand::u64(..);
+            if self.commit_as(options, &[write], write_id).await? {
                 return Ok(result);
             }
             if race > 1 {
                 tokio::time::sleep(backoff(race, fastrand::f64())).await;
             }
             stored = self.read(options, key).await?;
+            // The conflict may have been with this very write, if it was delivered twice.
+            if stored.as_ref().is_some_and(|stored| stored.recent_writes.contains(&write_id)) {
+                return Ok(result);
+            }
         }
         Err(StoreError::new(StoreErrorKind::Races))
     }
@@ -359,15 +371,24 @@
         keys: &[&str],
         mut decide: impl FnMut(&ReadRows) -> Result<Change<Vec<RowWrite>, R>, StoreError>,
     ) -> Result<R, StoreError> {
+        let mut earlier: Option<(u64, R)> = None;
         for race in 1..=RACES_MAX {
             let rows = self.read_many(options, keys).await?;
+            // The conflict may have been with this very write, if it was delivered twice.
+            if let Some((write_id, result)) = earlier
+                && rows.show_write(write_id)
+            {
+                return Ok(result);
+            }
             let (writes, result) = match decide(&rows)? {
                 Change::Keep(result) => return Ok(result),
                 Change::Write(writes, result) => (writes, result),
             };
-            if self.commit(options, &writes).await? {
+            let write_id = fastrand::u64(..);
+            if self.commit_as(options, &writes, write_id).await? {
                 return Ok(result);
             }
+            earlier = Some((write_id, result));
             tokio::time::sleep(backoff(race, fastrand::f64())).await;
         }
         Err(StoreError::new(StoreErrorKind::Races))
@@ -379,7 +400,15 @@
         options: CallOptions,
         writes: &[RowWrite],
     ) -> Result<bool, StoreError> {
-        let write_id = fastrand::u64(..);
+        self.commit_as(options, writes, fastrand::u64(..)).await
+    }
+
+    async fn commit_as(
+        &self,
+        options: CallOptions,
+        writes: &[RowWrite],
+        write_id: u64,
+    ) -> Result<bool, StoreError> {
         let batch: Vec<Write> = writes.iter().map(|write| write.to_platform(write_id)).collect();
         let mut in_doubt = false;
         for call in 1..=CALLS_MAX {
--- a/crates/kernel/src/tables/rows.rs
+++ b/crates/kernel/src/tables/rows.rs
@@ -133,6 +133,8 @@
     pub busy_at: Instant,
     /// Whether the last request for slots was not met, and when it was made.
     pub short_since: Option<Instant>,
+    /// Whether the last request for slots failed at the table service.
+    pub ask_failed: bool,
     /// Until when another daemon is known to be short of slots.
     pub others_short_until: Option<Instant>,
     /// The retry budgets, by service.
@@ -152,6 +154,7 @@
             waiting: 0,
             busy_at: now,
             short_since: None,
+            ask_failed: false,
             others_short_until: None,
             budgets: HashMap::new(),
             stats: HashMap::new(),
--- a/crates/plugins/src/keys.rs
+++ b/crates/plugins/src/keys.rs
@@ -95,7 +95,11 @@
     let key = active.config.key_in_force(id).ok_or_else(unknown)?;
     let entry_key = ("keys".to_owned(), id.to_owned());
     // A granted key stands in no file, so that nothing could revive it.
-    let text = if key.granted { None } else { active.entries.get(&entry_key).map(|text| mark_withdrawn(text)) };
+    let text = if key.granted {
+        None
+    } else {
+        active.entries.get(&entry_key).map(|text| mark_withdrawn(text))
+    };
     let applied = change_key(&kernel, id, text, &request.operator).await?;
     Ok(ControlReply::json(&json!({ "id": id, "generation": applied.generation })))
 }
--- a/crates/plugins/src/limits/admission.rs
+++ b/crates/plugins/src/limits/admission.rs
@@ -4,7 +4,9 @@
 use std::time::{Duration, Instant};
 
 use tokio::sync::oneshot;
-use wasabiswitch_kernel::http::problem::{DEADLINE, OVER_LIMIT, Problem, QUEUE_FULL};
+use wasabiswitch_kernel::http::problem::{
+    DEADLINE, NO_UPSTREAM, OVER_LIMIT, Problem, QUEUE_FULL, STORE_DOWN,
+};
 use wasabiswitch_kernel::lock::Guard;
 use wasabiswitch_kernel::tables::{Gate, RequestHandle, RequestsTable, TeamsTable, WaitingRequest};
 use wasabiswitch_kernel::{Kernel, metric};
@@ -207,13 +209,18 @@
     fn too_late(&self) -> Problem {
         let teams = self.kernel.tables.teams.lock();
         let team = teams.table.by_id(&self.admission.team);
-        let at_limit = team.is_some_and(|team| team.running >= team.held_slots);
-        let problem = if at_limit {
-            Problem::not_run(OVER_LIMIT, "the team had no free slot before the deadline")
-        } else {
-            Problem::not_run(DEADLINE, "the pool had no free slot before the deadline")
+        let no_slot = team.is_some_and(|team| team.running >= team.held_slots);
+        let ask_failed = team.is_some_and(|team| team.ask_failed);
+        let requests = self.kernel.tables.requests.lock();
+        let gate = requests.gates.get(&self.admission.pool);
+        let closed = gate.is_some_and(|gate| gate.capacity == 0);
+        let (code, detail) = match (no_slot, ask_failed, closed) {
+            (true, true, _) => (STORE_DOWN, "no slot could be taken from the table service"),
+            (true, false, _) => (OVER_LIMIT, "the team had no free slot before the deadline"),
+            (false, _, true) => (NO_UPSTREAM, "no upstream accepted work before the deadline"),
+            (false, _, false) => (DEADLINE, "the pool had no free slot before the deadline"),
         };
-        problem.retry_after(RETRY_AFTER)
+        Problem::not_run(code, detail).retry_after(RETRY_AFTER)
     }
 }
 
--- a/crates/plugins/src/limits/grants.rs
+++ b/crates/plugins/src/limits/grants.rs
@@ -78,6 +78,9 @@
     // Slots that are to be given back must not be used while the answer is under way.
     book(kernel, epoch, team, |held| held.min(wanted));
     let granted = reclaim_and_adjust(kernel, team, wanted, limit).await;
+    if let Some(entry) = kernel.tables.teams.lock().table.by_id_mut(team) {
+        entry.ask_failed = granted.is_err();
+    }
     match &granted {
         Ok(slots) => {
             book(kernel, epoch, team, |_| *slots);
--- a/crates/plugins/src/live/connection.rs
+++ b/crates/plugins/src/live/connection.rs
@@ -10,10 +10,10 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::handshake;
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
 use wasabiswitch_kernel::http::Body;
 use wasabiswitch_kernel::http::entry::request_id_value;
 use wasabiswitch_kernel::http::problem::{REQUEST_ID_HEADER, VERDICT_HEADER};
+use wasabiswitch_kernel::network::Network;
 use wasabiswitch_kernel::tables::Connection;
 use wasabiswitch_policy::Verdict;
 use wasabiswitch_policy::ids::RequestId;
@@ -64,6 +64,7 @@
 
 /// Sends a request to the upstream at `place` and waits for the head of its answer.
 pub(super) async fn attempt(
+    network: &Network,
     place: &Place,
     request: Request<Body>,
     request_id: RequestId,
@@ -72,7 +73,7 @@
     loop {
         let (mut connection, reused) = match place.take_idle() {
             Some(connection) => (connection, true),
-            None => match open(place).await {
+            None => match open(network, place).await {
                 Ok(connection) => (connection, false),
                 Err(error) => return Err(not_run(error.to_string(), request)),
             },
@@ -92,10 +93,9 @@
     }
 }
 
-async fn open(place: &Place) -> std::io::Result<Connection> {
-    let connect = TcpStream::connect(place.address);
-    let stream = tokio::time::timeout(CONNECT_TIMEOUT, connect).await??;
-    stream.set_nodelay(true)?;
+async fn open(network: &Network, place: &Place) -> std::io::Result<Connection> {
+    let dial = (network.dial)(place.address);
+    let stream = tokio::time::timeout(CONNECT_TIMEOUT, dial).await??;
     let (sender, connection) =
         handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
     // The connection ends when its sender is dropped, so nothing needs to join this task.
--- a/crates/plugins/src/live/forward.rs
+++ b/crates/plugins/src/live/forward.rs
@@ -127,7 +127,9 @@
     earn_retry(kernel, &rules);
     for attempts_made in 1.. {
         let failure = match try_once(kernel, &rules, &mut outgoing, &mut avoid).await {
-            Ok((answered, place)) => return Ok(pass_on(answered, place, permit)),
+            Ok((answered, place)) => {
+                return Ok(pass_on(answered, place, permit, rules.deadline));
+            }
             Err(failure) => failure,
         };
         verdict = verdict.and(failure.verdict);
@@ -203,7 +205,9 @@
     };
     let place = take_place(kernel, &rules.pool, avoid).ok_or_else(none)?;
     let request = outgoing.next(left.as_millis() as u64).ok_or_else(none)?;
-    let outcome = tokio::time::timeout(left, attempt(&place, request, rules.request_id)).await;
+    let outcome =
+        tokio::time::timeout(left, attempt(&kernel.network, &place, request, rules.request_id))
+            .await;
     let verdict = match &outcome {
         Ok(Ok(_)) => Verdict::Ran,
         Ok(Err(error)) => error.verdict,
@@ -318,9 +322,14 @@
     headers
 }
 
-fn pass_on(answered: Answered, place: Place, permit: Permit) -> (Response<Body>, Verdict) {
+fn pass_on(
+    answered: Answered,
+    place: Place,
+    permit: Permit,
+    deadline: Instant,
+) -> (Response<Body>, Verdict) {
     let (head, body) = answered.response.into_parts();
-    let mut response = Response::new(relay(body, place, answered.connection, permit));
+    let mut response = Response::new(relay(body, place, answered.connection, permit, deadline));
     *response.status_mut() = head.status;
     *response.headers_mut() = passed_on(head.headers);
     *response.version_mut() = Version::HTTP_11;
--- a/crates/plugins/src/live/relay.rs
+++ b/crates/plugins/src/live/relay.rs
@@ -1,16 +1,19 @@
 //! Passes an upstream's answer on to the caller, whole or visibly broken.
 //!
 //! The body is streamed, with the caller's pace as back-pressure. The connection goes back to the pool
-//! only after the last byte; on any error it is closed, and the caller's stream ends in an error, so
+//! only after the last byte; on any error, and at the deadline, it is closed, and the caller's stream ends in an error, so
 //! that a cut answer never looks whole.
 
+use std::future::Future as _;
 use std::pin::Pin;
 use std::task::{Context, Poll};
+use std::time::Instant;
 
 use bytes::Bytes;
 use http_body::{Body as _, Frame, SizeHint};
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
+use tokio::time::{Sleep, sleep_until};
 use wasabiswitch_kernel::http::{Body, BodyError};
 use wasabiswitch_kernel::metric;
 use wasabiswitch_kernel::tables::Connection;
@@ -30,16 +33,43 @@
 struct Relayed {
     body: Incoming,
     held: Option<Held>,
+    deadline: Instant,
+    // Set up only when the body keeps its reader waiting.
+    timer: Option<Pin<Box<Sleep>>>,
+}
+
+impl Relayed {
+    /// Reports whether the deadline has passed, and arranges to be woken when it does.
+    fn poll_deadline(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        let deadline = self.deadline.into();
+        let timer = self.timer.get_or_insert_with(|| Box::pin(sleep_until(deadline)));
+        timer.as_mut().poll(context)
+    }
+
+    /// Ends an answer that will not be passed on whole; dropping the connection closes it.
+    fn cut(&mut self, error: BodyError) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        metrics::counter!(metric::ANSWERS_CUT).increment(1);
+        if let Some(held) = self.held.take() {
+            held.place.note_outcome(false);
+        }
+        Poll::Ready(Some(Err(error)))
+    }
 }
 
 /// Wraps the body of an answer.
-pub(super) fn relay(body: Incoming, place: Place, connection: Connection, permit: Permit) -> Body {
+pub(super) fn relay(
+    body: Incoming,
+    place: Place,
+    connection: Connection,
+    permit: Permit,
+    deadline: Instant,
+) -> Body {
     let held = Held { place, connection, _permit: permit };
     if body.is_end_stream() {
         finish(held);
         return wasabiswitch_kernel::http::full_body(Bytes::new());
     }
-    Relayed { body, held: Some(held) }.boxed_unsync()
+    Relayed { body, held: Some(held), deadline, timer: None }.boxed_unsync()
 }
 
 /// Ends an answer that was passed on whole.
@@ -58,7 +88,10 @@
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let polled = Pin::new(&mut self.body).poll_frame(context);
         match polled {
-            Poll::Pending => Poll::Pending,
+            Poll::Pending => match self.poll_deadline(context) {
+                Poll::Pending => Poll::Pending,
+                Poll::Ready(()) => self.cut("the deadline has passed".into()),
+            },
             Poll::Ready(Some(Ok(frame))) => {
                 if self.body.is_end_stream()
                     && let Some(held) = self.held.take()
@@ -67,13 +100,7 @@
                 }
                 Poll::Ready(Some(Ok(frame)))
             }
-            Poll::Ready(Some(Err(error))) => {
-                metrics::counter!(metric::ANSWERS_CUT).increment(1);
-                if let Some(held) = self.held.take() {
-                    held.place.note_outcome(false);
-                }
-                Poll::Ready(Some(Err(error.into())))
-            }
+            Poll::Ready(Some(Err(error))) => self.cut(error.into()),
             Poll::Ready(None) => {
                 if let Some(held) = self.held.take() {
                     finish(held);
--- a/crates/plugins/src/membership.rs
+++ b/crates/plugins/src/membership.rs
@@ -272,10 +272,9 @@
         .unwrap_or(false);
     if taken {
         let mut members = kernel.tables.members.lock();
-        if members.own.epoch == epoch {
-            members.own.roles.insert(role);
+        if members.own.epoch == epoch && members.own.roles.insert(role) {
+            log::info!("took the role {role}");
         }
-        log::info!("took the role {role}");
     }
     taken
 }
--- /dev/null
+++ b/crates/plugins/tests/common/mod.rs
@@ -0,0 +1,294 @@
+//! Daemons, a platform and upstreams inside one process, for tests on paused time.
+
+#![allow(dead_code, reason = "each test file uses a part of this")]
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, Response};
+use http_body_util::BodyExt as _;
+use wasabiswitch_kernel::Kernel;
+use wasabiswitch_kernel::clock::Clock;
+use wasabiswitch_kernel::config_document::read_texts_as_config;
+use wasabiswitch_kernel::http::control::{Asked, ControlResult, dispatch};
+use wasabiswitch_kernel::http::entry::handle;
+use wasabiswitch_kernel::http::{Body, full_body};
+use wasabiswitch_kernel::keys::secret_digest;
+use wasabiswitch_kernel::plugin::registered;
+use wasabiswitch_kernel::settings::{Settings, read_text};
+use wasabiswitch_plugins::config::{Proposal, apply_changes};
+use wasabiswitch_standin::StandIn;
+use wasabiswitch_standin::network::MemoryNetwork;
+use wasabiswitch_standin::upstream::Upstream;
+
+/// The key of the operator in every world.
+pub const OPERATOR_KEY: &str = "wsk_ops_secret";
+
+/// What a world holds.
+#[derive(Clone, Debug)]
+pub struct Shape {
+    /// The instances of the pool `p`, each in its own failure domain.
+    pub instances: usize,
+    /// The slots of each instance.
+    pub slots: u32,
+    /// The teams: name, weight, limit.
+    pub teams: Vec<(&'static str, u32, u32)>,
+    /// The instances of each failure domain.
+    pub rack: usize,
+    /// The budget of the pool.
+    pub unavailable_max: u32,
+}
+
+impl Default for Shape {
+    fn default() -> Shape {
+        Shape {
+            instances: 2,
+            slots: 8,
+            teams: vec![("t1", 1, 4), ("t2", 1, 4)],
+            rack: 1,
+            unavailable_max: 1,
+        }
+    }
+}
+
+/// A platform, upstreams and a network.
+pub struct World {
+    pub standin: StandIn,
+    pub network: MemoryNetwork,
+    pub upstreams: Vec<Upstream>,
+    pub shape: Shape,
+}
+
+/// A daemon in a world.
+#[derive(Clone)]
+pub struct Daemon {
+    pub kernel: Arc<Kernel>,
+    pub address: SocketAddr,
+}
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub verdict: String,
+    pub code: String,
+    /// `None` if the body broke off.
+    pub body: Option<Bytes>,
+    pub repeated: bool,
+}
+
+/// Returns the key of a team in every world.
+pub fn team_key(team: &str) -> String {
+    format!("wsk_{team}_secret")
+}
+
+fn digest() -> String {
+    blake3::Hash::from(secret_digest("secret")).to_hex().to_string()
+}
+
+fn upstream_address(index: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (index / 250) as u8, (index % 250) as u8 + 1], 80))
+}
+
+impl World {
+    pub fn new(shape: Shape) -> World {
+        let network = MemoryNetwork::default();
+        let standin = StandIn::new(Clock::tokio());
+        let upstreams = (0..shape.instances)
+            .map(|index| {
+                let name = format!("i{index}");
+                standin.with_instances(|instances| instances.add(&name));
+                Upstream::in_memory(&name, upstream_address(index), &network)
+            })
+            .collect();
+        World { standin, network, upstreams, shape }
+    }
+
+    /// The configuration folder of the world, as one file.
+    pub fn folder(&self) -> Vec<(String, String)> {
+        let instances: Vec<String> = (0..self.shape.instances)
+            .map(|index| {
+                format!(
+                    r#""i{index}": {{"pool": "p", "failure_domain": "r{}", "data_centre": "dc",
+                        "address": "{}", "slots": {}, "cpu_milli": 4000}}"#,
+                    index / self.shape.rack,
+                    upstream_address(index),
+                    self.shape.slots
+                )
+            })
+            .collect();
+        let teams: Vec<String> = self
+            .shape
+            .teams
+            .iter()
+            .map(|(name, weight, limit)| {
+                format!(r#""{name}": {{"weight": {weight}, "limit_slots": {limit}}}"#)
+            })
+            .collect();
+        let keys: Vec<String> = self
+            .shape
+            .teams
+            .iter()
+            .map(|(name, _, _)| {
+                format!(r#""{name}": {{"team": "{name}", "digest": "{}"}}"#, digest())
+            })
+            .collect();
+        let text = format!(
+            r#"{{
+                "pools": {{"p": {{"unavailable_max": {}}},
+                           "spare": {{"unavailable_max": 9, "spare": true}}}},
+                "services": {{"s": {{"pool": "p", "repeatable_methods": ["GET"],
+                              "deadline_ms": 5000}}}},
+                "queues": {{"q": {{"pool": "p"}}}},
+                "instances": {{{}}},
+                "teams": {{{}}},
+                "keys": {{{}, "ops": {{"operator": "ops", "digest": "{}"}}}}
+            }}"#,
+            self.shape.unavailable_max,
+            instances.join(","),
+            teams.join(","),
+            keys.join(","),
+            digest()
+        );
+        vec![("all.json".to_owned(), text)]
+    }
+
+    pub fn settings(&self, name: &str, address: SocketAddr) -> Settings {
+        let text = format!(
+            r#"{{"daemon": "{name}", "data_centre": "dc", "entry_listen": "127.0.0.1:0",
+                "control_listen": "{address}", "peer_key": "peer-key-of-the-tests",
+                "platform": {{"embedded": true}}, "drain_notice_ms": 100}}"#
+        );
+        read_text("settings", &text).expect("the settings are valid")
+    }
+
+    /// Starts a daemon; the first one applies the configuration.
+    pub async fn start(&self, index: u8) -> Daemon {
+        let name = format!("d{index}");
+        let address = SocketAddr::from(([10, 1, 0, index], 8081));
+        let daemon = self.build(&name, address);
+        self.network.host_control(address, &daemon.kernel);
+        daemon.kernel.start_plugins().await.expect("the daemon starts");
+        if daemon.kernel.config().generation == 0 {
+            self.apply_folder(&daemon).await;
+        }
+        daemon
+    }
+
+    pub fn build(&self, name: &str, address: SocketAddr) -> Daemon {
+        let kernel = Kernel::new(
+            self.settings(name, address),
+            self.standin.platform(),
+            self.network.network_of(name),
+            Clock::tokio(),
+            registered(),
+        );
+        Daemon { kernel: kernel.expect("the plug-ins fit together"), address }
+    }
+
+    async fn apply_folder(&self, daemon: &Daemon) {
+        let document = read_texts_as_config(&self.folder()).expect("the folder has no errors");
+        let changes = wasabiswitch_policy::merge::diff(&Default::default(), &document.entries);
+        let proposal = Proposal { base: 0, changes, operator: "test".to_owned() };
+        apply_changes(&daemon.kernel, proposal).await.expect("the configuration is accepted");
+    }
+
+    /// Starts daemons `1..=count` and lets them meet.
+    pub async fn start_many(&self, count: u8) -> Vec<Daemon> {
+        let mut daemons = Vec::new();
+        for index in 1..=count {
+            daemons.push(self.start(index).await);
+        }
+        tokio::time::sleep(Duration::from_secs(4)).await;
+        daemons
+    }
+
+    /// Returns how often the upstreams have run the requests with a label.
+    pub fn runs_of(&self, label: &str) -> u32 {
+        self.upstreams.iter().map(|upstream| upstream.runs_of(label)).sum()
+    }
+
+    /// Cuts or mends all links between daemons that lead to or from one of them.
+    pub fn isolate(&self, daemon: &Daemon, others: &[Daemon], cut: bool) {
+        let name = daemon.kernel.settings.daemon.clone();
+        for other in others.iter().filter(|other| other.address != daemon.address) {
+            self.network.set_cut(&name, other.address, cut);
+            self.network.set_cut(&other.kernel.settings.daemon, daemon.address, cut);
+        }
+    }
+}
+
+impl Daemon {
+    /// Ends the daemon's own work as a killed process would, without handing anything back.
+    pub fn kill(&self, world: &World) {
+        self.kernel.tasks.stop();
+        world.network.remove(self.address);
+    }
+
+    pub async fn call(&self, request: Request<Body>) -> Answer {
+        read_answer(handle(self.kernel.clone(), request).await).await
+    }
+
+    /// Sends a request of a team; `key` is its idempotency key.
+    pub async fn send(&self, team: &str, method: Method, label: &str, key: Option<&str>) -> Answer {
+        self.call(request(team, method, label, key, Bytes::from_static(b"body"))).await
+    }
+
+    /// Calls the control listener as the operator.
+    pub async fn control(&self, method: Method, path: &str, body: &str) -> ControlResult {
+        let (path, query) = path.split_once('?').unwrap_or((path, ""));
+        let query = query.split('&').filter_map(|pair| pair.split_once('='));
+        let asked = Asked {
+            method,
+            path: path.to_owned(),
+            query: query.map(|(name, value)| (name.to_owned(), value.to_owned())).collect(),
+            authorization: Some(format!("Bearer {OPERATOR_KEY}")),
+        };
+        dispatch(&self.kernel, asked, Bytes::from(body.to_owned())).await
+    }
+
+    /// Calls the control listener and reads the JSON answer.
+    pub async fn control_json(&self, method: Method, path: &str, body: &str) -> serde_json::Value {
+        let reply =
+            self.control(method, path, body).await.expect("the operator's call is answered");
+        serde_json::from_slice(&reply.body).expect("the answer is JSON")
+    }
+}
+
+pub fn request(
+    team: &str,
+    method: Method,
+    label: &str,
+    key: Option<&str>,
+    body: Bytes,
+) -> Request<Body> {
+    let mut builder = Request::builder()
+        .method(method)
+        .uri("/s/s/path")
+        .header("authorization", format!("Bearer {}", team_key(team)))
+        .header("x-label", label);
+    if let Some(key) = key {
+        builder = builder.header("idempotency-key", key);
+    }
+    builder.body(full_body(body)).expect("the request is well formed")
+}
+
+pub async fn read_answer(response: Response<Body>) -> Answer {
+    let (head, body) = response.into_parts();
+    let body = body.collect().await.ok().map(|body| body.to_bytes());
+    let text = |name: &str| {
+        let value = head.headers.get(name).and_then(|value| value.to_str().ok());
+        value.unwrap_or_default().to_owned()
+    };
+    let problem: serde_json::Value =
+        body.as_ref().and_then(|body| serde_json::from_slice(body).ok()).unwrap_or_default();
+    Answer {
+        status: head.status.as_u16(),
+        verdict: text("x-wasabiswitch-verdict"),
+        code: problem["code"].as_str().unwrap_or_default().to_owned(),
+        body,
+        repeated: !text("x-wasabiswitch-repeated").is_empty(),
+    }
+}
--- a/crates/standin/src/faults.rs
+++ b/crates/standin/src/faults.rs
@@ -1,7 +1,6 @@
 //! Which operation fails next, and how.
 
-use std::collections::HashMap;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use wasabiswitch_derive::derives;
@@ -60,10 +59,22 @@
     Stale,
 }
 
+/// Which calls of an operation a fault applies to.
+#[derives(record)]
+pub struct Calls {
+    /// The operation.
+    pub operation: Operation,
+    /// Only calls whose first key starts with this.
+    pub prefix: String,
+    /// How many such calls pass before.
+    pub skip: u32,
+    /// How many such calls fail; `u32::MAX` for all.
+    pub times: u32,
+}
+
 #[derive(Debug, Default)]
 struct Plan {
-    // How many more times each operation fails in which way; `u32::MAX` stands for always.
-    counted: HashMap<Operation, Vec<(Fault, u32)>>,
+    faults: Vec<(Calls, Fault)>,
 }
 
 /// The faults to come; clones share their plan.
@@ -73,10 +84,18 @@
 }
 
 impl Faults {
+    fn plan(&self) -> MutexGuard<'_, Plan> {
+        self.plan.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Makes the next `times` calls of an operation fail.
     pub fn inject(&self, operation: Operation, fault: Fault, times: u32) {
-        let mut plan = self.plan.lock().unwrap_or_else(PoisonError::into_inner);
-        plan.counted.entry(operation).or_default().push((fault, times));
+        self.inject_at(Calls { operation, prefix: String::new(), skip: 0, times }, fault);
+    }
+
+    /// Makes certain calls fail.
+    pub fn inject_at(&self, calls: Calls, fault: Fault) {
+        self.plan().faults.push((calls, fault));
     }
 
     /// Makes every operation fail until [`Faults::clear`].
@@ -88,19 +107,25 @@
 
     /// Ends all faults.
     pub fn clear(&self) {
-        self.plan.lock().unwrap_or_else(PoisonError::into_inner).counted.clear();
+        self.plan().faults.clear();
     }
 
-    /// Takes the next fault of an operation.
-    pub(crate) fn next(&self, operation: Operation) -> Option<Fault> {
-        let mut plan = self.plan.lock().unwrap_or_else(PoisonError::into_inner);
-        let faults = plan.counted.get_mut(&operation)?;
-        let (fault, times) = faults.first_mut()?;
+    /// Takes the fault of a call whose first key is `key`.
+    pub(crate) fn next(&self, operation: Operation, key: &str) -> Option<Fault> {
+        let mut plan = self.plan();
+        let applies =
+            |calls: &Calls| calls.operation == operation && key.starts_with(&calls.prefix);
+        let index = plan.faults.iter().position(|(calls, _)| applies(calls))?;
+        let (calls, fault) = &mut plan.faults[index];
         let fault = *fault;
-        if *times != u32::MAX {
-            *times -= 1;
-            if *times == 0 {
-                faults.remove(0);
+        if calls.skip > 0 {
+            calls.skip -= 1;
+            return None;
+        }
+        if calls.times != u32::MAX {
+            calls.times -= 1;
+            if calls.times == 0 {
+                plan.faults.remove(index);
             }
         }
         Some(fault)
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -28,22 +28,24 @@
 mod faults;
 pub mod http;
 mod instances;
+pub mod network;
 mod table;
 pub mod upstream;
 mod workers;
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
 
 use bytes::Bytes;
 use futures_util::FutureExt as _;
 use wasabiswitch_kernel::clock::Clock;
 use wasabiswitch_kernel::platform::{
-    Platform, PlatformError, PlatformFn, PlatformResult, SyncRequest,
+    Platform, PlatformError, PlatformFn, PlatformResult, ScanRange, SyncRequest, Write,
 };
 use wasabiswitch_policy::ids::InstanceId;
 
-pub use faults::{Fault, Faults, Operation};
+pub use faults::{Calls, Fault, Faults, Operation};
 pub use instances::InstanceList;
 pub use table::TableService;
 pub use workers::{Workers, task_outcome};
@@ -126,38 +128,48 @@
     /// Returns the platform's functions over this state.
     pub fn platform(&self) -> Platform {
         Platform {
-            read: self.function(Operation::Read, |state, keys: Vec<String>, stale, _| {
-                let table = if stale { &state.old_table } else { &state.table };
-                keys.iter().map(|key| table.read(key)).collect()
-            }),
+            read: self.function(
+                Operation::Read,
+                |keys: &Vec<String>| first(keys),
+                |call, keys: Vec<String>| keys.iter().map(|key| call.table().read(key)).collect(),
+            ),
             scan: self.function(
                 Operation::Scan,
-                |state, range: wasabiswitch_kernel::platform::ScanRange, stale, _| {
-                    let table = if stale { &state.old_table } else { &state.table };
-                    table.scan(&range.prefix, &range.after, range.rows_max)
-                },
+                |range: &ScanRange| range.prefix.clone(),
+                |call, range| call.table().scan(&range.prefix, &range.after, range.rows_max),
             ),
-            commit: self
-                .function(Operation::Commit, |state, writes, _, _| state.table.commit(writes)),
-            get_object: self.function(Operation::GetObject, |state, name: String, _, _| {
-                state.objects.get(&name).cloned()
-            }),
-            put_object: self.function(Operation::PutObject, |state, (name, body), _, _| {
-                state.objects.insert(name, body);
-            }),
-            list_instances: self
-                .function(Operation::List, |state, (), _, clock| state.instances.list(clock.now())),
-            sync_worker: self.function(Operation::Sync, |state, argument: WorkerCall, _, clock| {
-                let (instance, request) = argument;
-                let now = clock.now();
-                let boot = state.instances.boot(&instance);
-                state.workers.sync(&instance, boot, &request, now)
+            commit: self.function(
+                Operation::Commit,
+                |writes: &Vec<Write>| writes.first().map_or(String::new(), |w| w.key.clone()),
+                |call, writes| call.state.table.commit(writes),
+            ),
+            get_object: self.function(Operation::GetObject, String::clone, |call, name| {
+                call.state.objects.get(&name).cloned()
             }),
+            put_object: self.function(
+                Operation::PutObject,
+                |(name, _): &(String, Bytes)| name.clone(),
+                |call, (name, body)| drop(call.state.objects.insert(name, body)),
+            ),
+            list_instances: self.function(
+                Operation::List,
+                |()| String::new(),
+                |call, ()| call.state.instances.list(call.now),
+            ),
+            sync_worker: self.function(
+                Operation::Sync,
+                |(instance, _): &WorkerCall| instance.to_string(),
+                |call, (instance, request)| {
+                    let boot = call.state.instances.boot(&instance);
+                    call.state.workers.sync(&instance, boot, &request, call.now)
+                },
+            ),
             reboot: self.function(
                 Operation::Reboot,
-                |state, instance: Arc<str>, _, clock: &Clock| {
-                    state.workers.reboot(&instance);
-                    state.instances.reboot(&instance, clock.now());
+                |instance: &InstanceId| instance.to_string(),
+                |call, instance| {
+                    call.state.workers.reboot(&instance);
+                    call.state.instances.reboot(&instance, call.now);
                 },
             ),
         }
@@ -166,7 +178,8 @@
     fn function<A, T>(
         &self,
         operation: Operation,
-        run: impl Fn(&mut State, A, bool, &Clock) -> T + Send + Sync + 'static,
+        key_of: impl Fn(&A) -> String + Send + Sync + 'static,
+        run: impl Fn(Call<'_>, A) -> T + Send + Sync + 'static,
     ) -> PlatformFn<A, T>
     where
         A: Clone + Send + 'static,
@@ -176,17 +189,18 @@
         let run = Arc::new(run);
         Arc::new(move |argument: A| {
             let (standin, run) = (standin.clone(), run.clone());
-            async move { standin.serve(operation, argument, &*run).await }.boxed()
+            let fault = standin.faults.next(operation, &key_of(&argument));
+            async move { standin.serve(operation, fault, argument, &*run).await }.boxed()
         })
     }
 
     async fn serve<A: Clone, T>(
         &self,
         operation: Operation,
+        fault: Option<Fault>,
         argument: A,
-        run: &(dyn Fn(&mut State, A, bool, &Clock) -> T + Send + Sync),
+        run: &(dyn Fn(Call<'_>, A) -> T + Send + Sync),
     ) -> PlatformResult<T> {
-        let fault = self.faults.next(operation);
         match fault {
             Some(Fault::Refuse) => return Err(PlatformError::not_run("refused by plan")),
             Some(Fault::Hang) => std::future::pending().await,
@@ -214,10 +228,29 @@
         operation: Operation,
         argument: A,
         stale: bool,
-        run: &(dyn Fn(&mut State, A, bool, &Clock) -> T + Send + Sync),
+        run: &(dyn Fn(Call<'_>, A) -> T + Send + Sync),
     ) -> T {
+        let now = self.clock.now();
         let mut state = self.state();
         *state.counts.entry(operation).or_default() += 1;
-        run(&mut state, argument, stale, &self.clock)
+        run(Call { state: &mut state, stale, now }, argument)
+    }
+}
+
+fn first(keys: &[String]) -> String {
+    keys.first().cloned().unwrap_or_default()
+}
+
+/// What one call works on.
+struct Call<'a> {
+    state: &'a mut State,
+    stale: bool,
+    now: Instant,
+}
+
+impl Call<'_> {
+    /// The rows that a read sees.
+    fn table(&self) -> &TableService {
+        if self.stale { &self.state.old_table } else { &self.state.table }
     }
 }
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -10,11 +10,14 @@
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _, BufReader};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 use wasabiswitch_derive::derives;
+use wasabiswitch_kernel::network::Stream;
 use wasabiswitch_kernel::tasks::TaskTree;
 
+use crate::network::MemoryNetwork;
+
 /// The longest request head that is read, in bytes.
 const HEAD_MAX_BYTES: usize = 64 << 10;
 
@@ -27,34 +30,54 @@
     AnswerAfter(Duration),
     /// It closes the connection before it reads anything.
     CloseAtOnce,
-    /// It reads the head, runs nothing and closes.
+    /// It takes the connection and reads nothing.
+    HangAtOnce,
+    /// It reads the head and closes.
     CloseAfterHead,
+    /// It reads the head and then nothing more.
+    HangAfterHead,
+    /// It reads the whole request, runs nothing and closes.
+    CloseBeforeRun,
+    /// It reads the whole request, runs nothing and never answers.
+    HangBeforeRun,
+    /// It says that it has not run the request.
+    NotRun,
     /// It runs the request and closes without an answer.
     CloseAfterRun,
+    /// It runs the request and never answers.
+    HangAfterRun,
     /// It runs the request and closes within the head of the answer.
     CutHead,
+    /// It runs the request and stops within the head of the answer.
+    HangInHead,
     /// It runs the request and closes within the body of the answer.
     CutBody,
+    /// It runs the request and stops within the body of the answer.
+    HangInBody,
     /// It runs the request, answers, and sends more bytes than belong to the answer.
     Surplus,
     /// It runs the request and answers with another request's id.
     Crossed,
-    /// It says that it has not run the request.
-    NotRun,
     /// It runs the request and answers 500.
     ServerError,
-    /// It reads the request and never answers.
-    Hang,
     /// It runs the request and answers with this many bytes.
     Large(usize),
 }
 
+impl Behaviour {
+    /// Reports whether it shows before the request is read.
+    fn is_before_reading(&self) -> bool {
+        matches!(self, Behaviour::CloseAtOnce | Behaviour::HangAtOnce)
+    }
+}
+
 #[derive(Debug, Default)]
 struct Runs {
     total: u64,
     by_label: BTreeMap<String, u32>,
-    planned: VecDeque<Behaviour>,
     always: Option<Behaviour>,
+    // Upstreams may share one plan.
+    planned: Arc<Mutex<VecDeque<Behaviour>>>,
 }
 
 /// An upstream on a loopback port.
@@ -70,11 +93,50 @@
     draining: Arc<AtomicBool>,
 }
 
-/// A request as the upstream reads it.
-struct Incoming {
+/// The answer of an upstream that has not run a request.
+const NOT_RUN_ANSWER: &str = "HTTP/1.1 503 Service Unavailable\r\n\
+    x-wasabiswitch-verdict: not-run\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+
+/// What becomes of a connection after an answer.
+enum End {
+    Open,
+    Close,
+    Hang,
+}
+
+/// The head of a request as the upstream reads it.
+struct Head {
     label: Option<String>,
     request_id: Option<String>,
     closes: bool,
+    content_length: usize,
+    chunked: bool,
+}
+
+impl Head {
+    fn parse(text: &str) -> Head {
+        let header = |name: &str| {
+            text.lines().find_map(|line| {
+                let (key, value) = line.split_once(':')?;
+                key.eq_ignore_ascii_case(name).then(|| value.trim().to_owned())
+            })
+        };
+        let length = header("content-length").and_then(|length| length.parse().ok());
+        Head {
+            label: header("x-label"),
+            request_id: header("x-wasabiswitch-request-id"),
+            closes: header("connection").is_some_and(|value| value.eq_ignore_ascii_case("close")),
+            content_length: length.unwrap_or(0),
+            chunked: header("transfer-encoding").is_some(),
+        }
+    }
+
+    async fn read_body(&self, stream: &mut BufReader<Stream>) -> std::io::Result<()> {
+        if self.chunked {
+            return drain_chunks(stream).await;
+        }
+        drain(stream, self.content_length).await
+    }
 }
 
 impl Upstream {
@@ -90,14 +152,7 @@
         tasks: &TaskTree,
     ) -> std::io::Result<Upstream> {
         let listener = TcpListener::bind(address).await?;
-        let upstream = Upstream {
-            address: listener.local_addr()?,
-            name: name.into(),
-            runs: Arc::default(),
-            running: Arc::default(),
-            running_most: Arc::default(),
-            draining: Arc::default(),
-        };
+        let upstream = Upstream::new(name, listener.local_addr()?);
         let (own, connections) = (upstream.clone(), tasks.child());
         tasks.spawn_until_stopped(
             "upstream",
@@ -106,27 +161,59 @@
         Ok(upstream)
     }
 
+    /// Creates an upstream in a network inside the process.
+    pub fn in_memory(name: &str, address: SocketAddr, network: &MemoryNetwork) -> Upstream {
+        let upstream = Upstream::new(name, address);
+        let own = upstream.clone();
+        network.host(address, move |stream| {
+            let own = own.clone();
+            tokio::spawn(async move {
+                let _ = own.serve(stream, CancellationToken::new()).await;
+            });
+        });
+        upstream
+    }
+
+    fn new(name: &str, address: SocketAddr) -> Upstream {
+        Upstream {
+            address,
+            name: name.into(),
+            runs: Arc::default(),
+            running: Arc::default(),
+            running_most: Arc::default(),
+            draining: Arc::default(),
+        }
+    }
+
     async fn accept(self, listener: TcpListener, connections: TaskTree) {
         while let Ok((stream, _)) = listener.accept().await {
             let (own, stop) = (self.clone(), connections.stop_token());
             connections.spawn("upstream connection", async move {
-                let _ = own.serve(stream, stop).await;
+                if stream.set_nodelay(true).is_ok() {
+                    let _ = own.serve(Stream::Tcp(stream), stop).await;
+                }
             });
         }
     }
 
     fn runs(&self) -> MutexGuard<'_, Runs> {
-        self.runs.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.runs)
     }
 
     /// Plans how the next requests are treated, one each.
     pub fn plan(&self, behaviours: impl IntoIterator<Item = Behaviour>) {
-        self.runs().planned.extend(behaviours);
+        lock(&self.runs().planned).extend(behaviours);
+    }
+
+    /// Makes this upstream follow the plan of another, so that either of them takes the next step.
+    pub fn share_plan_of(&self, other: &Upstream) {
+        let planned = other.runs().planned.clone();
+        self.runs().planned = planned;
     }
 
     /// Sets how requests are treated that nothing else is planned for.
-    pub fn always(&self, behaviour: Behaviour) {
-        self.runs().always = Some(behaviour);
+    pub fn always(&self, behaviour: Option<Behaviour>) {
+        self.runs().always = behaviour;
     }
 
     /// Starts or ends a graceful shutdown: requests are refused as not run.
@@ -149,109 +236,111 @@
         self.running_most.load(Ordering::Acquire)
     }
 
-    async fn serve(&self, stream: TcpStream, stop: CancellationToken) -> std::io::Result<()> {
-        stream.set_nodelay(true)?;
+    async fn serve(&self, stream: Stream, stop: CancellationToken) -> std::io::Result<()> {
         let mut stream = BufReader::new(stream);
         loop {
-            let behaviour = self.next_behaviour();
-            if behaviour == Some(Behaviour::CloseAtOnce) {
-                return Ok(());
+            match self.take_behaviour(true) {
+                Some(Behaviour::CloseAtOnce) => return Ok(()),
+                Some(Behaviour::HangAtOnce) => std::future::pending().await,
+                _ => {}
             }
-            let incoming = tokio::select! {
+            let head = tokio::select! {
                 // Only an idle connection is closed by a stop.
                 () = stop.cancelled() => return Ok(()),
-                incoming = read_request(&mut stream) => incoming?,
+                head = read_head(&mut stream) => head?,
             };
-            let Some(incoming) = incoming else { return Ok(()) };
-            // A behaviour may have been planned while the connection was idle.
-            let behaviour = behaviour.or_else(|| self.next_behaviour());
-            let behaviour = behaviour.unwrap_or_else(|| self.usual_behaviour());
-            let close = self.answer(&mut stream, &incoming, behaviour).await?;
-            if close || incoming.closes {
+            let Some(head) = head else { return Ok(()) };
+            let behaviour = self.take_behaviour(false).unwrap_or_else(|| self.usual_behaviour());
+            if self.treat(&mut stream, &head, behaviour).await? || head.closes {
                 return Ok(());
             }
         }
     }
 
-    /// Takes a planned behaviour that applies before the request is read, or any after.
-    fn next_behaviour(&self) -> Option<Behaviour> {
-        self.runs().planned.pop_front()
+    /// Takes the planned behaviour if it applies before, or after, the head of a request.
+    fn take_behaviour(&self, before_reading: bool) -> Option<Behaviour> {
+        let runs = self.runs();
+        let mut planned = lock(&runs.planned);
+        let next = planned.front().or(runs.always.as_ref()).cloned()?;
+        if next.is_before_reading() != before_reading {
+            return None;
+        }
+        planned.pop_front();
+        Some(next)
     }
 
     fn usual_behaviour(&self) -> Behaviour {
-        if self.draining.load(Ordering::Acquire) {
-            return Behaviour::NotRun;
-        }
-        self.runs().always.clone().unwrap_or(Behaviour::Answer)
+        let draining = self.draining.load(Ordering::Acquire);
+        if draining { Behaviour::NotRun } else { Behaviour::Answer }
     }
 
-    /// Answers one request; returns whether the connection must close.
-    async fn answer(
+    /// Reads the rest of a request and answers it; returns whether the connection must close.
+    async fn treat(
         &self,
-        stream: &mut BufReader<TcpStream>,
-        incoming: &Incoming,
+        stream: &mut BufReader<Stream>,
+        head: &Head,
         behaviour: Behaviour,
     ) -> std::io::Result<bool> {
-        let body = format!("{}\n", self.name);
-        let whole = |id: Option<&String>, body: &str| {
-            let echo =
-                id.map_or(String::new(), |id| format!("x-wasabiswitch-request-id: {id}\r\n"));
-            format!("HTTP/1.1 200 OK\r\n{echo}content-length: {}\r\n\r\n{body}", body.len())
-        };
         match behaviour {
             Behaviour::CloseAtOnce | Behaviour::CloseAfterHead => return Ok(true),
+            Behaviour::HangAtOnce | Behaviour::HangAfterHead => std::future::pending().await,
+            _ => head.read_body(stream).await?,
+        }
+        match behaviour {
+            Behaviour::CloseBeforeRun => return Ok(true),
+            Behaviour::HangBeforeRun => std::future::pending().await,
             Behaviour::NotRun => {
-                let refusal = "HTTP/1.1 503 Service Unavailable\r\n\
-                    x-wasabiswitch-verdict: not-run\r\nconnection: close\r\n\
-                    content-length: 0\r\n\r\n";
-                stream.write_all(refusal.as_bytes()).await?;
+                stream.write_all(NOT_RUN_ANSWER.as_bytes()).await?;
                 return Ok(true);
             }
-            Behaviour::Hang => std::future::pending().await,
-            _ => {}
+            _ => self.run(head, &behaviour).await,
         }
-        self.run(incoming, &behaviour).await;
+        let (bytes, end) = self.answer(head, &behaviour);
+        stream.write_all(&bytes).await?;
+        stream.flush().await?;
+        match end {
+            End::Open => Ok(false),
+            End::Close => Ok(true),
+            End::Hang => std::future::pending().await,
+        }
+    }
+
+    /// Returns what is sent, and what becomes of the connection then.
+    fn answer(&self, head: &Head, behaviour: &Behaviour) -> (Vec<u8>, End) {
+        let body = match behaviour {
+            Behaviour::Large(bytes) => "x".repeat(*bytes),
+            _ => format!("{}\n", self.name),
+        };
+        let id = match behaviour {
+            Behaviour::Crossed => Some("00000000000000ff"),
+            _ => head.request_id.as_deref(),
+        };
+        let echo = id.map_or(String::new(), |id| format!("x-wasabiswitch-request-id: {id}\r\n"));
+        let whole =
+            format!("HTTP/1.1 200 OK\r\n{echo}content-length: {}\r\n\r\n{body}", body.len());
+        let cut_head = || b"HTTP/1.1 200 OK\r\ncontent-le".to_vec();
+        let cut_body = || b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nhalf".to_vec();
         match behaviour {
-            Behaviour::CloseAfterRun => return Ok(true),
-            Behaviour::CutHead => {
-                stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-le").await?;
-                return Ok(true);
-            }
-            Behaviour::CutBody => {
-                stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nhalf").await?;
-                return Ok(true);
-            }
-            Behaviour::Surplus => {
-                let answer = whole(incoming.request_id.as_ref(), &body) + "surplus";
-                stream.write_all(answer.as_bytes()).await?;
-            }
-            Behaviour::Crossed => {
-                let other = "00000000000000ff".to_owned();
-                stream.write_all(whole(Some(&other), &body).as_bytes()).await?;
-            }
+            Behaviour::CloseAfterRun => (Vec::new(), End::Close),
+            Behaviour::HangAfterRun => (Vec::new(), End::Hang),
+            Behaviour::CutHead => (cut_head(), End::Close),
+            Behaviour::HangInHead => (cut_head(), End::Hang),
+            Behaviour::CutBody => (cut_body(), End::Close),
+            Behaviour::HangInBody => (cut_body(), End::Hang),
+            Behaviour::Surplus => ((whole + "surplus").into_bytes(), End::Open),
             Behaviour::ServerError => {
-                let answer = "HTTP/1.1 500 Internal Server Error\r\ncontent-length: 0\r\n\r\n";
-                stream.write_all(answer.as_bytes()).await?;
-            }
-            Behaviour::Large(bytes) => {
-                let body = "x".repeat(bytes);
-                let answer = whole(incoming.request_id.as_ref(), &body);
-                stream.write_all(answer.as_bytes()).await?;
-            }
-            _ => {
-                let answer = whole(incoming.request_id.as_ref(), &body);
-                stream.write_all(answer.as_bytes()).await?;
+                let answer = b"HTTP/1.1 500 Internal Server Error\r\ncontent-length: 0\r\n\r\n";
+                (answer.to_vec(), End::Open)
             }
+            _ => (whole.into_bytes(), End::Open),
         }
-        stream.flush().await?;
-        Ok(false)
     }
 
-    async fn run(&self, incoming: &Incoming, behaviour: &Behaviour) {
+    async fn run(&self, head: &Head, behaviour: &Behaviour) {
         {
             let mut runs = self.runs();
             runs.total += 1;
-            if let Some(label) = &incoming.label {
+            if let Some(label) = &head.label {
                 *runs.by_label.entry(label.clone()).or_default() += 1;
             }
         }
@@ -264,28 +353,12 @@
     }
 }
 
-/// Reads one request; returns `None` at the end of the connection.
-async fn read_request(stream: &mut BufReader<TcpStream>) -> std::io::Result<Option<Incoming>> {
-    let Some(head) = read_head(stream).await? else { return Ok(None) };
-    let header = |name: &str| {
-        head.lines().find_map(|line| {
-            let (key, value) = line.split_once(':')?;
-            key.eq_ignore_ascii_case(name).then(|| value.trim().to_owned())
-        })
-    };
-    match header("content-length").and_then(|length| length.parse::<usize>().ok()) {
-        Some(length) => drain(stream, length).await?,
-        None if header("transfer-encoding").is_some() => drain_chunks(stream).await?,
-        None => {}
-    }
-    Ok(Some(Incoming {
-        label: header("x-label"),
-        request_id: header("x-wasabiswitch-request-id"),
-        closes: header("connection").is_some_and(|value| value.eq_ignore_ascii_case("close")),
-    }))
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-async fn read_head(stream: &mut BufReader<TcpStream>) -> std::io::Result<Option<String>> {
+/// Reads the head of a request; returns `None` at the end of the connection.
+async fn read_head(stream: &mut BufReader<Stream>) -> std::io::Result<Option<Head>> {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
         match stream.read_u8().await {
@@ -297,10 +370,10 @@
             return Err(std::io::Error::other("the head is too long"));
         }
     }
-    Ok(Some(String::from_utf8_lossy(&head).into_owned()))
+    Ok(Some(Head::parse(&String::from_utf8_lossy(&head))))
 }
 
-async fn drain(stream: &mut BufReader<TcpStream>, mut bytes: usize) -> std::io::Result<()> {
+async fn drain(stream: &mut BufReader<Stream>, mut bytes: usize) -> std::io::Result<()> {
     let mut buffer = [0; 16 << 10];
     while bytes > 0 {
         let part = bytes.min(buffer.len());
@@ -310,7 +383,7 @@
     Ok(())
 }
 
-async fn drain_chunks(stream: &mut BufReader<TcpStream>) -> std::io::Result<()> {
+async fn drain_chunks(stream: &mut BufReader<Stream>) -> std::io::Result<()> {
     loop {
         let size_line = read_line(stream).await?;
         let size = usize::from_str_radix(size_line.split(';').next().unwrap_or("").trim(), 16)
@@ -323,7 +396,7 @@
     }
 }
 
-async fn read_line(stream: &mut BufReader<TcpStream>) -> std::io::Result<String> {
+async fn read_line(stream: &mut BufReader<Stream>) -> std::io::Result<String> {
     let mut line = Vec::new();
     while !line.ends_with(b"\r\n") {
         line.push(stream.read_u8().await?);
