--- /dev/null
+++ b/crates/policy/tests/queue.rs
@@ -0,0 +1,109 @@
+//! The fair queue: shares, urgency, shedding, and that nothing is lost.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use proptest::prelude::*;
+use wasabiswitch_policy::ids::TeamId;
+use wasabiswitch_policy::queue::{FairQueue, Offer, Urgency};
+
+fn late() -> Instant {
+    Instant::now() + Duration::from_secs(3_600)
+}
+
+#[test]
+fn a_full_pool_is_shared_by_weight() {
+    let mut queue = FairQueue::new(10_000);
+    let teams: [(TeamId, u32); 3] = [("a".into(), 1), ("b".into(), 2), ("c".into(), 5)];
+    for index in 0..1_000_u32 {
+        for (team, weight) in &teams {
+            queue.offer(team, *weight, Urgency::Urgent, late(), (index, *weight));
+        }
+    }
+    let mut served: BTreeMap<u32, u32> = BTreeMap::new();
+    for _ in 0..800 {
+        let (_, weight) = queue.take(|_| true).expect("the queue is full");
+        *served.entry(weight).or_default() += 1;
+    }
+    assert_eq!(served, BTreeMap::from([(1, 100), (2, 200), (5, 500)]));
+}
+
+#[test]
+fn a_flood_sheds_its_own_and_is_refused_first() {
+    let mut queue = FairQueue::new(10);
+    let (calm, flood): (TeamId, TeamId) = ("calm".into(), "flood".into());
+    for index in 0..10 {
+        assert_eq!(queue.offer(&flood, 1, Urgency::Urgent, late(), index), Offer::Queued);
+    }
+    assert_eq!(queue.offer(&flood, 1, Urgency::Urgent, late(), 10), Offer::Refused);
+    // The newest of the flood makes room.
+    let offer = queue.offer(&calm, 1, Urgency::Urgent, late(), 100);
+    assert_eq!(offer, Offer::QueuedInPlaceOf(9));
+    assert_eq!((queue.team_len("calm"), queue.team_len("flood")), (1, 9));
+}
+
+#[test]
+fn urgent_work_goes_first_and_in_order() {
+    let mut queue = FairQueue::new(10);
+    let team: TeamId = "a".into();
+    for (handle, urgency) in [
+        (1, Urgency::Deferrable),
+        (2, Urgency::Urgent),
+        (3, Urgency::Deferrable),
+        (4, Urgency::Urgent),
+    ] {
+        queue.offer(&team, 1, urgency, late(), handle);
+    }
+    let order: Vec<i32> = std::iter::from_fn(|| queue.take(|_| true)).collect();
+    assert_eq!(order, [2, 4, 1, 3]);
+}
+
+#[test]
+fn a_team_that_may_not_run_does_not_hold_up_others() {
+    let mut queue = FairQueue::new(10);
+    queue.offer(&"blocked".into(), 9, Urgency::Urgent, late(), 1);
+    queue.offer(&"open".into(), 1, Urgency::Urgent, late(), 2);
+    assert_eq!(queue.take(|team| &**team == "open"), Some(2));
+    assert_eq!(queue.take(|team| &**team == "open"), None);
+    assert_eq!(queue.len(), 1);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(14), failure_persistence: None, cases: 1_000, ..ProptestConfig::default() })]
+
+    // Every waiter leaves in exactly one way.
+    #[test]
+    fn nothing_is_lost_or_doubled(
+        steps in prop::collection::vec((0_u8..4, 0_u8..4, 1_u32..4, any::<bool>()), 0..200),
+    ) {
+        let mut queue = FairQueue::new(12);
+        let now = Instant::now();
+        let mut waiting: BTreeMap<usize, TeamId> = BTreeMap::new();
+        for (handle, (action, team, weight, urgent)) in steps.into_iter().enumerate() {
+            let team: TeamId = format!("t{team}").into();
+            let urgency = if urgent { Urgency::Urgent } else { Urgency::Deferrable };
+            match action {
+                0 | 1 => match queue.offer(&team, weight, urgency, now + Duration::from_secs(u64::from(weight)), handle) {
+                    Offer::Queued => drop(waiting.insert(handle, team)),
+                    Offer::QueuedInPlaceOf(shed) => {
+                        prop_assert!(waiting.remove(&shed).is_some());
+                        waiting.insert(handle, team);
+                    }
+                    Offer::Refused => {}
+                },
+                2 => if let Some(taken) = queue.take(|_| true) {
+                    prop_assert!(waiting.remove(&taken).is_some());
+                },
+                _ => if let Some((&first, _)) = waiting.iter().next() {
+                    let owner = waiting.remove(&first).expect("it waits");
+                    prop_assert!(queue.remove(&owner, first));
+                },
+            }
+            prop_assert_eq!(queue.len(), waiting.len());
+            prop_assert!(queue.len() <= 12);
+        }
+        let expired = queue.expire(now + Duration::from_secs(10));
+        prop_assert_eq!(expired.len(), waiting.len());
+        prop_assert!(queue.is_empty());
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/rules.rs
@@ -0,0 +1,291 @@
+//! Merging, retries, routing, the breaker, demand and burn.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use proptest::prelude::*;
+use wasabiswitch_policy::Verdict;
+use wasabiswitch_policy::breaker::{Breaker, BreakerConfig, Permit};
+use wasabiswitch_policy::burn::{Alert, Counts, History, alert, burn_rate};
+use wasabiswitch_policy::demand::{Movable, PoolDemand, RunTimes, Shortage, plan_moves, targets};
+use wasabiswitch_policy::ids::FailureDomain;
+use wasabiswitch_policy::merge::{File, FileEntry, apply, diff, merge};
+use wasabiswitch_policy::retry::{Attempt, RetryBudget, RetryStep, next_step};
+use wasabiswitch_policy::routing::{Candidate, Health, Leaving, choose};
+
+type Fields = Option<Vec<(u8, u8)>>;
+
+fn files() -> impl Strategy<Value = Vec<(u8, Vec<(u8, Fields)>)>> {
+    let fields = prop::option::weighted(0.8, prop::collection::vec((0_u8..4, any::<u8>()), 0..4));
+    let entries = prop::collection::vec((0_u8..4, fields), 0..5);
+    prop::collection::vec((any::<u8>(), entries), 0..6)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(17), failure_persistence: None, cases: 1_000, ..ProptestConfig::default() })]
+
+    #[test]
+    fn merging_is_like_writing_one_field_after_the_other(files in files()) {
+        let named: Vec<File<u8>> = files
+            .iter()
+            .enumerate()
+            .map(|(index, (name, entries))| File {
+                name: format!("{name:03}-{index:03}"),
+                entries: entries
+                    .iter()
+                    .map(|(entry, fields)| FileEntry {
+                        key: ("s".to_owned(), entry.to_string()),
+                        fields: fields.as_ref().map(|fields| {
+                            fields.iter().map(|(name, value)| (name.to_string(), *value)).collect()
+                        }),
+                    })
+                    .collect(),
+            })
+            .collect();
+        let mut order: Vec<&File<u8>> = named.iter().collect();
+        order.sort_by_key(|file| file.name.clone());
+        // Naive: a flat map of single fields, in which an entry exists once it was written.
+        let mut flat: BTreeMap<(String, String), u8> = BTreeMap::new();
+        let mut present: BTreeMap<String, ()> = BTreeMap::new();
+        for entry in order.iter().flat_map(|file| &file.entries) {
+            match &entry.fields {
+                None => {
+                    present.remove(&entry.key.1);
+                    flat.retain(|(name, _), _| *name != entry.key.1);
+                }
+                Some(fields) => {
+                    present.insert(entry.key.1.clone(), ());
+                    for (name, value) in fields {
+                        flat.insert((entry.key.1.clone(), name.clone()), *value);
+                    }
+                }
+            }
+        }
+        let merged = merge(&named);
+        prop_assert_eq!(merged.len(), present.len());
+        let merged_flat: BTreeMap<(String, String), u8> = merged
+            .iter()
+            .flat_map(|(key, fields)| fields.iter().map(|(name, value)| ((key.1.clone(), name.clone()), *value)))
+            .collect();
+        prop_assert_eq!(merged_flat, flat);
+    }
+
+    #[test]
+    fn a_difference_leads_from_one_to_the_other(
+        before in prop::collection::btree_map(any::<u8>(), any::<u8>(), 0..20),
+        after in prop::collection::btree_map(any::<u8>(), any::<u8>(), 0..20),
+    ) {
+        let entries = |map: BTreeMap<u8, u8>| -> BTreeMap<(String, String), u8> {
+            map.into_iter().map(|(key, value)| (("s".to_owned(), key.to_string()), value)).collect()
+        };
+        let (mut before, after) = (entries(before), entries(after));
+        let changes = diff(&before, &after);
+        apply(&mut before, &changes);
+        prop_assert_eq!(before, after);
+    }
+
+    #[test]
+    fn targets_keep_every_instance_and_every_floor(
+        pools in prop::collection::vec((0_u32..30, 1_u32..20, 0_u32..4), 1..8),
+    ) {
+        let demands: Vec<PoolDemand> = pools
+            .iter()
+            .enumerate()
+            .map(|(index, (needed, has, floor))| PoolDemand {
+                pool: format!("p{index}").into(),
+                needed: *needed,
+                has: *has,
+                floor: (*floor).min(*has),
+                spare: index == 0,
+            })
+            .collect();
+        let targets = targets(&demands);
+        prop_assert_eq!(targets.values().sum::<u32>(), demands.iter().map(|d| d.has).sum::<u32>());
+        for demand in &demands {
+            prop_assert!(targets[&demand.pool] >= demand.floor);
+        }
+        let enough: u32 = demands.iter().map(|d| d.needed.max(d.floor)).sum();
+        if demands.iter().all(|d| d.spare || d.has >= d.needed) {
+            for demand in demands.iter().filter(|d| !d.spare) {
+                prop_assert_eq!(targets[&demand.pool], demand.has, "nothing moves without cause ({})", enough);
+            }
+        }
+    }
+}
+
+#[test]
+fn when_a_request_is_sent_again() {
+    let now = Instant::now();
+    let left = Duration::from_secs(1);
+    // Verdict, repeatable, attempts made, time left, budget, and whether it is sent again.
+    let cases = [
+        (Verdict::NotRun, false, 1, left, true, true),
+        (Verdict::MayHaveRun, false, 1, left, true, false),
+        (Verdict::MayHaveRun, true, 1, left, true, true),
+        (Verdict::Ran, true, 1, left, true, false),
+        (Verdict::NotRun, true, 3, left, true, false),
+        (Verdict::NotRun, true, 1, Duration::from_millis(4), true, false),
+        (Verdict::NotRun, true, 1, left, false, false),
+    ];
+    for (verdict, repeatable, attempts_made, left, budget, again) in cases {
+        let deadline = now + left;
+        let attempt = Attempt { verdict, repeatable, attempts_made, attempts_max: 3, deadline };
+        let step = next_step(&attempt, now, budget, 0.5);
+        assert_eq!(step != RetryStep::GiveUp, again, "{attempt:?} with budget {budget}");
+    }
+}
+
+#[test]
+fn retries_are_a_bounded_part_of_requests() {
+    let mut budget = RetryBudget::default();
+    while budget.spend() {}
+    let retries = (0..1_000).filter(|_| {
+        budget.earn();
+        budget.spend()
+    });
+    assert_eq!(retries.count(), 200);
+}
+
+#[test]
+fn routing_takes_the_less_loaded_that_may_have_work() {
+    let now = Instant::now();
+    let warm = now.checked_sub(Duration::from_secs(60)).expect("the clock is old enough");
+    // Failure domain, outstanding requests, whether it serves, whether it is ejected.
+    let list: [(FailureDomain, u32, bool, bool); 3] =
+        [("a".into(), 0, true, false), ("b".into(), 4, true, false), ("a".into(), 0, false, false)];
+    let describe = |index: usize| {
+        let (domain, outstanding, serving, ejected) = &list[index];
+        Candidate {
+            failure_domain: domain,
+            outstanding: *outstanding,
+            capacity: 8,
+            serving: *serving,
+            ejected: *ejected,
+            serving_since: warm,
+        }
+    };
+    for seed in 0..50 {
+        let mut random = seed;
+        let draw = |below: usize| {
+            random = random * 31 + 7;
+            random % below
+        };
+        let chosen = choose(3, describe, &[], now, draw);
+        assert_ne!(chosen, Some(2), "it does not serve");
+        let mut random = seed;
+        let draw = |below: usize| {
+            random = random * 31 + 7;
+            random % below
+        };
+        assert_eq!(choose(3, describe, &["a".into()], now, draw), Some(1), "another domain first");
+    }
+    assert_eq!(choose(0, describe, &[], now, |_| 0), None);
+}
+
+#[test]
+fn an_ejection_leaves_most_of_a_pool() {
+    let now = Instant::now();
+    let mut health = Health::new(now);
+    for _ in 0..5 {
+        health.record(false, now);
+    }
+    assert!(!health.eject_if_failing(now, 3, 9), "a third is out already");
+    assert!(health.eject_if_failing(now, 2, 9));
+    assert!(health.is_ejected(now));
+    assert!(!health.is_ejected(now + Duration::from_secs(5)));
+}
+
+#[test]
+fn leaving_holds_for_a_boot() {
+    let mut leaving = Leaving::default();
+    assert!(leaving.note(3));
+    assert!(!leaving.note(3), "no news");
+    assert!(!leaving.note(2), "a late list is no news");
+    assert!(leaving.covers(3) && leaving.covers(2) && !leaving.covers(4));
+}
+
+#[test]
+fn a_breaker_lets_one_probe_through() {
+    let now = Instant::now();
+    let config = BreakerConfig { failures_to_open: 2, open_for: Duration::from_secs(1) };
+    let mut breaker = Breaker::new(config);
+    breaker.failed(now);
+    assert_eq!(breaker.permit(now), Permit::Send);
+    breaker.failed(now);
+    assert_eq!(breaker.permit(now), Permit::Refuse);
+    let later = now + Duration::from_secs(1);
+    assert_eq!(breaker.permit(later), Permit::Probe);
+    assert_eq!(breaker.permit(later), Permit::Refuse);
+    breaker.abandoned();
+    assert_eq!(breaker.permit(later), Permit::Probe);
+    breaker.succeeded();
+    assert_eq!(breaker.permit(later), Permit::Send);
+}
+
+#[test]
+fn moves_wait_and_take_from_the_spare_pool_first() {
+    let now = Instant::now();
+    let patience = Duration::from_secs(30);
+    let demand = |pool: &str, needed, has, spare| PoolDemand {
+        pool: pool.into(),
+        needed,
+        has,
+        floor: 1,
+        spare,
+    };
+    let pools =
+        [demand("busy", 5, 3, false), demand("calm", 1, 4, false), demand("spare", 0, 2, true)];
+    let targets = targets(&pools);
+    let mut shortage = Shortage::default();
+    assert!(shortage.update(&pools, &targets, patience, now).is_empty());
+    let short = shortage.update(&pools, &targets, patience, now + patience);
+    assert_eq!(short, ["busy".into()]);
+    let instance = |name: &str, pool: &str, outstanding| Movable {
+        instance: name.into(),
+        pool: pool.into(),
+        failure_domain: "r".into(),
+        outstanding,
+    };
+    let instances =
+        [instance("c1", "calm", 0), instance("s1", "spare", 0), instance("c2", "calm", 5)];
+    let moves = plan_moves(&pools, &targets, &short, &instances);
+    let names: Vec<&str> = moves.iter().map(|planned| &*planned.instance).collect();
+    assert_eq!(names[0], "s1");
+    assert!(moves.len() <= 2);
+}
+
+#[test]
+fn run_times_are_learned_once_there_are_enough() {
+    let mut times = RunTimes::default();
+    for value in [10, 20, 30, 40] {
+        times.record(value);
+    }
+    assert_eq!(times.quantile_ms(0.5, 1_000), 1_000);
+    times.record(50);
+    assert_eq!(times.quantile_ms(0.5, 1_000), 30);
+    assert_eq!(times.quantile_ms(1.0, 1_000), 50);
+}
+
+#[test]
+fn burn_is_seen_in_its_windows() {
+    let now = Instant::now();
+    let mut history = History::new(now, Duration::from_secs(3_600));
+    for second in 0..1_000 {
+        let at = now + Duration::from_secs(second);
+        history.record(second < 900, at);
+    }
+    let end = now + Duration::from_secs(999);
+    let last = history.sum(Duration::from_secs(100), end);
+    assert_eq!(last, Counts { total: 100, bad: 100 });
+    let all = history.sum(Duration::from_secs(3_600), end);
+    assert_eq!(all, Counts { total: 1_000, bad: 100 });
+    assert!((burn_rate(all, 0.9) - 1.0).abs() < 1e-9);
+    let cases = [
+        (20.0, 20.0, 1.0, Alert::Fast),
+        (0.0, 20.0, 4.0, Alert::Slow),
+        (0.0, 1.0, 9.0, Alert::None),
+    ];
+    for (short, middle, long, expected) in cases {
+        assert_eq!(alert(short, middle, long), expected);
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/work.rs
@@ -0,0 +1,203 @@
+//! Jobs and their placement, against a ledger of copies and a naive scheduler.
+
+use std::collections::BTreeMap;
+
+use proptest::prelude::*;
+use wasabiswitch_policy::ids::{InstanceId, TeamId};
+use wasabiswitch_policy::jobs::{
+    Claim, Event, JobRow, JobSpec, JobState, Outcome, Resources, apply, submit,
+};
+use wasabiswitch_policy::placement::{
+    Placement, Record, Standing, Waiting, Worker, impossible, is_bad_worker, place,
+};
+
+fn spec(at_most_once: bool) -> JobSpec {
+    JobSpec {
+        team: "t".into(),
+        key: None,
+        queue: "q".into(),
+        kind: "k".into(),
+        resources: Resources { cpu_milli: 1_000, ..Resources::default() },
+        run_time_ms: 1,
+        deadline_ms: 0,
+        at_most_once,
+        payload: Vec::new(),
+    }
+}
+
+fn claim(worker: u8) -> Event {
+    Event::Claim(Claim { daemon: "d".into(), epoch: 1, instance: format!("w{worker}").into() })
+}
+
+/// All events for an attempt, current or old.
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        (0_u8..4).prop_map(claim),
+        (0_u32..5).prop_map(Event::Started),
+        (0_u32..5).prop_map(Event::Done),
+        (0_u32..5).prop_map(Event::Failed),
+        (0_u32..5).prop_map(Event::NotStarted),
+        (0_u32..5).prop_map(Event::Lost),
+        Just(Event::Cancel),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(16), failure_persistence: None, cases: 3_000, ..ProptestConfig::default() })]
+
+    #[test]
+    fn a_job_that_may_run_once_gets_no_second_start_after_doubt(
+        events in prop::collection::vec(event(), 0..60),
+    ) {
+        let mut row = submit(spec(true));
+        // An attempt that a worker may have begun, unless it certainly never started.
+        let mut begun = 0;
+        for event in events {
+            let Some(next) = apply(&row, &event) else { continue };
+            match event {
+                Event::Claim(_) => begun += 1,
+                Event::NotStarted(_) => begun -= 1,
+                _ => {}
+            }
+            prop_assert!(begun <= 1, "a second attempt after one that may have run");
+            row = next;
+        }
+    }
+
+    #[test]
+    fn an_ended_job_never_changes_and_old_attempts_say_nothing(
+        events in prop::collection::vec(event(), 0..60), at_most_once: bool,
+    ) {
+        let mut row = submit(spec(at_most_once));
+        for event in events {
+            let before = row.clone();
+            let next = apply(&row, &event);
+            if matches!(before.state, JobState::Ended(_)) {
+                prop_assert!(next.is_none());
+            }
+            let attempt = match event {
+                Event::Started(n) | Event::Done(n) | Event::Failed(n) | Event::NotStarted(n) | Event::Lost(n) => Some(n),
+                _ => None,
+            };
+            if attempt.is_some_and(|attempt| attempt != before.attempt) {
+                prop_assert!(next.is_none());
+            }
+            row = next.unwrap_or(row);
+            prop_assert!(row.attempt >= before.attempt);
+        }
+    }
+
+    #[test]
+    fn placement_fits_and_leaves_nothing_that_a_naive_scheduler_would_place(
+        jobs in prop::collection::vec((0_u8..3, 1_u64..5, 0_u32..2, -50_i64..50), 0..20),
+        workers in prop::collection::vec((1_u64..6, 0_u32..3, any::<bool>()), 0..6),
+        limit in 0_u32..8,
+    ) {
+        let waiting: Vec<Waiting> = jobs
+            .iter()
+            .enumerate()
+            .map(|(index, (team, cores, accelerators, slack_ms))| Waiting {
+                job: format!("j{index}").into(),
+                team: format!("t{team}").into(),
+                resources: Resources { cpu_milli: cores * 1_000, memory_bytes: 0, accelerators: *accelerators },
+                slack_ms: *slack_ms,
+                order: index as u64,
+                failed_on: Vec::new(),
+            })
+            .collect();
+        let workers: Vec<Worker> = workers
+            .iter()
+            .enumerate()
+            .map(|(index, (cores, accelerators, usable))| {
+                let total = Resources { cpu_milli: cores * 1_000, memory_bytes: 0, accelerators: *accelerators };
+                Worker { instance: format!("w{index}").into(), total, free: total, usable: *usable }
+            })
+            .collect();
+        let teams: BTreeMap<TeamId, Standing> = (0..3)
+            .map(|team| (TeamId::from(format!("t{team}")), Standing { weight: team + 1, running: 0, limit }))
+            .collect();
+        let placed = place(&waiting, &workers, &teams);
+        check_placed(&waiting, &workers, &placed, limit)?;
+    }
+}
+
+/// Books the placements on fresh workers, then looks for a job that would still fit.
+fn check_placed(
+    waiting: &[Waiting],
+    workers: &[Worker],
+    placed: &[Placement],
+    limit: u32,
+) -> Result<(), TestCaseError> {
+    let mut free: BTreeMap<&InstanceId, Resources> =
+        workers.iter().filter(|w| w.usable).map(|w| (&w.instance, w.free)).collect();
+    let mut running: BTreeMap<&TeamId, u32> = BTreeMap::new();
+    for placement in placed {
+        let job = waiting.iter().find(|job| job.job == placement.job).expect("a known job");
+        let room = free.get_mut(&placement.instance).expect("a usable worker");
+        prop_assert!(job.resources.fits(room), "{placement:?} does not fit");
+        *room = room.less(&job.resources);
+        *running.entry(&job.team).or_default() += 1;
+    }
+    prop_assert!(running.values().all(|count| *count <= limit));
+    for job in waiting.iter().filter(|job| placed.iter().all(|p| p.job != job.job)) {
+        let below = running.get(&job.team).copied().unwrap_or(0) < limit;
+        let fits = free.values().any(|room| job.resources.fits(room));
+        prop_assert!(!(below && fits), "{:?} was left although it fits", job.job);
+    }
+    Ok(())
+}
+
+#[test]
+fn the_life_of_a_job() {
+    let started = |row: &JobRow| apply(row, &claim(1)).expect("it is queued");
+    // Events after the first claim, the outcome, and whether it may run at most once.
+    let cases: [(&[Event], JobState, bool); 6] = [
+        (&[Event::Done(1)], JobState::Ended(Outcome::Done), false),
+        (&[Event::Failed(1)], JobState::Queued, false),
+        (&[Event::Failed(1)], JobState::Ended(Outcome::Failed), true),
+        (&[Event::Lost(1)], JobState::Queued, false),
+        (&[Event::Lost(1)], JobState::Ended(Outcome::InDoubt), true),
+        (&[Event::Cancel, Event::Lost(1)], JobState::Ended(Outcome::Cancelled), false),
+    ];
+    for (events, state, at_most_once) in cases {
+        let first = started(&submit(spec(at_most_once)));
+        let last = events.iter().try_fold(first, |row, event| apply(&row, event));
+        assert_eq!(last.expect("each event fits").state, state, "{events:?}");
+    }
+}
+
+#[test]
+fn a_job_that_fails_everywhere_is_given_up() {
+    let mut row = submit(spec(false));
+    for worker in 0..3 {
+        row = apply(&row, &claim(worker)).expect("it is queued");
+        row = apply(&row, &Event::Failed(row.attempt)).expect("it runs");
+    }
+    assert_eq!(row.state, JobState::Ended(Outcome::Failed));
+}
+
+#[test]
+fn what_can_never_run_is_told_soon() {
+    let total = Resources { cpu_milli: 4_000, memory_bytes: 8, accelerators: 0 };
+    let worker = Worker { instance: "w".into(), total, free: Resources::default(), usable: false };
+    let workers = [worker];
+    assert!(impossible(&total, &workers).is_none(), "a busy worker may be free later");
+    let more = Resources { accelerators: 1, ..total };
+    assert!(impossible(&more, &workers).is_some());
+    assert!(impossible(&more, &[]).is_none(), "an empty pool may be filled");
+}
+
+#[test]
+fn a_worker_is_bad_only_where_others_are_good() {
+    let record = |failed, done| Record { failed, done };
+    let cases = [
+        (record(3, 0), record(0, 5), true),
+        (record(2, 0), record(0, 5), false),
+        (record(3, 0), record(5, 1), false),
+        (record(3, 0), record(0, 0), false),
+        (record(9, 1), record(0, 5), false),
+    ];
+    for (own, peers, bad) in cases {
+        assert_eq!(is_bad_worker(own, peers), bad, "{own:?} among {peers:?}");
+    }
+}
