Prove limits, fences, outages, keys and configuration across daemons

Cause: the promises that need several daemons had no failing case. Change: seventeen tests on paused time over one table service: lost answers, deaths, a daemon that hangs past its lease, outages of five minutes, cut and lossy links, racing operators. A daemon keeps a base of slots for each team. A repeat of cut links showed that the fake network cut only new connections; it now cuts open ones too, as a cable does. Conclusion: the base costs one write for each team and daemon at the start.

--- a/crates/plugins/src/limits/grants.rs
+++ b/crates/plugins/src/limits/grants.rs
@@ -1,14 +1,17 @@
 //! Takes slots from the teams' rows and gives them back.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures_util::StreamExt as _;
 use futures_util::stream;
 use wasabiswitch_kernel::store::{Change, Lane, StoreError};
+use wasabiswitch_kernel::tables::TeamEntry;
 use wasabiswitch_kernel::{Kernel, metric};
 use wasabiswitch_policy::Verdict;
-use wasabiswitch_policy::grants::{GrantRequest, GrantRow, adjust, reclaim, target_slots};
+use wasabiswitch_policy::grants::{
+    GrantRequest, GrantRow, Standing, adjust, base_slots, reclaim, target_slots,
+};
 use wasabiswitch_policy::ids::{Epoch, TeamId};
 
 use super::admission::pump_all;
@@ -45,26 +48,34 @@
 /// Returns the teams whose slots do not fit their demand, with the slots that they want.
 fn due_teams(kernel: &Kernel) -> Vec<(TeamId, u32)> {
     let now = kernel.clock.now();
+    let daemons = kernel.tables.members.lock().reach.live().len();
     let mut teams = kernel.tables.teams.lock();
     let ids: Vec<TeamId> = teams.table.iter().map(|(id, _)| id.clone()).collect();
-    let mut due = Vec::new();
-    for id in ids {
-        let Some(team) = teams.table.by_id_mut(&id) else { continue };
-        let demand = team.demand_slots();
-        if demand > 0 {
-            team.busy_at = now;
-        }
-        let idle_long = now >= team.busy_at + IDLE_AFTER;
-        let others_short = team.others_short_until.is_some_and(|until| now < until);
-        let wanted = target_slots(demand, team.held_slots, others_short, idle_long)
-            .min(team.limit_slots.max(team.running));
-        let waits = team.short_since.is_some_and(|since| now < since + ASK_AGAIN_AFTER);
-        let short = demand > team.held_slots && team.held_slots < wanted && !waits;
-        if short || wanted < team.held_slots {
-            due.push((id, wanted));
-        }
+    let due = ids.into_iter().filter_map(|id| {
+        let team = teams.table.by_id_mut(&id)?;
+        Some((id, wanted_slots(team, daemons, now)?))
+    });
+    due.collect()
+}
+
+/// Returns how many slots a team wants here, or `None` if nothing needs to be written now.
+fn wanted_slots(team: &mut TeamEntry, daemons: usize, now: Instant) -> Option<u32> {
+    let demand_slots = team.demand_slots();
+    if demand_slots > 0 {
+        team.busy_at = now;
     }
-    due
+    let standing = Standing {
+        demand_slots,
+        held_slots: team.held_slots,
+        base_slots: base_slots(team.limit_slots, daemons),
+        others_short: team.others_short_until.is_some_and(|until| now < until),
+        idle_long: now >= team.busy_at + IDLE_AFTER,
+    };
+    let wanted = target_slots(&standing).min(team.limit_slots.max(team.running));
+    let waits = team.short_since.is_some_and(|since| now < since + ASK_AGAIN_AFTER);
+    let needs_more = demand_slots.max(standing.base_slots) > team.held_slots;
+    let asks = needs_more && team.held_slots < wanted && !waits;
+    (asks || wanted < team.held_slots).then_some(wanted)
 }
 
 /// Asks for `wanted` slots of a team, and books what was granted.
@@ -84,7 +95,7 @@
     match &granted {
         Ok(slots) => {
             book(kernel, epoch, team, |_| *slots);
-            note_shortage(kernel, team, *slots < wanted);
+            note_shortage(kernel, team, *slots);
             metrics::gauge!(metric::GRANTED_SLOTS, "team" => team.to_string())
                 .set(f64::from(*slots));
         }
@@ -108,11 +119,14 @@
     }
 }
 
-fn note_shortage(kernel: &Kernel, team: &TeamId, short: bool) {
+/// Records whether the slots that a team got are fewer than its work needs.
+fn note_shortage(kernel: &Kernel, team: &TeamId, slots: u32) {
     let now = kernel.clock.now();
     let mut teams = kernel.tables.teams.lock();
+    let mut short = false;
     if let Some(entry) = teams.table.by_id_mut(team) {
-        entry.short_since = short.then_some(now);
+        short = entry.demand_slots() > slots;
+        entry.short_since = (short || slots == 0).then_some(now);
     }
     drop(teams);
     if short {
--- a/crates/plugins/src/peers.rs
+++ b/crates/plugins/src/peers.rs
@@ -194,7 +194,10 @@
 
 fn short_teams(kernel: &Kernel) -> Vec<TeamId> {
     let teams = kernel.tables.teams.lock();
-    let short = teams.table.iter().filter(|(_, team)| team.short_since.is_some());
+    let short = teams
+        .table
+        .iter()
+        .filter(|(_, team)| team.short_since.is_some() && team.demand_slots() > team.held_slots);
     short.map(|(id, _)| id.clone()).take(TEAM_LOADS_MAX).collect()
 }
 
--- a/crates/plugins/tests/common/mod.rs
+++ b/crates/plugins/tests/common/mod.rs
@@ -2,13 +2,16 @@
 
 #![allow(dead_code, reason = "each test file uses a part of this")]
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::FutureExt as _;
 use http::{Method, Request, Response};
 use http_body_util::BodyExt as _;
+use tokio::sync::watch;
 use wasabiswitch_kernel::Kernel;
 use wasabiswitch_kernel::clock::Clock;
 use wasabiswitch_kernel::config_document::read_texts_as_config;
@@ -16,6 +19,7 @@
 use wasabiswitch_kernel::http::entry::handle;
 use wasabiswitch_kernel::http::{Body, full_body};
 use wasabiswitch_kernel::keys::secret_digest;
+use wasabiswitch_kernel::platform::{Platform, PlatformFn};
 use wasabiswitch_kernel::plugin::registered;
 use wasabiswitch_kernel::settings::{Settings, read_text};
 use wasabiswitch_plugins::config::{Proposal, apply_changes};
@@ -53,8 +57,12 @@
     }
 }
 
+/// What one daemon's calls to the platform wait for.
+type Gates = Arc<Mutex<HashMap<String, watch::Sender<bool>>>>;
+
 /// A platform, upstreams and a network.
 pub struct World {
+    gates: Gates,
     pub standin: StandIn,
     pub network: MemoryNetwork,
     pub upstreams: Vec<Upstream>,
@@ -103,7 +111,7 @@
                 Upstream::in_memory(&name, upstream_address(index), &network)
             })
             .collect();
-        World { standin, network, upstreams, shape }
+        World { gates: Gates::default(), standin, network, upstreams, shape }
     }
 
     /// The configuration folder of the world, as one file.
@@ -180,7 +188,7 @@
     pub fn build(&self, name: &str, address: SocketAddr) -> Daemon {
         let kernel = Kernel::new(
             self.settings(name, address),
-            self.standin.platform(),
+            self.gated_platform(name),
             self.network.network_of(name),
             Clock::tokio(),
             registered(),
@@ -210,6 +218,42 @@
         self.upstreams.iter().map(|upstream| upstream.runs_of(label)).sum()
     }
 
+    /// Returns the platform as one daemon reaches it, which can be made to hang.
+    fn gated_platform(&self, name: &str) -> Platform {
+        let (sender, gate) = watch::channel(true);
+        self.gates.lock().expect("no test panics here").insert(name.to_owned(), sender);
+        let platform = self.standin.platform();
+        Platform {
+            read: gated(&gate, platform.read),
+            scan: gated(&gate, platform.scan),
+            commit: gated(&gate, platform.commit),
+            get_object: gated(&gate, platform.get_object),
+            put_object: gated(&gate, platform.put_object),
+            list_instances: gated(&gate, platform.list_instances),
+            sync_worker: gated(&gate, platform.sync_worker),
+            reboot: gated(&gate, platform.reboot),
+        }
+    }
+
+    fn set_gate(&self, daemon: &Daemon, open: bool) {
+        let gates = self.gates.lock().expect("no test panics here");
+        let gate = gates.get(&*daemon.kernel.settings.daemon).expect("the daemon was built here");
+        gate.send_replace(open);
+    }
+
+    /// Makes a daemon's calls to the platform hang.
+    pub fn hang_store(&self, daemon: &Daemon) -> Hung<'_> {
+        self.set_gate(daemon, false);
+        Hung { world: self, daemon: daemon.clone(), others: Vec::new() }
+    }
+
+    /// Makes all that a daemon sends and receives hang, as if its process were paused.
+    pub fn hang(&self, daemon: &Daemon, all: &[Daemon]) -> Hung<'_> {
+        self.set_gate(daemon, false);
+        self.isolate(daemon, all, true);
+        Hung { world: self, daemon: daemon.clone(), others: all.to_vec() }
+    }
+
     /// Cuts or mends all links between daemons that lead to or from one of them.
     pub fn isolate(&self, daemon: &Daemon, others: &[Daemon], cut: bool) {
         let name = daemon.kernel.settings.daemon.clone();
@@ -220,6 +264,40 @@
     }
 }
 
+/// A daemon that hangs.
+pub struct Hung<'a> {
+    world: &'a World,
+    daemon: Daemon,
+    others: Vec<Daemon>,
+}
+
+impl Hung<'_> {
+    /// Lets the daemon go on.
+    pub fn wake(self) {
+        self.world.set_gate(&self.daemon, true);
+        self.world.isolate(&self.daemon, &self.others, false);
+    }
+}
+
+/// Makes a function wait until its gate is open.
+fn gated<A: Send + 'static, T: Send + 'static>(
+    gate: &watch::Receiver<bool>,
+    function: PlatformFn<A, T>,
+) -> PlatformFn<A, T> {
+    let gate = gate.clone();
+    Arc::new(move |argument| {
+        let (mut gate, function) = (gate.clone(), function.clone());
+        async move {
+            // A world that is gone has no gate, and its daemons may hang.
+            if gate.wait_for(|open| *open).await.is_err() {
+                std::future::pending::<()>().await;
+            }
+            function(argument).await
+        }
+        .boxed()
+    })
+}
+
 impl Daemon {
     /// Ends the daemon's own work as a killed process would, without handing anything back.
     pub fn kill(&self, world: &World) {
--- /dev/null
+++ b/crates/plugins/tests/daemons.rs
@@ -0,0 +1,380 @@
+//! Several daemons over one table service: limits, fences, outages, keys and configuration.
+
+mod common;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use common::{Answer, Daemon, Shape, World};
+use http::Method;
+use serde_json::json;
+use wasabiswitch_kernel::Kernel;
+use wasabiswitch_kernel::http::problem::Problem;
+use wasabiswitch_plugins::config::{Proposal, apply_changes};
+use wasabiswitch_standin::upstream::Behaviour;
+use wasabiswitch_standin::{Fault, Operation};
+
+fn seconds(count: u64) -> Duration {
+    Duration::from_secs(count)
+}
+
+fn seed() {
+    fastrand::seed(21);
+}
+
+/// Sends requests of a team through all daemons in turn and returns the answers.
+async fn flood(daemons: &[Daemon], team: &'static str, count: usize) -> Vec<Answer> {
+    let mut tasks = Vec::new();
+    for index in 0..count {
+        let daemon = daemons[index % daemons.len()].clone();
+        tasks.push(tokio::spawn(async move {
+            daemon.send(team, Method::POST, &format!("{team}-{index}"), None).await
+        }));
+    }
+    let mut answers = Vec::new();
+    for task in tasks {
+        answers.push(task.await.expect("the request does not panic"));
+    }
+    answers
+}
+
+fn count(answers: &[Answer], verdict: &str) -> usize {
+    answers.iter().filter(|answer| answer.verdict == verdict).count()
+}
+
+/// Samples how many requests a team has running at all upstreams together.
+fn watch_running(world: &World) -> Arc<AtomicU32> {
+    let most = Arc::new(AtomicU32::new(0));
+    let (upstreams, seen) = (world.upstreams.clone(), most.clone());
+    tokio::spawn(async move {
+        loop {
+            let running = upstreams.iter().map(|upstream| upstream.running()).sum();
+            seen.fetch_max(running, Ordering::AcqRel);
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    });
+    most
+}
+
+fn slow_upstreams(world: &World, delay: Duration) {
+    for upstream in &world.upstreams {
+        upstream.always(Some(Behaviour::AnswerAfter(delay)));
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_limit_holds_across_daemons_and_is_used_up() {
+    seed();
+    let world = World::new(Shape { instances: 4, ..Shape::default() });
+    let daemons = world.start_many(3).await;
+    slow_upstreams(&world, Duration::from_millis(200));
+    let most = watch_running(&world);
+    let answers = flood(&daemons, "t1", 60).await;
+    assert_eq!(count(&answers, "ran"), 60, "{answers:?}");
+    assert_eq!(most.load(Ordering::Acquire), 4, "the limit is four, and is used");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_limit_holds_while_answers_of_the_store_are_lost() {
+    seed();
+    let world = World::new(Shape { instances: 4, ..Shape::default() });
+    let daemons = world.start_many(3).await;
+    slow_upstreams(&world, Duration::from_millis(200));
+    let most = watch_running(&world);
+    for fault in [
+        Fault::EffectWithoutAnswer,
+        Fault::Refuse,
+        Fault::Twice,
+        Fault::EffectThenSlow(seconds(1)),
+        Fault::Hang,
+    ] {
+        world.standin.faults().inject(Operation::Commit, fault, 12);
+    }
+    let answers = flood(&daemons, "t1", 60).await;
+    let settled = count(&answers, "ran") + count(&answers, "not-run");
+    assert_eq!(settled, 60, "each request has run or is truthfully refused");
+    assert!(most.load(Ordering::Acquire) <= 4);
+}
+
+#[tokio::test(start_paused = true)]
+async fn slots_of_a_dead_daemon_come_back_and_not_too_soon() {
+    seed();
+    let world = World::new(Shape { instances: 4, ..Shape::default() });
+    let daemons = world.start_many(3).await;
+    slow_upstreams(&world, Duration::from_secs(4));
+    let most = watch_running(&world);
+    // The first daemon takes all slots of the team and dies with its requests running.
+    let dying = daemons[0].clone();
+    let running = tokio::spawn(async move { flood(&[dying], "t1", 4).await });
+    tokio::time::sleep(seconds(1)).await;
+    daemons[0].kill(&world);
+    let refused = daemons[1].send("t1", Method::POST, "early", None).await;
+    assert_eq!(refused.verdict, "not-run", "all slots may still be in use");
+    tokio::time::sleep(seconds(60)).await;
+    let answer = daemons[1].send("t1", Method::POST, "late", None).await;
+    assert_eq!(answer.verdict, "ran", "the slots have come back: {answer:?}");
+    assert!(most.load(Ordering::Acquire) <= 4);
+    drop(running);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_daemon_that_was_fenced_while_it_hung_starts_a_new_session() {
+    seed();
+    let world = World::new(Shape { instances: 4, ..Shape::default() });
+    let daemons = world.start_many(3).await;
+    assert_eq!(daemons[0].kernel.session().1, 1);
+    daemons[0].send("t1", Method::POST, "x", None).await;
+    // All that the daemon sends to the store and to its peers hangs, as if it were paused.
+    let hung = world.hang(&daemons[0], &daemons);
+    tokio::time::sleep(seconds(40)).await;
+    let answer = daemons[0].send("t1", Method::POST, "y", None).await;
+    assert_eq!((answer.verdict.as_str(), answer.code.as_str()), ("not-run", "cut-off"));
+    hung.wake();
+    tokio::time::sleep(seconds(10)).await;
+    assert_eq!(daemons[0].kernel.session().1, 2, "the old session was fenced");
+    let answer = daemons[0].send("t1", Method::POST, "z", None).await;
+    assert_eq!(answer.verdict, "ran", "{answer:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn concurrent_duplicates_through_two_daemons_run_once() {
+    seed();
+    let world = World::new(Shape { instances: 4, ..Shape::default() });
+    let daemons = world.start_many(2).await;
+    slow_upstreams(&world, Duration::from_millis(50));
+    for round in 0..20 {
+        let label = format!("bid-{round}");
+        let (a, b) = tokio::join!(
+            daemons[0].send("t1", Method::POST, &label, Some(&label)),
+            daemons[1].send("t1", Method::POST, &label, Some(&label)),
+        );
+        assert_eq!(world.runs_of(&label), 1, "{a:?} {b:?}");
+        let ran = [&a, &b].iter().filter(|answer| answer.verdict == "ran").count();
+        assert!(ran >= 1, "one of them is told that it ran");
+        let repeat = daemons[1].send("t1", Method::POST, &label, Some(&label)).await;
+        assert!(repeat.repeated, "a later repeat gets the stored answer: {repeat:?}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn live_work_goes_on_for_minutes_without_the_store() {
+    seed();
+    let teams = vec![("t1", 1, 12), ("t2", 1, 12)];
+    let world = World::new(Shape { instances: 4, teams, ..Shape::default() });
+    let daemons = world.start_many(3).await;
+    for daemon in &daemons {
+        daemon.send("t1", Method::POST, "warm", None).await;
+    }
+    world.standin.faults().outage(Fault::Refuse);
+    for minute in 0..5 {
+        tokio::time::sleep(seconds(60)).await;
+        for daemon in &daemons {
+            let answer = daemon.send("t1", Method::GET, "x", None).await;
+            assert_eq!(answer.verdict, "ran", "minute {minute}: {answer:?}");
+            let once = daemon.send("t1", Method::POST, "y", Some("key")).await;
+            assert_eq!((once.verdict.as_str(), once.code.as_str()), ("not-run", "store-down"));
+        }
+    }
+    world.standin.faults().clear();
+    tokio::time::sleep(seconds(20)).await;
+    for daemon in &daemons {
+        assert_eq!(daemon.kernel.session().1, 1, "nobody was fenced for the outage");
+        let answer = daemon.send("t1", Method::POST, "y", Some("key")).await;
+        assert_eq!(answer.verdict, "ran");
+    }
+    assert_eq!(world.runs_of("y"), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_daemon_cut_off_from_everything_refuses_within_seconds() {
+    seed();
+    let world = World::new(Shape { instances: 4, ..Shape::default() });
+    let daemons = world.start_many(3).await;
+    daemons[0].send("t1", Method::POST, "warm", None).await;
+    world.standin.faults().outage(Fault::Hang);
+    world.isolate(&daemons[0], &daemons, true);
+    tokio::time::sleep(seconds(6)).await;
+    let answer = daemons[0].send("t1", Method::GET, "x", None).await;
+    assert_eq!((answer.verdict.as_str(), answer.code.as_str()), ("not-run", "cut-off"));
+    let answer = daemons[1].send("t1", Method::GET, "warm", None).await;
+    assert_ne!(answer.code, "cut-off", "the majority goes on inside its grants");
+}
+
+/// Returns the change that removes a team's key.
+fn without_key(kernel: &Kernel, team: &str) -> Proposal {
+    Proposal {
+        base: kernel.config().generation,
+        changes: vec![(("keys".to_owned(), team.to_owned()), None)],
+        operator: "test".to_owned(),
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_withdrawn_key_stops_everywhere_within_seconds() {
+    seed();
+    let world = World::new(Shape { instances: 4, ..Shape::default() });
+    let daemons = world.start_many(5).await;
+    daemons[0].control_json(Method::DELETE, "/v1/keys/t1", "").await;
+    tokio::time::sleep(seconds(5)).await;
+    for daemon in &daemons {
+        let answer = daemon.send("t1", Method::GET, "x", None).await;
+        assert_eq!((answer.status, answer.verdict.as_str()), (401, "not-run"));
+        assert_eq!(daemon.send("t2", Method::GET, "x", None).await.verdict, "ran");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_daemon_without_the_store_learns_of_a_withdrawn_key_from_a_peer() {
+    seed();
+    let world = World::new(Shape { instances: 4, ..Shape::default() });
+    let daemons = world.start_many(3).await;
+    // Only this daemon loses the store; its peers and the operators' change go on.
+    let hung = world.hang_store(&daemons[2]);
+    tokio::time::sleep(seconds(1)).await;
+    apply_changes(&daemons[0].kernel, without_key(&daemons[0].kernel, "t1"))
+        .await
+        .expect("a majority confirms");
+    tokio::time::sleep(seconds(5)).await;
+    let generation = daemons[0].kernel.config().generation;
+    assert_eq!(daemons[2].kernel.config().generation, generation);
+    drop(hung);
+}
+
+#[tokio::test(start_paused = true)]
+async fn of_two_operators_who_race_one_wins_and_the_other_is_told() {
+    seed();
+    let world = World::new(Shape::default());
+    let daemons = world.start_many(3).await;
+    let (a, b) = tokio::join!(
+        apply_changes(&daemons[0].kernel, without_key(&daemons[0].kernel, "t1")),
+        apply_changes(&daemons[1].kernel, without_key(&daemons[1].kernel, "t2")),
+    );
+    let lost: Vec<Problem> = [a, b].into_iter().filter_map(Result::err).collect();
+    assert_eq!(lost.len(), 1, "{lost:?}");
+    assert_eq!((lost[0].code.name, lost[0].verdict.as_str()), ("conflict", "not-run"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_configuration_without_a_majority_is_not_called_accepted() {
+    seed();
+    let world = World::new(Shape::default());
+    let daemons = world.start_many(3).await;
+    let hung: Vec<_> = daemons[1..].iter().map(|daemon| world.hang(daemon, &daemons)).collect();
+    let outcome = apply_changes(&daemons[0].kernel, without_key(&daemons[0].kernel, "t1")).await;
+    let problem = outcome.expect_err("nobody confirms");
+    assert_eq!((problem.code.name, problem.verdict.as_str()), ("not-in-force", "may-have-run"));
+    drop(hung);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_lost_answer_to_a_configuration_is_resolved() {
+    seed();
+    let world = World::new(Shape::default());
+    let daemons = world.start_many(3).await;
+    let calls = wasabiswitch_standin::Calls {
+        operation: Operation::Commit,
+        prefix: "generation".to_owned(),
+        skip: 0,
+        times: 1,
+    };
+    world.standin.faults().inject_at(calls, Fault::EffectWithoutAnswer);
+    let before = daemons[0].kernel.config().generation;
+    let applied = apply_changes(&daemons[0].kernel, without_key(&daemons[0].kernel, "t1")).await;
+    assert_eq!(applied.expect("it was read back").generation, before + 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_leaving_upstream_gets_no_new_work_after_a_few_seconds() {
+    seed();
+    let world = World::new(Shape { instances: 3, ..Shape::default() });
+    let daemons = world.start_many(3).await;
+    world.standin.with_instances(|list| list.set_lag(seconds(2)));
+    let now = tokio::time::Instant::now().into_std();
+    world.standin.with_instances(|list| list.leave("i0", now));
+    tokio::time::sleep(seconds(5)).await;
+    let before = world.upstreams[0].total_runs();
+    flood(&daemons, "t1", 60).await;
+    assert_eq!(world.upstreams[0].total_runs(), before);
+}
+
+#[tokio::test(start_paused = true)]
+async fn one_daemons_word_of_a_leaving_upstream_reaches_the_others() {
+    seed();
+    let world = World::new(Shape { instances: 3, ..Shape::default() });
+    let daemons = world.start_many(3).await;
+    // The list will not show it in time, but the upstream declines one request of one daemon.
+    world.upstreams[0].set_draining(true);
+    flood(&daemons[..1], "t1", 20).await;
+    tokio::time::sleep(seconds(3)).await;
+    for daemon in &daemons {
+        let upstreams = daemon.kernel.tables.upstreams.lock();
+        let upstream = upstreams.table.by_id("i0").expect("it is configured");
+        assert!(!upstream.accepts_work(), "{} has heard of it", daemon.kernel.settings.daemon);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_planned_stop_finishes_what_runs_and_hands_everything_back() {
+    seed();
+    let world = World::new(Shape { instances: 4, ..Shape::default() });
+    let daemons = world.start_many(2).await;
+    slow_upstreams(&world, seconds(2));
+    let stopping = daemons[0].clone();
+    let running = tokio::spawn(async move { flood(&[stopping], "t1", 4).await });
+    tokio::time::sleep(seconds(1)).await;
+    assert!(daemons[0].kernel.stop().await, "requests in flight are finished");
+    let answers = running.await.expect("the requests do not panic");
+    assert_eq!(count(&answers, "ran"), 4, "{answers:?}");
+    // The other daemon can use all slots at once.
+    slow_upstreams(&world, Duration::from_millis(100));
+    let answers = flood(&daemons[1..], "t1", 4).await;
+    assert_eq!(count(&answers, "ran"), 4);
+}
+
+#[tokio::test(start_paused = true)]
+async fn one_team_at_a_hundred_times_its_share_does_not_hold_up_another() {
+    seed();
+    let teams = vec![("t1", 1, 64), ("t2", 1, 64)];
+    let world = World::new(Shape { instances: 2, slots: 4, teams, ..Shape::default() });
+    let daemons = world.start_many(1).await;
+    slow_upstreams(&world, Duration::from_millis(100));
+    let flooding = daemons.clone();
+    let flood_task = tokio::spawn(async move { flood(&flooding, "t1", 800).await });
+    tokio::time::sleep(seconds(1)).await;
+    // Eight slots, 100 ms each, half of them the calm team's: its own bound is one service time to
+    // get a slot and one to run, with one more for the grant.
+    let mut slowest = Duration::ZERO;
+    for index in 0..40 {
+        let begin = tokio::time::Instant::now();
+        let answer = daemons[0].send("t2", Method::GET, &format!("calm-{index}"), None).await;
+        assert_eq!(answer.verdict, "ran");
+        slowest = slowest.max(begin.elapsed());
+    }
+    assert!(slowest <= Duration::from_millis(300), "the slowest took {slowest:?}");
+    let answers = flood_task.await.expect("the flood does not panic");
+    let truthful = count(&answers, "ran") + count(&answers, "not-run");
+    assert_eq!(truthful, 800);
+}
+
+#[tokio::test(start_paused = true)]
+async fn changes_reach_all_daemons_while_links_lose_and_delay() {
+    seed();
+    let world = World::new(Shape::default());
+    let daemons = world.start_many(9).await;
+    world.network.set_quality(Duration::from_millis(30), 20);
+    for round in 0..5_u64 {
+        let limit = json!({ "weight": 1, "limit_slots": round + 1 }).to_string();
+        let proposal = Proposal {
+            base: daemons[0].kernel.config().generation,
+            changes: vec![(("teams".to_owned(), "t1".to_owned()), Some(limit))],
+            operator: "test".to_owned(),
+        };
+        apply_changes(&daemons[0].kernel, proposal).await.expect("a majority confirms");
+        tokio::time::sleep(seconds(5)).await;
+        let generation = daemons[0].kernel.config().generation;
+        for daemon in &daemons {
+            assert_eq!(daemon.kernel.config().generation, generation);
+        }
+    }
+}
--- a/crates/policy/src/grants.rs
+++ b/crates/policy/src/grants.rs
@@ -114,21 +114,40 @@
     GrantRow { grants: kept.cloned().collect() }
 }
 
+/// What a daemon knows when it decides how many slots to ask for.
+#[derives(value)]
+pub struct Standing {
+    /// The requests that run or wait.
+    pub demand_slots: u32,
+    /// The slots that it holds.
+    pub held_slots: u32,
+    /// The slots that it keeps while nobody else is short of them.
+    pub base_slots: u32,
+    /// Whether another daemon is short of slots.
+    pub others_short: bool,
+    /// Whether the demand has been low for long.
+    pub idle_long: bool,
+}
+
 /// Returns how many slots a daemon should ask for.
 ///
 /// It asks for some more than it uses, so that a rising load does not need a write for each slot, and
-/// keeps idle slots for a while unless another daemon is short of them.
-pub fn target_slots(
-    demand_slots: u32,
-    held_slots: u32,
-    others_short: bool,
-    idle_long: bool,
-) -> u32 {
-    let comfortable = demand_slots + demand_slots.div_ceil(HEADROOM_DIVISOR);
-    if others_short {
+/// for a base, so that work can begin while the table service is down. It keeps idle slots for a while
+/// unless another daemon is short of them.
+pub fn target_slots(standing: &Standing) -> u32 {
+    let demand_slots = standing.demand_slots;
+    if standing.others_short {
         return demand_slots;
     }
-    if idle_long { comfortable } else { comfortable.max(held_slots) }
+    let headroom = demand_slots.div_ceil(HEADROOM_DIVISOR);
+    let comfortable = (demand_slots + headroom).max(standing.base_slots);
+    if standing.idle_long { comfortable } else { comfortable.max(standing.held_slots) }
+}
+
+/// Returns the base of one of `daemons`: half of the limit is spread over all, half is left for those
+/// that need more.
+pub fn base_slots(limit_slots: u32, daemons: usize) -> u32 {
+    limit_slots / (2 * daemons.max(1) as u32)
 }
 
 /// The headroom of a grant is the demand divided by this.
--- a/crates/policy/tests/grants.rs
+++ b/crates/policy/tests/grants.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 
 use proptest::prelude::*;
-use wasabiswitch_policy::grants::{GrantRequest, GrantRow, adjust, reclaim, target_slots};
+use wasabiswitch_policy::grants::{
+    GrantRequest, GrantRow, Standing, adjust, base_slots, reclaim, target_slots,
+};
 
 /// One thing that happens to a team's row.
 #[derive(Clone, Debug)]
@@ -85,11 +87,22 @@
     }
 
     #[test]
-    fn a_target_covers_the_demand(demand in 0_u32..1_000, held in 0_u32..1_000, short: bool, idle: bool) {
-        let target = target_slots(demand, held, short, idle);
-        prop_assert!(target >= demand);
-        if short {
-            prop_assert_eq!(target, demand);
+    fn a_target_covers_the_demand_and_the_base(
+        demand_slots in 0_u32..1_000, held_slots in 0_u32..1_000, base_slots in 0_u32..50,
+        others_short: bool, idle_long: bool,
+    ) {
+        let standing = Standing { demand_slots, held_slots, base_slots, others_short, idle_long };
+        let target = target_slots(&standing);
+        prop_assert!(target >= demand_slots);
+        if others_short {
+            prop_assert_eq!(target, demand_slots);
+        } else {
+            prop_assert!(target >= base_slots);
         }
     }
+
+    #[test]
+    fn bases_leave_half_of_the_limit(limit in 0_u32..1_000, daemons in 1_usize..50) {
+        prop_assert!(base_slots(limit, daemons) * daemons as u32 * 2 <= limit);
+    }
 }
--- a/crates/standin/src/network.rs
+++ b/crates/standin/src/network.rs
@@ -19,6 +19,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::io::DuplexStream;
+use tokio::sync::Notify;
 use wasabiswitch_derive::derives;
 use wasabiswitch_kernel::Kernel;
 use wasabiswitch_kernel::http::control::{Asked, dispatch};
@@ -32,8 +33,10 @@
 #[derive(Default)]
 struct Links {
     hosts: HashMap<SocketAddr, Accept>,
-    // Links on which dialling finds nobody; open connections are not touched.
+    // Links that are broken, for new and for open connections.
     cut: HashSet<(String, SocketAddr)>,
+    // Tells the open connections to look whether their link was cut.
+    changed: Arc<Notify>,
     // Links on which dialling never ends.
     silent: HashSet<(String, SocketAddr)>,
     // How the next dials to an address fail, one each.
@@ -86,7 +89,9 @@
 
     /// Removes a host, as when its process dies.
     pub fn remove(&self, address: SocketAddr) {
-        self.links().hosts.remove(&address);
+        let mut links = self.links();
+        links.hosts.remove(&address);
+        links.changed.notify_waiters();
     }
 
     /// Cuts or mends the link from a daemon to an address.
@@ -98,6 +103,7 @@
         } else {
             links.cut.remove(&link)
         };
+        links.changed.notify_waiters();
     }
 
     /// Makes dialling from a daemon to an address hang, or mends it.
@@ -159,9 +165,32 @@
             None => std::future::pending().await,
         }
         let accept = accept.ok_or(io::ErrorKind::ConnectionRefused)?;
-        let (near, far): (DuplexStream, DuplexStream) = tokio::io::duplex(STREAM_BYTES);
-        accept(Stream::Memory(far));
-        Ok(Stream::Memory(near))
+        let (caller, near) = tokio::io::duplex(STREAM_BYTES);
+        let (far, host) = tokio::io::duplex(STREAM_BYTES);
+        accept(Stream::Memory(host));
+        tokio::spawn(self.clone().carry(link.clone(), near, far));
+        Ok(Stream::Memory(caller))
+    }
+
+    /// Carries the bytes of one connection until it ends or its link is cut.
+    async fn carry(
+        self,
+        link: (String, SocketAddr),
+        mut near: DuplexStream,
+        mut far: DuplexStream,
+    ) {
+        let mut copy = std::pin::pin!(tokio::io::copy_bidirectional(&mut near, &mut far));
+        loop {
+            let changed = self.links().changed.clone();
+            tokio::select! {
+                _ = &mut copy => return,
+                () = changed.notified() => {}
+            }
+            let links = self.links();
+            if links.cut.contains(&link) || !links.hosts.contains_key(&link.1) {
+                return;
+            }
+        }
     }
 }
 
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -231,6 +231,11 @@
         self.runs().by_label.get(label).copied().unwrap_or(0)
     }
 
+    /// Returns how many requests it is running.
+    pub fn running(&self) -> u32 {
+        self.running.load(Ordering::Acquire)
+    }
+
     /// Returns the most requests that it has run at the same time.
     pub fn most_at_once(&self) -> u32 {
         self.running_most.load(Ordering::Acquire)
