Prove waves, moves and jobs across daemons that die

Cause: the fleet half had only its policy under test. Change: fifteen tests on paused time: a wave under load, through deaths of its controller and faults of the store; failures that use the budget up; racing operators; jobs through the death of the scheduler, lost answers of workers, a worker that fails everything, cancellations, a withdrawn key, a limit. Found: the worker stand-in counted a repeated start of a running attempt as a start (4 for 1); a worker keeps the attempt, so the count was wrong, not the scheduler; it now counts begun tasks only. Conclusion: the rows alone carry a wave and a job across daemons.

--- /dev/null
+++ b/crates/plugins/tests/fleet.rs
@@ -0,0 +1,415 @@
+//! Waves, moves and jobs over several daemons, with deaths, races and workers that fail.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use common::{Daemon, Shape, World, read_answer, team_key};
+use http::{Method, Request};
+use serde_json::{Value, json};
+use wasabiswitch_kernel::http::entry::handle;
+use wasabiswitch_kernel::http::full_body;
+use wasabiswitch_standin::{Calls, Fault, Operation};
+
+fn seconds(count: u64) -> Duration {
+    Duration::from_secs(count)
+}
+
+fn seed() {
+    fastrand::seed(31);
+}
+
+/// Twelve instances in racks of two; a rack and two more may be out.
+fn shape() -> Shape {
+    Shape {
+        instances: 12,
+        rack: 2,
+        unavailable_max: 4,
+        teams: vec![("t1", 1, 48), ("t2", 1, 48)],
+        ..Shape::default()
+    }
+}
+
+async fn list(daemon: &Daemon, path: &str, field: &str) -> Vec<Value> {
+    let answer = daemon.control_json(Method::GET, path, "").await;
+    answer[field].as_array().cloned().unwrap_or_default()
+}
+
+async fn unavailable(daemon: &Daemon) -> u64 {
+    let pools = list(daemon, "/v1/pools", "pools").await;
+    let pool = pools.iter().find(|pool| pool["pool"] == "p").expect("the pool is configured");
+    pool["unavailable"].as_u64().expect("it is a number")
+}
+
+async fn wave_state(daemon: &Daemon) -> String {
+    let waves = list(daemon, "/v1/waves", "waves").await;
+    waves[0]["state"].as_str().expect("it is a name").to_owned()
+}
+
+fn boots(world: &World) -> Vec<u64> {
+    let count = world.shape.instances;
+    world.standin.with_instances(|list| (0..count).map(|i| list.boot(&format!("i{i}"))).collect())
+}
+
+/// Sends requests through a daemon until it is told to end; returns how many did not run.
+async fn load(daemon: Daemon, stop: tokio_util::sync::CancellationToken) -> (u32, u32) {
+    let (mut sent, mut failed) = (0, 0);
+    while !stop.is_cancelled() {
+        let answer = daemon.send("t1", Method::POST, "load", None).await;
+        sent += 1;
+        let whole = answer.verdict == "ran" && answer.status == 200 && answer.body.is_some();
+        failed += u32::from(!whole);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    (sent, failed)
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_wave_maintains_each_instance_once_and_cuts_no_request() {
+    seed();
+    let world = World::new(shape());
+    let daemons = world.start_many(3).await;
+    let stop = tokio_util::sync::CancellationToken::new();
+    let loads: Vec<_> =
+        daemons.iter().map(|daemon| tokio::spawn(load(daemon.clone(), stop.clone()))).collect();
+    daemons[0].control_json(Method::POST, "/v1/waves?pool=p", "").await;
+    let mut most = 0;
+    let mut waited = 0;
+    while wave_state(&daemons[1]).await == "running" {
+        most = most.max(unavailable(&daemons[1]).await);
+        tokio::time::sleep(seconds(1)).await;
+        waited += 1;
+        assert!(waited < 900, "the wave comes to an end");
+    }
+    assert_eq!(wave_state(&daemons[1]).await, "finished");
+    assert_eq!(boots(&world), vec![2; 12], "each was rebooted once");
+    assert!((1..=4).contains(&most), "{most} were out at once");
+    stop.cancel();
+    for load in loads {
+        let (sent, failed) = load.await.expect("the load does not panic");
+        assert!(sent > 100);
+        assert_eq!(failed, 0, "of {sent} requests");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_wave_goes_on_when_its_controller_dies_again_and_again() {
+    seed();
+    let world = World::new(shape());
+    let daemons = world.start_many(3).await;
+    daemons[0].control_json(Method::POST, "/v1/waves?pool=p", "").await;
+    tokio::time::sleep(seconds(25)).await;
+    daemons[0].kill(&world);
+    tokio::time::sleep(seconds(60)).await;
+    // A daemon of the same name starts again, and then the second one dies.
+    let fresh = world.start(1).await;
+    tokio::time::sleep(seconds(20)).await;
+    daemons[1].kill(&world);
+    let mut waited = 0;
+    while wave_state(&fresh).await == "running" {
+        assert!(unavailable(&fresh).await <= 4);
+        tokio::time::sleep(seconds(1)).await;
+        waited += 1;
+        assert!(waited < 900, "the wave comes to an end");
+    }
+    assert_eq!(wave_state(&fresh).await, "finished");
+    assert_eq!(boots(&world), vec![2; 12], "none twice, none skipped");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_wave_goes_on_through_faults_of_the_store() {
+    seed();
+    let world = World::new(shape());
+    let daemons = world.start_many(2).await;
+    daemons[0].control_json(Method::POST, "/v1/waves?pool=p", "").await;
+    let mut waited = 0;
+    while wave_state(&daemons[1]).await == "running" {
+        let fault = match waited % 4 {
+            0 => Fault::EffectWithoutAnswer,
+            1 => Fault::Twice,
+            2 => Fault::Refuse,
+            _ => Fault::EffectThenSlow(seconds(1)),
+        };
+        for prefix in ["wave/", "instance/"] {
+            let calls = Calls {
+                operation: Operation::Commit,
+                prefix: prefix.to_owned(),
+                skip: 0,
+                times: 1,
+            };
+            world.standin.faults().inject_at(calls, fault);
+        }
+        assert!(unavailable(&daemons[1]).await <= 4);
+        tokio::time::sleep(seconds(2)).await;
+        waited += 1;
+        assert!(waited < 900, "the wave comes to an end");
+    }
+    assert_eq!(wave_state(&daemons[1]).await, "finished");
+    assert_eq!(boots(&world), vec![2; 12], "none twice, none skipped");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_wave_waits_while_a_failure_uses_up_the_budget() {
+    seed();
+    let world = World::new(shape());
+    let daemons = world.start_many(1).await;
+    // Three failures and a rack in hand leave nothing for maintenance.
+    for id in ["i3", "i5", "i7"] {
+        world.standin.with_instances(|list| list.remove(id));
+    }
+    tokio::time::sleep(seconds(5)).await;
+    daemons[0].control_json(Method::POST, "/v1/waves?pool=p", "").await;
+    tokio::time::sleep(seconds(120)).await;
+    assert_eq!(unavailable(&daemons[0]).await, 3, "nothing was taken out on purpose");
+    assert_eq!(wave_state(&daemons[0]).await, "running");
+    for id in ["i3", "i5", "i7"] {
+        world.standin.with_instances(|list| list.add(id));
+    }
+    tokio::time::sleep(seconds(60)).await;
+    let waves = list(&daemons[0], "/v1/waves", "waves").await;
+    assert!(waves[0]["done"].as_u64().expect("a number") >= 1, "it went on: {waves:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_first_instance_that_never_comes_back_halts_the_wave() {
+    seed();
+    let world = World::new(shape());
+    let daemons = world.start_many(1).await;
+    world.standin.faults().inject(Operation::Reboot, Fault::Refuse, u32::MAX);
+    daemons[0].control_json(Method::POST, "/v1/waves?pool=p", "").await;
+    tokio::time::sleep(seconds(20 * 60)).await;
+    let waves = list(&daemons[0], "/v1/waves", "waves").await;
+    assert_eq!(waves[0]["state"], "halted");
+    assert_eq!(waves[0]["why"], "the first instance did not come back");
+    assert_eq!(waves[0]["done"], 0);
+    let explained = list(&daemons[0], "/v1/explain/wave/p-1", "decisions").await;
+    assert!(explained.iter().any(|decision| decision["action"] == "halted"), "{explained:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn of_two_operators_who_move_an_instance_one_wins() {
+    seed();
+    let world = World::new(shape());
+    let daemons = world.start_many(2).await;
+    let (a, b) = tokio::join!(
+        daemons[0].control(Method::POST, "/v1/instances/i0/move?pool=spare", ""),
+        daemons[1].control(Method::POST, "/v1/instances/i0/drain", ""),
+    );
+    assert_eq!([a.is_ok(), b.is_ok()].iter().filter(|won| **won).count(), 1);
+    let lost = a.err().or(b.err()).expect("one lost");
+    assert_eq!((lost.code.name, lost.verdict.as_str()), ("conflict", "not-run"));
+    tokio::time::sleep(seconds(30)).await;
+    let mut pools: BTreeMap<String, u32> = BTreeMap::new();
+    for instance in list(&daemons[1], "/v1/instances", "instances").await {
+        *pools.entry(instance["pool"].to_string()).or_default() += 1;
+    }
+    assert_eq!(pools.values().sum::<u32>(), 12, "each instance is in one pool: {pools:?}");
+}
+
+async fn jobs_call(
+    daemon: &Daemon,
+    method: Method,
+    path: &str,
+    key: Option<&str>,
+    body: &Value,
+) -> Value {
+    let mut builder = Request::builder()
+        .method(method)
+        .uri(path)
+        .header("authorization", format!("Bearer {}", team_key("t1")));
+    if let Some(key) = key {
+        builder = builder.header("idempotency-key", key);
+    }
+    let body = if body.is_null() { String::new() } else { body.to_string() };
+    let request = builder.body(full_body(body)).expect("the request is well formed");
+    let answer = read_answer(handle(daemon.kernel.clone(), request).await).await;
+    serde_json::from_slice(&answer.body.unwrap_or_default()).unwrap_or_default()
+}
+
+async fn submit(daemon: &Daemon, extra: &Value) -> String {
+    let mut body = json!({ "queue": "q", "run_time_ms": 2_000 });
+    for (name, value) in extra.as_object().into_iter().flatten() {
+        body[name] = value.clone();
+    }
+    let job = jobs_call(daemon, Method::POST, "/v1/jobs", None, &body).await;
+    job["id"].as_str().unwrap_or_else(|| panic!("{job}")).to_owned()
+}
+
+async fn state_of(daemon: &Daemon, job: &str) -> String {
+    let shown =
+        jobs_call(daemon, Method::GET, &format!("/v1/jobs/{job}"), None, &Value::Null).await;
+    shown["state"].as_str().unwrap_or_else(|| panic!("{shown}")).to_owned()
+}
+
+fn starts(world: &World, job: &str) -> u32 {
+    world.standin.with_workers(|workers| workers.starts(job))
+}
+
+fn copies(world: &World, job: &str) -> u32 {
+    world.standin.with_workers(|workers| workers.most_at_once(job))
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_job_runs_and_can_be_read_through_any_daemon() {
+    seed();
+    let world = World::new(shape());
+    let daemons = world.start_many(2).await;
+    let job = submit(&daemons[0], &Value::Null).await;
+    tokio::time::sleep(seconds(6)).await;
+    assert_eq!(state_of(&daemons[1], &job).await, "done");
+    assert_eq!(starts(&world, &job), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_repeated_submission_is_one_job_even_after_its_end() {
+    seed();
+    let world = World::new(shape());
+    let daemons = world.start_many(2).await;
+    let body = json!({ "queue": "q", "run_time_ms": 500 });
+    let mut ids = Vec::new();
+    for daemon in [&daemons[0], &daemons[1], &daemons[0]] {
+        let job = jobs_call(daemon, Method::POST, "/v1/jobs", Some("invoice-7"), &body).await;
+        ids.push(job["id"].as_str().expect("it has an id").to_owned());
+        tokio::time::sleep(seconds(5)).await;
+    }
+    assert!(ids.iter().all(|id| *id == ids[0]));
+    assert_eq!(starts(&world, &ids[0]), 1);
+    let other = json!({ "queue": "q", "run_time_ms": 501 });
+    let refused = jobs_call(&daemons[0], Method::POST, "/v1/jobs", Some("invoice-7"), &other).await;
+    assert_eq!(refused["code"], "other-request");
+}
+
+#[tokio::test(start_paused = true)]
+async fn jobs_survive_the_death_of_the_scheduler() {
+    seed();
+    let world = World::new(shape());
+    let daemons = world.start_many(3).await;
+    let mut jobs = Vec::new();
+    for index in 0..12 {
+        let extra = json!({ "run_time_ms": 40_000, "at_most_once": index % 2 == 0 });
+        jobs.push(submit(&daemons[1], &extra).await);
+    }
+    tokio::time::sleep(seconds(5)).await;
+    daemons[0].kill(&world);
+    tokio::time::sleep(seconds(180)).await;
+    for (index, job) in jobs.iter().enumerate() {
+        let state = state_of(&daemons[1], job).await;
+        if index % 2 == 0 {
+            assert!(starts(&world, job) <= 1, "a job that may run once was started twice");
+            assert!(["done", "in-doubt"].contains(&state.as_str()), "{state}");
+        } else {
+            assert_eq!(state, "done");
+        }
+        assert!(copies(&world, job) <= 1, "two copies of {job} ran at once");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn lost_answers_of_workers_start_nothing_twice() {
+    seed();
+    let world = World::new(shape());
+    let daemons = world.start_many(2).await;
+    for fault in [Fault::EffectWithoutAnswer, Fault::Twice, Fault::Refuse, Fault::Hang] {
+        world.standin.faults().inject(Operation::Sync, fault, 6);
+    }
+    let mut jobs = Vec::new();
+    for _ in 0..10 {
+        jobs.push(submit(&daemons[0], &json!({ "at_most_once": true })).await);
+    }
+    tokio::time::sleep(seconds(120)).await;
+    for job in &jobs {
+        assert!(starts(&world, job) <= 1);
+        let state = state_of(&daemons[0], job).await;
+        assert!(["done", "in-doubt"].contains(&state.as_str()), "{state}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_worker_that_fails_everything_is_set_aside_and_the_jobs_run_elsewhere() {
+    seed();
+    let world = World::new(Shape { instances: 3, unavailable_max: 0, ..shape() });
+    let daemons = world.start_many(1).await;
+    world.standin.with_workers(|workers| workers.set_failing("i0", true));
+    let mut jobs = Vec::new();
+    for _ in 0..24 {
+        jobs.push(submit(&daemons[0], &json!({ "run_time_ms": 1_000 })).await);
+    }
+    tokio::time::sleep(seconds(60)).await;
+    for job in &jobs {
+        assert_eq!(state_of(&daemons[0], job).await, "done");
+    }
+    let scheduler = daemons[0].control_json(Method::GET, "/v1/scheduler", "").await;
+    assert_eq!(scheduler["workers_set_aside"], json!(["i0"]));
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_can_never_run_is_told_soon_and_why() {
+    seed();
+    let world = World::new(shape());
+    let daemons = world.start_many(1).await;
+    let job = submit(&daemons[0], &json!({ "accelerators": 3 })).await;
+    tokio::time::sleep(seconds(3)).await;
+    assert_eq!(state_of(&daemons[0], &job).await, "impossible");
+    let path = format!("/v1/explain/job/{job}");
+    let explained = list(&daemons[0], &path, "decisions").await;
+    let why = explained[0]["reason"].as_str().expect("it has a reason");
+    assert!(why.contains("3 accelerators"), "{why}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn cancellations_end_queued_and_running_jobs() {
+    seed();
+    let world = World::new(Shape { instances: 1, unavailable_max: 0, ..shape() });
+    let daemons = world.start_many(1).await;
+    let mut jobs = Vec::new();
+    for _ in 0..8 {
+        jobs.push(submit(&daemons[0], &json!({ "run_time_ms": 60_000 })).await);
+    }
+    tokio::time::sleep(seconds(3)).await;
+    for job in &jobs {
+        let path = format!("/v1/jobs/{job}");
+        jobs_call(&daemons[0], Method::DELETE, &path, None, &Value::Null).await;
+    }
+    tokio::time::sleep(seconds(5)).await;
+    for job in &jobs {
+        assert_eq!(state_of(&daemons[0], job).await, "cancelled");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn queued_jobs_of_a_withdrawn_key_are_cancelled_and_running_ones_finish() {
+    seed();
+    let world = World::new(Shape { instances: 1, unavailable_max: 0, ..shape() });
+    let daemons = world.start_many(1).await;
+    // Four cores run four jobs of one core; the fifth waits.
+    let mut jobs = Vec::new();
+    for _ in 0..5 {
+        jobs.push(submit(&daemons[0], &json!({ "run_time_ms": 10_000 })).await);
+        tokio::time::sleep(seconds(1)).await;
+    }
+    daemons[0].control_json(Method::DELETE, "/v1/keys/t1", "").await;
+    tokio::time::sleep(seconds(30)).await;
+    let ended: Vec<String> = world.standin.with_table(|table| {
+        let rows = table.scan("ended/", "", 100);
+        rows.into_iter().map(|row| row.key["ended/".len()..].to_owned()).collect()
+    });
+    assert_eq!(ended.len(), 5);
+    assert_eq!(jobs.iter().filter(|job| starts(&world, job) == 1).count(), 4);
+}
+
+#[tokio::test(start_paused = true)]
+async fn running_jobs_count_for_the_limit_of_their_team() {
+    seed();
+    let teams = vec![("t1", 1, 5), ("t2", 1, 48)];
+    let world = World::new(Shape { teams, ..shape() });
+    let daemons = world.start_many(1).await;
+    for _ in 0..12 {
+        submit(&daemons[0], &json!({ "run_time_ms": 20_000 })).await;
+    }
+    tokio::time::sleep(seconds(10)).await;
+    let running =
+        jobs_call(&daemons[0], Method::GET, "/v1/jobs?state=running", None, &Value::Null).await;
+    let running = running["jobs"].as_array().map_or(0, Vec::len);
+    assert!((1..=5).contains(&running), "{running} jobs are running");
+}
--- a/crates/standin/src/workers.rs
+++ b/crates/standin/src/workers.rs
@@ -92,20 +92,20 @@
                 end(task, TaskState::Stopped, now);
             }
         }
-        let refused = request.starts.iter().filter_map(|s| worker.start(s, lease, now)).collect();
-        for start in &request.starts {
-            self.count_start(instance, start);
+        let outcomes: Vec<StartOutcome> =
+            request.starts.iter().map(|start| worker.start(start, lease, now)).collect();
+        let mut refused = Vec::new();
+        for (start, outcome) in request.starts.iter().zip(outcomes) {
+            match outcome {
+                StartOutcome::Begun => self.count_start(start),
+                StartOutcome::Known => {}
+                StartOutcome::Refused(status) => refused.push(status),
+            }
         }
         self.report(instance, boot, refused, now)
     }
 
-    fn count_start(&mut self, instance: &str, start: &TaskStart) {
-        let fresh = self.workers[instance].tasks.get(&start.job).is_some_and(|task| {
-            task.start.attempt == start.attempt && task.state == TaskState::Running
-        });
-        if !fresh {
-            return;
-        }
+    fn count_start(&mut self, start: &TaskStart) {
         *self.starts.entry(start.job.clone()).or_default() += 1;
         let running = |worker: &&Worker| {
             worker.tasks.get(&start.job).is_some_and(|task| task.state == TaskState::Running)
@@ -159,12 +159,21 @@
     task.ended_after = Some(at - task.started_at);
 }
 
+/// What became of a start.
+enum StartOutcome {
+    /// The task was begun.
+    Begun,
+    /// The attempt was begun before, and nothing has changed.
+    Known,
+    /// A newer attempt is known.
+    Refused(TaskStatus),
+}
+
 impl Worker {
-    /// Starts a task, or returns why not; a repeated start of the same attempt changes nothing.
-    fn start(&mut self, start: &TaskStart, lease: Duration, now: Instant) -> Option<TaskStatus> {
+    fn start(&mut self, start: &TaskStart, lease: Duration, now: Instant) -> StartOutcome {
         let newest = self.newest_attempt.entry(start.job.clone()).or_default();
         if start.attempt < *newest {
-            return Some(TaskStatus {
+            return StartOutcome::Refused(TaskStatus {
                 job: start.job.clone(),
                 attempt: start.attempt,
                 state: TaskState::Refused,
@@ -172,17 +181,18 @@
                 memory_bytes: 0,
             });
         }
-        if start.attempt > *newest {
-            *newest = start.attempt;
-            let task = Task {
-                start: start.clone(),
-                state: TaskState::Running,
-                started_at: now,
-                ended_after: None,
-                lease_until: now + lease,
-            };
-            self.tasks.insert(start.job.clone(), task);
+        if start.attempt == *newest {
+            return StartOutcome::Known;
         }
-        None
+        *newest = start.attempt;
+        let task = Task {
+            start: start.clone(),
+            state: TaskState::Running,
+            started_at: now,
+            ended_after: None,
+            lease_until: now + lease,
+        };
+        self.tasks.insert(start.job.clone(), task);
+        StartOutcome::Begun
     }
 }
