--- a/crates/kernel/src/config_document.rs
+++ b/crates/kernel/src/config_document.rs
@@ -86,14 +86,15 @@
 pub fn read_texts_as_config(texts: &[(String, String)]) -> Result<ConfigDocument, Errors> {
     let mut errors = Errors::new();
     let mut files = Vec::new();
+    let mut positions = Positions::new();
     for (name, text) in texts {
         match parse(name, text) {
-            Ok(tree) => files.push(read_file(name, &tree, &mut errors)),
+            Ok(tree) => files.push(read_file(name, &tree, &mut positions, &mut errors)),
             Err(error) => errors.push(error),
         }
     }
     let merged = merge(&files);
-    let document = read_merged(&merged, &mut errors);
+    let document = read_merged(&merged, &positions, &mut errors);
     errors.sort();
     if errors.is_empty() { Ok(document) } else { Err(errors) }
 }
@@ -101,7 +102,15 @@
 /// A merged entry, whose fields may come from several files.
 type Merged = BTreeMap<EntryKey, BTreeMap<String, Tree>>;
 
-fn read_file(name: &str, tree: &Tree, errors: &mut Errors) -> File<Tree> {
+/// Where each entry stands in the last file that has it.
+type Positions = BTreeMap<EntryKey, Position>;
+
+fn read_file(
+    name: &str,
+    tree: &Tree,
+    positions: &mut Positions,
+    errors: &mut Errors,
+) -> File<Tree> {
     let mut entries = Vec::new();
     for (section, section_tree) in object_of(tree, "", errors) {
         if !SECTIONS.contains(&section.as_str()) {
@@ -112,6 +121,7 @@
         }
         for (entry, entry_tree) in object_of(section_tree, section, errors) {
             let key = (section.clone(), entry.clone());
+            note_position(positions, &key, &entry_tree.position);
             let fields = match &entry_tree.node {
                 Node::Null => None,
                 _ => {
@@ -126,6 +136,13 @@
     File { name: name.to_owned(), entries }
 }
 
+fn note_position(positions: &mut Positions, key: &EntryKey, position: &Position) {
+    let known = positions.entry(key.clone()).or_insert_with(|| position.clone());
+    if position.file > known.file {
+        *known = position.clone();
+    }
+}
+
 fn object_of<'a>(
     tree: &'a Tree,
     path: &str,
@@ -145,44 +162,30 @@
     fields.into_iter().flatten()
 }
 
-fn read_merged(merged: &Merged, errors: &mut Errors) -> ConfigDocument {
+fn read_merged(merged: &Merged, positions: &Positions, errors: &mut Errors) -> ConfigDocument {
     let mut document = ConfigDocument::default();
     for (key, fields) in merged {
-        let position = entry_position(key, fields);
+        let position = positions[key].clone();
         read_entry(key, &position, fields, &mut document.config, errors);
         let object = Tree { position, node: Node::Object(fields.clone()) };
         document.entries.insert(key.clone(), canonical(&object));
     }
     if errors.is_empty() {
-        check_meaning(&document.config, merged, errors);
+        check_meaning(&document.config, merged, positions, errors);
     }
     document
 }
 
-fn check_meaning(config: &Config, merged: &Merged, errors: &mut Errors) {
+fn check_meaning(config: &Config, merged: &Merged, positions: &Positions, errors: &mut Errors) {
     for error in check(config) {
         let key = (error.section.to_owned(), error.name.clone());
-        let fields = merged.get(&key);
-        let at_field = fields.and_then(|fields| fields.get(error.field));
-        let position = match (at_field, fields) {
-            (Some(tree), _) => tree.position.clone(),
-            (None, Some(fields)) => entry_position(&key, fields),
-            (None, None) => no_position(&key),
-        };
+        let at_field = merged.get(&key).and_then(|fields| fields.get(error.field));
+        let position = at_field.map_or_else(|| positions[&key].clone(), |t| t.position.clone());
         let field = format!("{}.{}.{}", error.section, error.name, error.field);
         errors.push(LocatedError { position, field, detail: error.detail });
     }
 }
 
-fn entry_position(key: &EntryKey, fields: &BTreeMap<String, Tree>) -> Position {
-    let first = fields.values().map(|tree| &tree.position).min();
-    first.cloned().unwrap_or_else(|| no_position(key))
-}
-
-fn no_position(key: &EntryKey) -> Position {
-    Position { file: format!("{}/{}", key.0, key.1).into(), line: 1, column: 1 }
-}
-
 /// Reads stored entries, which were checked when they were accepted.
 pub fn read_entries(entries: &Entries) -> Result<Config, Errors> {
     let mut config = Config::default();
--- a/crates/kernel/src/tables/rows.rs
+++ b/crates/kernel/src/tables/rows.rs
@@ -9,6 +9,7 @@
 use std::time::Instant;
 
 use hyper::client::conn::http1::SendRequest;
+use metrics::Counter;
 use slotmap::{SlotMap, new_key_type};
 use tokio::sync::oneshot;
 use wasabiswitch_derive::derives;
@@ -110,14 +111,18 @@
 }
 
 /// The outcomes of one service for one team.
-#[derives(record)]
+#[derive(Clone, Debug)]
 pub struct ServiceStats {
     /// The requests by time.
     pub history: History,
+    /// The counters of requests, by verdict.
+    pub requests: [Counter; 3],
+    /// The times from entry to the head of the answer.
+    pub seconds: metrics::Histogram,
 }
 
 /// A team at this daemon.
-#[derives(record)]
+#[derive(Clone, Debug)]
 pub struct TeamEntry {
     /// Its weight.
     pub weight: u32,
--- /dev/null
+++ b/crates/kernel/tests/files.rs
@@ -0,0 +1,152 @@
+//! Errors in settings and in the configuration folder: all at once, each with its place.
+
+use expect_test::{Expect, expect};
+use wasabiswitch_kernel::config_document::{
+    digest, entry_digest, keep_key_commands, read_entries, read_texts_as_config,
+};
+use wasabiswitch_kernel::document::Errors;
+use wasabiswitch_kernel::settings::{FIELDS, read_text};
+
+fn lines(errors: &Errors) -> String {
+    errors.iter().map(|error| format!("{error}\n")).collect()
+}
+
+fn check_folder(files: &[(&str, &str)], expected: &Expect) {
+    let texts: Vec<(String, String)> =
+        files.iter().map(|(name, text)| ((*name).to_owned(), (*text).to_owned())).collect();
+    let outcome = read_texts_as_config(&texts);
+    expected.assert_eq(&outcome.map_or_else(|errors| lines(&errors), |_| "no errors\n".into()));
+}
+
+#[test]
+fn all_errors_of_all_files_are_reported_with_their_places() {
+    check_folder(
+        &[
+            (
+                "a.json",
+                r#"{
+  // A comment.
+  "pools": {
+    "p": { "unavailable_max": "two", "spar": true },
+    "q": {}
+  },
+  "shelves": {}
+}"#,
+            ),
+            ("b.json", "{ \"teams\": { \"t\": { \"weight\": 1.5, \"limit_slots\": -1 } } }"),
+            ("c.json", "{ \"teams\": "),
+            ("d.json", "{ \"teams\": [] }"),
+        ],
+        &expect![[r#"
+            a.json:4:31: pools.p.unavailable_max: expected a whole number from 0 to 4294967295, found a string
+            a.json:4:46: pools.p.spar: the field is unknown
+            a.json:5:10: pools.q.unavailable_max: the field is missing
+            a.json:7:14: shelves: the section is unknown; there are services, pools, instances, teams, queues, keys
+            b.json:1:31: teams.t.weight: expected a whole number from 0 to 4294967295, found a number
+            b.json:1:51: teams.t.limit_slots: expected a whole number from 0 to 4294967295, found a number
+            c.json:1:12: Expected value after colon in object property
+            d.json:1:12: teams: expected an object, found an array
+        "#]],
+    );
+}
+
+#[test]
+fn errors_of_meaning_point_at_the_file_that_has_the_last_word() {
+    check_folder(
+        &[
+            (
+                "10.json",
+                r#"{"pools": {"p": {"unavailable_max": 0}},
+ "instances": {"i": {"pool": "p", "failure_domain": "r", "data_centre": "d",
+   "address": "10.0.0.1:80", "slots": 8}}}"#,
+            ),
+            (
+                "20.json",
+                "{\"instances\": {\"i\": {\n  \"pool\": \"nowhere\", \"address\": \"host\"}}}",
+            ),
+            ("30.json", "{\"teams\": {\"t\": {\"weight\": 0, \"limit_slots\": 1}}}"),
+        ],
+        &expect![[r#"
+            20.json:2:11: instances.i.pool: there is no pool named "nowhere"
+            20.json:2:33: instances.i.address: "host" is not an IP address with a port
+            30.json:1:28: teams.t.weight: a team without weight would starve
+        "#]],
+    );
+}
+
+#[test]
+fn files_are_merged_in_the_order_of_their_names() {
+    let file = |name: &str, text: &str| (name.to_owned(), text.to_owned());
+    let document = read_texts_as_config(&[
+        file("20.json", r#"{"teams": {"t": {"limit_slots": 5}, "gone": null}}"#),
+        file(
+            "10.json",
+            r#"{"teams": {"t": {"weight": 2, "limit_slots": 1}, "gone": {"weight": 1, "limit_slots": 1}}}"#,
+        ),
+    ])
+    .expect("the files have no errors");
+    let key = ("teams".to_owned(), "t".to_owned());
+    assert_eq!(document.entries[&key], r#"{"limit_slots":5,"weight":2}"#);
+    assert_eq!(document.entries.len(), 1);
+    assert_eq!(read_entries(&document.entries).expect("entries read back"), document.config);
+    assert_eq!(digest(&document.entries), entry_digest(&key, &document.entries[&key]));
+}
+
+#[test]
+fn a_folder_neither_drops_granted_keys_nor_revives_withdrawn_ones() {
+    let digest = "0".repeat(64);
+    let key = |id: &str| ("keys".to_owned(), id.to_owned());
+    let before = [
+        (key("granted"), format!(r#"{{"digest":"{digest}","granted":true,"team":"t"}}"#)),
+        (key("withdrawn"), format!(r#"{{"digest":"{digest}","team":"t","withdrawn":true}}"#)),
+        (key("plain"), format!(r#"{{"digest":"{digest}","team":"t"}}"#)),
+    ]
+    .into();
+    let mut after = [(key("withdrawn"), format!(r#"{{"digest":"{digest}","team":"t"}}"#))].into();
+    keep_key_commands(&before, &mut after);
+    assert_eq!(
+        after.keys().map(|key| key.1.as_str()).collect::<Vec<_>>(),
+        ["granted", "withdrawn"]
+    );
+    assert!(after[&key("withdrawn")].contains("withdrawn\":true"));
+}
+
+#[test]
+fn all_errors_of_settings_are_reported_with_their_places() {
+    let text = r#"{
+  "daemon": "d",
+  "data_center": "dc",
+  "entry_listen": "localhost:80",
+  "control_listen": 8081,
+  "peer_key": "short",
+  "platform": { "embedded": true, "address": "127.0.0.1:1" },
+  "lease_ms": 1,
+  "log_level": "loud"
+}"#;
+    let errors = read_text("daemon.json", text).expect_err("the settings have errors");
+    expect![[r#"
+        daemon.json:1:1: data_centre: the field is missing
+        daemon.json:1:1: entry_listen: "localhost:80" is not an IP address with a port
+        daemon.json:1:1: lease_ms: a lease has at least 300 ms
+        daemon.json:1:1: log_level: expected one of off, error, warn, info, debug, trace
+        daemon.json:1:1: peer_key: the key has fewer than 16 bytes
+        daemon.json:3:18: data_center: the field is unknown
+        daemon.json:5:21: control_listen: expected a string, found a number
+        daemon.json:7:15: platform.address: give either "embedded": true or an address
+    "#]]
+    .assert_eq(&lines(&errors));
+}
+
+#[test]
+fn the_list_of_settings_is_the_list_that_is_read() {
+    // Every listed field is known, and no other is: a file with all of them has no unknown field.
+    let fields: Vec<String> = FIELDS.iter().map(|f| format!("\"{}\": null", f.name)).collect();
+    let text = format!("{{ {}, \"stray\": 1 }}", fields.join(", "));
+    let errors = read_text("x", &text).expect_err("null is no value");
+    let unknown: Vec<&str> = errors
+        .iter()
+        .filter(|error| error.detail.contains("unknown"))
+        .map(|error| error.field.as_str())
+        .collect();
+    assert_eq!(unknown, ["stray"]);
+}
--- a/crates/plugins/src/limits/admission.rs
+++ b/crates/plugins/src/limits/admission.rs
@@ -8,10 +8,13 @@
     DEADLINE, NO_UPSTREAM, OVER_LIMIT, Problem, QUEUE_FULL, STORE_DOWN,
 };
 use wasabiswitch_kernel::lock::Guard;
-use wasabiswitch_kernel::tables::{Gate, RequestHandle, RequestsTable, TeamsTable, WaitingRequest};
+use wasabiswitch_kernel::tables::{
+    Gate, RequestHandle, RequestsTable, TeamEntry, TeamsTable, WaitingRequest,
+};
 use wasabiswitch_kernel::{Kernel, metric};
-use wasabiswitch_policy::ids::{PoolId, TeamId};
+use wasabiswitch_policy::ids::{PoolId, ServiceId, TeamId};
 use wasabiswitch_policy::queue::{FairQueue, Offer, Urgency};
+use wasabiswitch_policy::retry::RetryBudget;
 
 use crate::membership::check_admission;
 
@@ -23,6 +26,8 @@
 pub struct Admission {
     /// Its team.
     pub team: TeamId,
+    /// Its service, whose retry budget it adds to.
+    pub service: ServiceId,
     /// The pool that would run it.
     pub pool: PoolId,
     /// Which work goes first.
@@ -87,6 +92,7 @@
     let RequestsTable { waiting, gates } = &mut *requests;
     let gate = gates.entry(admission.pool.clone()).or_insert_with(|| new_gate(queue_max));
     gate.note_came(&admission.team);
+    earn_retry(team, &admission.service);
     let free = gate.running < gate.capacity && gate.queue.team_len(&admission.team) == 0;
     if free && team.running < team.held_slots {
         team.running += 1;
@@ -121,6 +127,13 @@
     Ok(Begun::Waiting(Wait { kernel: kernel.clone(), admission, handle, receiver, over: false }))
 }
 
+fn earn_retry(team: &mut TeamEntry, service: &ServiceId) {
+    match team.budgets.get_mut(service) {
+        Some(budget) => budget.earn(),
+        None => drop(team.budgets.insert(service.clone(), RetryBudget::default())),
+    }
+}
+
 fn new_gate(queue_max: usize) -> Gate {
     Gate::new(FairQueue::new(queue_max))
 }
--- a/crates/plugins/src/live/connection.rs
+++ b/crates/plugins/src/live/connection.rs
@@ -6,17 +6,15 @@
 
 use std::time::Duration;
 
-use http::{Request, Response, StatusCode, header};
+use http::{HeaderValue, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::handshake;
 use hyper_util::rt::TokioIo;
 use wasabiswitch_kernel::http::Body;
-use wasabiswitch_kernel::http::entry::request_id_value;
 use wasabiswitch_kernel::http::problem::{REQUEST_ID_HEADER, VERDICT_HEADER};
 use wasabiswitch_kernel::network::Network;
 use wasabiswitch_kernel::tables::Connection;
 use wasabiswitch_policy::Verdict;
-use wasabiswitch_policy::ids::RequestId;
 
 use super::upstream::Place;
 
@@ -66,12 +64,14 @@
 pub(super) async fn attempt(
     network: &Network,
     place: &Place,
+    idle: Option<Connection>,
     request: Request<Body>,
-    request_id: RequestId,
+    request_id: &HeaderValue,
 ) -> Result<Answered, AttemptError> {
     let mut request = request;
+    let mut idle = idle;
     loop {
-        let (mut connection, reused) = match place.take_idle() {
+        let (mut connection, reused) = match idle.take().or_else(|| place.take_idle()) {
             Some(connection) => (connection, true),
             None => match open(network, place).await {
                 Ok(connection) => (connection, false),
@@ -109,7 +109,7 @@
     place: &Place,
     response: Response<Incoming>,
     connection: Connection,
-    request_id: RequestId,
+    request_id: &HeaderValue,
 ) -> Result<Answered, AttemptError> {
     let headers = response.headers();
     let says_not_run = headers.get(VERDICT_HEADER).is_some_and(|v| v == Verdict::NotRun.as_str());
@@ -131,8 +131,7 @@
             unsent: None,
         });
     }
-    let expected = request_id_value(request_id);
-    if headers.get(REQUEST_ID_HEADER).is_some_and(|echo| echo != expected) {
+    if headers.get(REQUEST_ID_HEADER).is_some_and(|echo| echo != request_id) {
         let detail = "the answer belongs to another request".to_owned();
         return Err(may_have_run(AttemptCause::WrongAnswer, detail));
     }
--- a/crates/plugins/src/live/forward.rs
+++ b/crates/plugins/src/live/forward.rs
@@ -1,8 +1,8 @@
 //! Sends a request to an upstream, and again where that is safe.
 
 use std::pin::Pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::task::{Context, Poll};
 use std::time::Instant;
 
@@ -11,7 +11,7 @@
 use http::{Request, Response, Version};
 use http_body::{Body as _, Frame, SizeHint};
 use http_body_util::BodyExt as _;
-use wasabiswitch_kernel::http::entry::request_id_value;
+use metrics::Counter;
 use wasabiswitch_kernel::http::problem::{
     DEADLINE, NO_UPSTREAM, Problem, REQUEST_ID_HEADER, UPSTREAM_FAILED, VERDICT_HEADER,
     WRONG_ANSWER, verdict_value,
@@ -124,7 +124,6 @@
     let mut outgoing = prepare(live).await?;
     let mut avoid: Vec<FailureDomain> = Vec::new();
     let mut verdict = Verdict::NotRun;
-    earn_retry(kernel, &rules);
     for attempts_made in 1.. {
         let failure = match try_once(kernel, &rules, &mut outgoing, &mut avoid).await {
             Ok((answered, place)) => {
@@ -153,7 +152,7 @@
     team: wasabiswitch_policy::ids::TeamId,
     service: wasabiswitch_policy::ids::ServiceId,
     pool: wasabiswitch_policy::ids::PoolId,
-    request_id: wasabiswitch_policy::ids::RequestId,
+    request_id: HeaderValue,
     repeatable: bool,
     attempts_max: u32,
     deadline: Instant,
@@ -163,11 +162,11 @@
     fn of(live: &Live) -> Rules {
         Rules {
             team: live.team.clone(),
-            service: live.service_id.clone(),
-            pool: live.service.pool.clone(),
-            request_id: live.request_id,
-            repeatable: live.is_repeatable(),
-            attempts_max: live.service.attempts_max,
+            service: live.service.clone(),
+            pool: live.pool.clone(),
+            request_id: live.request_id.clone(),
+            repeatable: live.repeatable,
+            attempts_max: live.attempts_max,
             deadline: live.deadline,
         }
     }
@@ -203,28 +202,37 @@
         code: NO_UPSTREAM,
         detail: format!("no upstream of pool {:?} accepts work", rules.pool),
     };
-    let place = take_place(kernel, &rules.pool, avoid).ok_or_else(none)?;
+    let (place, idle) = take_place(kernel, &rules.pool, avoid).ok_or_else(none)?;
     let request = outgoing.next(left.as_millis() as u64).ok_or_else(none)?;
-    let outcome =
-        tokio::time::timeout(left, attempt(&kernel.network, &place, request, rules.request_id))
-            .await;
+    let call = attempt(&kernel.network, &place, idle, request, &rules.request_id);
+    let outcome = tokio::time::timeout(left, call).await;
     let verdict = match &outcome {
         Ok(Ok(_)) => Verdict::Ran,
         Ok(Err(error)) => error.verdict,
         Err(_) => Verdict::MayHaveRun,
     };
-    metrics::counter!(metric::ATTEMPTS, "verdict" => verdict.as_str()).increment(1);
+    count_attempt(verdict);
     avoid.push(place.failure_domain.clone());
     match outcome {
         Ok(Ok(answered)) => Ok((answered, place)),
         Ok(Err(error)) => Err(failed(error, &place, outgoing)),
         Err(_) => {
-            place.note_outcome(false);
+            place.note_failure();
             Err(late(Verdict::MayHaveRun))
         }
     }
 }
 
+/// Counts through handles that are looked up once, since every request comes by here.
+fn count_attempt(verdict: Verdict) {
+    static COUNTERS: OnceLock<[Counter; 3]> = OnceLock::new();
+    let counters = COUNTERS.get_or_init(|| {
+        [Verdict::NotRun, Verdict::MayHaveRun, Verdict::Ran]
+            .map(|verdict| metrics::counter!(metric::ATTEMPTS, "verdict" => verdict.as_str()))
+    });
+    counters[verdict as usize].increment(1);
+}
+
 fn late(verdict: Verdict) -> Failure {
     Failure { verdict, code: DEADLINE, detail: "the deadline has passed".to_owned() }
 }
@@ -232,7 +240,7 @@
 fn failed(error: AttemptError, place: &Place, outgoing: &mut Outgoing) -> Failure {
     // An upstream that declines is doing what it should.
     if error.cause != AttemptCause::Declined {
-        place.note_outcome(false);
+        place.note_failure();
     }
     let detail = format!("upstream {}: {error}", place.instance);
     let code = match error.cause {
@@ -259,15 +267,6 @@
     next_step(attempt, now, false, jitter)
 }
 
-fn earn_retry(kernel: &Kernel, rules: &Rules) {
-    let mut teams = kernel.tables.teams.lock();
-    let Some(team) = teams.table.by_id_mut(&rules.team) else { return };
-    match team.budgets.get_mut(&rules.service) {
-        Some(budget) => budget.earn(),
-        None => drop(team.budgets.insert(rules.service.clone(), Default::default())),
-    }
-}
-
 fn spend_retry(kernel: &Kernel, rules: &Rules) -> bool {
     let mut teams = kernel.tables.teams.lock();
     let team = teams.table.by_id_mut(&rules.team);
@@ -284,7 +283,7 @@
     let headers = head.headers_mut();
     // The key is between the team and this system; the upstream learns the team instead.
     headers.remove(header::AUTHORIZATION);
-    headers.insert(REQUEST_ID_HEADER, request_id_value(live.request_id));
+    headers.insert(REQUEST_ID_HEADER, live.request_id);
     if let Ok(team) = HeaderValue::from_str(&live.team) {
         headers.insert(TEAM_HEADER, team);
     }
--- a/crates/plugins/src/live/once.rs
+++ b/crates/plugins/src/live/once.rs
@@ -96,7 +96,7 @@
 
 fn request_digest(live: &Live, body: &[u8]) -> RequestDigest {
     let mut hasher = blake3::Hasher::new();
-    for part in [live.method.as_str(), " ", &live.service_id, " ", &live.uri.to_string(), "\n"] {
+    for part in [live.method.as_str(), " ", &live.service, " ", &live.uri.to_string(), "\n"] {
         hasher.update(part.as_bytes());
     }
     hasher.update(body);
@@ -122,7 +122,7 @@
         daemon,
         epoch,
         claim: fastrand::u64(..),
-        expires_unix_s: kernel.clock.unix_s() + live.service.keep_answers.as_secs(),
+        expires_unix_s: kernel.clock.unix_s() + live.keep_answers.as_secs(),
     };
     Wish { key: once_key(&live.team, idempotency_key), request }
 }
--- a/crates/plugins/src/live/relay.rs
+++ b/crates/plugins/src/live/relay.rs
@@ -50,7 +50,7 @@
     fn cut(&mut self, error: BodyError) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         metrics::counter!(metric::ANSWERS_CUT).increment(1);
         if let Some(held) = self.held.take() {
-            held.place.note_outcome(false);
+            held.place.note_failure();
         }
         Poll::Ready(Some(Err(error)))
     }
@@ -74,8 +74,7 @@
 
 /// Ends an answer that was passed on whole.
 fn finish(held: Held) {
-    held.place.note_outcome(true);
-    held.place.put_idle(held.connection);
+    held.place.finish(held.connection);
 }
 
 impl http_body::Body for Relayed {
--- a/crates/plugins/src/live/request.rs
+++ b/crates/plugins/src/live/request.rs
@@ -3,14 +3,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use http::header::{self, HeaderMap, HeaderName};
+use http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use http::{Method, Uri};
 use wasabiswitch_kernel::Kernel;
 use wasabiswitch_kernel::http::Body;
-use wasabiswitch_kernel::http::entry::EntryRequest;
+use wasabiswitch_kernel::http::entry::{EntryRequest, request_id_value};
 use wasabiswitch_kernel::http::problem::{BAD_KEY, BAD_REQUEST, NOT_FOUND, NOT_YOURS, Problem};
-use wasabiswitch_policy::config::{Holder, Service};
-use wasabiswitch_policy::ids::{RequestId, ServiceId, TeamId};
+use wasabiswitch_policy::config::Holder;
+use wasabiswitch_policy::ids::{PoolId, ServiceId, TeamId};
 use wasabiswitch_policy::queue::Urgency;
 
 use crate::limits::Admission;
@@ -24,10 +24,15 @@
 
 /// A live request.
 pub(crate) struct Live {
-    pub(crate) request_id: RequestId,
+    pub(crate) request_id: HeaderValue,
     pub(crate) team: TeamId,
-    pub(crate) service_id: ServiceId,
-    pub(crate) service: Service,
+    pub(crate) service: ServiceId,
+    pub(crate) pool: PoolId,
+    pub(crate) urgency: Urgency,
+    /// Whether it may be sent again after doubt.
+    pub(crate) repeatable: bool,
+    pub(crate) attempts_max: u32,
+    pub(crate) keep_answers: Duration,
     pub(crate) method: Method,
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
@@ -41,18 +46,12 @@
     pub(crate) fn admission(&self) -> Admission {
         Admission {
             team: self.team.clone(),
-            pool: self.service.pool.clone(),
-            urgency: if self.service.urgent { Urgency::Urgent } else { Urgency::Deferrable },
+            service: self.service.clone(),
+            pool: self.pool.clone(),
+            urgency: self.urgency,
             deadline: self.deadline,
         }
     }
-
-    /// Reports whether the request may be sent again after doubt.
-    pub(crate) fn is_repeatable(&self) -> bool {
-        let method = self.method.as_str();
-        self.idempotency_key.is_none()
-            && self.service.repeatable_methods.iter().any(|own| own == method)
-    }
 }
 
 /// Checks a request and fixes its deadline.
@@ -68,14 +67,21 @@
         .ok_or_else(|| Problem::not_run(NOT_FOUND, format!("there is no service {name:?}")))?;
     let (head, body) = request.http.into_parts();
     let deadline = now + deadline_of(&head.headers, service.deadline)?;
+    let idempotency_key = idempotency_key(&head.headers)?;
+    let method = head.method.as_str();
+    let repeatable_method = service.repeatable_methods.iter().any(|own| own == method);
     Ok(Live {
-        request_id: request.request_id,
+        request_id: request_id_value(request.request_id),
         team,
-        service_id: service_id.clone(),
-        service: service.clone(),
+        service: service_id.clone(),
+        pool: service.pool.clone(),
+        urgency: if service.urgent { Urgency::Urgent } else { Urgency::Deferrable },
+        repeatable: idempotency_key.is_none() && repeatable_method,
+        attempts_max: service.attempts_max,
+        keep_answers: service.keep_answers,
         method: head.method,
         uri: inner_uri(path, head.uri.query())?,
-        idempotency_key: idempotency_key(&head.headers)?,
+        idempotency_key,
         headers: head.headers,
         body,
         deadline,
--- a/crates/plugins/src/live/upstream.rs
+++ b/crates/plugins/src/live/upstream.rs
@@ -7,9 +7,6 @@
 use wasabiswitch_policy::ids::{BootId, FailureDomain, InstanceId, PoolId};
 use wasabiswitch_policy::routing::{Candidate, choose};
 
-/// The most idle connections that are kept for one upstream.
-const IDLE_MAX: usize = 8;
-
 /// A place for one request at an upstream; dropping it frees the place.
 pub(super) struct Place {
     kernel: Arc<Kernel>,
@@ -18,10 +15,14 @@
     pub(super) boot: BootId,
     pub(super) address: std::net::SocketAddr,
     pub(super) failure_domain: FailureDomain,
+    freed: bool,
 }
 
 impl Drop for Place {
     fn drop(&mut self) {
+        if self.freed {
+            return;
+        }
         let mut upstreams = self.kernel.tables.upstreams.lock();
         if let Some(upstream) = upstreams.table.get_mut(self.handle) {
             upstream.outstanding = upstream.outstanding.saturating_sub(1);
@@ -29,12 +30,12 @@
     }
 }
 
-/// Takes a place at an upstream of the pool, away from the failure domains in `avoid` if possible.
+/// Takes a place at an upstream of the pool, with an idle connection if there is one, away from the failure domains in `avoid` if possible.
 pub(super) fn take_place(
     kernel: &Arc<Kernel>,
     pool: &PoolId,
     avoid: &[FailureDomain],
-) -> Option<Place> {
+) -> Option<(Place, Option<Connection>)> {
     let now = kernel.clock.now();
     let mut upstreams = kernel.tables.upstreams.lock();
     let upstreams = &mut *upstreams;
@@ -54,47 +55,57 @@
     let handle = handles[index];
     let upstream = upstreams.table.get_mut(handle)?;
     upstream.outstanding += 1;
-    Some(Place {
+    let place = Place {
         kernel: kernel.clone(),
         handle,
         instance: upstream.instance.clone(),
         boot: upstream.boot,
         address: upstream.address,
         failure_domain: upstream.failure_domain.clone(),
-    })
+        freed: false,
+    };
+    Some((place, take_ready(&mut upstream.idle)))
+}
+
+fn take_ready(idle: &mut Vec<Connection>) -> Option<Connection> {
+    while let Some(connection) = idle.pop() {
+        if connection.is_ready() {
+            return Some(connection);
+        }
+    }
+    None
 }
 
 impl Place {
-    /// Takes an idle connection to the upstream.
+    /// Takes another idle connection to the upstream.
     pub(super) fn take_idle(&self) -> Option<Connection> {
         let mut upstreams = self.kernel.tables.upstreams.lock();
-        let idle = &mut upstreams.table.get_mut(self.handle)?.idle;
-        while let Some(connection) = idle.pop() {
-            if connection.is_ready() {
-                return Some(connection);
-            }
-        }
-        None
+        take_ready(&mut upstreams.table.get_mut(self.handle)?.idle)
     }
 
-    /// Keeps a connection for the next request, unless the upstream is leaving.
-    pub(super) fn put_idle(&self, connection: Connection) {
+    /// Ends a request that was answered whole, and keeps its connection for the next one, unless the
+    /// upstream is leaving.
+    pub(super) fn finish(mut self, connection: Connection) {
+        self.freed = true;
+        let now = self.kernel.clock.now();
         let mut upstreams = self.kernel.tables.upstreams.lock();
         let Some(upstream) = upstreams.table.get_mut(self.handle) else { return };
+        upstream.outstanding = upstream.outstanding.saturating_sub(1);
+        upstream.health.record(true, now);
         let same_boot = upstream.boot == self.boot && upstream.accepts_work();
-        if same_boot && upstream.idle.len() < IDLE_MAX {
+        if same_boot && upstream.idle.len() < upstream.capacity as usize {
             upstream.idle.push(connection);
         }
     }
 
-    /// Records an outcome, and ejects the upstream if it fails much more than it should.
-    pub(super) fn note_outcome(&self, success: bool) {
+    /// Records a failure, and ejects the upstream if it fails much more than it should.
+    pub(super) fn note_failure(&self) {
         let now = self.kernel.clock.now();
         let mut upstreams = self.kernel.tables.upstreams.lock();
         let upstreams = &mut *upstreams;
         let Some(upstream) = upstreams.table.get_mut(self.handle) else { return };
-        upstream.health.record(success, now);
-        if success || !upstream.health.is_failing() {
+        upstream.health.record(false, now);
+        if !upstream.health.is_failing() {
             return;
         }
         let pool = upstream.pool.clone();
--- a/crates/plugins/src/report/mod.rs
+++ b/crates/plugins/src/report/mod.rs
@@ -11,10 +11,11 @@
 
 use http::Method;
 use serde_json::{Value, json};
-use wasabiswitch_kernel::Kernel;
 use wasabiswitch_kernel::http::control::{Access, ControlReply, ControlRequest, ControlResult};
 use wasabiswitch_kernel::plugin::{Plugin, Registration};
 use wasabiswitch_kernel::tables::ServiceStats;
+use wasabiswitch_kernel::{Kernel, metric};
+use wasabiswitch_policy::Verdict;
 use wasabiswitch_policy::burn::{Alert, Counts, History, alert, burn_rate};
 use wasabiswitch_policy::ids::{ServiceId, TeamId};
 
@@ -43,17 +44,44 @@
 
 inventory::submit! { Registration(plugin) }
 
+/// The outcome of one request.
+#[derive(Clone, Copy, Debug)]
+pub struct Outcome {
+    /// What its caller was told.
+    pub verdict: Verdict,
+    /// Whether it counts as good for the objective.
+    pub good: bool,
+    /// When it entered.
+    pub started_at: Instant,
+}
+
 /// Records the outcome of one request.
-pub fn note_outcome(kernel: &Kernel, team: &TeamId, service: &ServiceId, good: bool, now: Instant) {
+pub fn note_outcome(kernel: &Kernel, team: &TeamId, service: &ServiceId, outcome: Outcome) {
+    let now = kernel.clock.now();
+    let seconds = now.saturating_duration_since(outcome.started_at).as_secs_f64();
     let mut teams = kernel.tables.teams.lock();
     let Some(team) = teams.table.by_id_mut(team) else { return };
-    if let Some(stats) = team.stats.get_mut(service) {
-        stats.history.record(good, now);
-        return;
+    if !team.stats.contains_key(service) {
+        team.stats.insert(service.clone(), new_stats(service, now));
+    }
+    let Some(stats) = team.stats.get_mut(service) else { return };
+    stats.history.record(outcome.good, now);
+    stats.requests[outcome.verdict as usize].increment(1);
+    stats.seconds.record(seconds);
+}
+
+/// Looks the metrics of a service up once, since every request records them.
+fn new_stats(service: &ServiceId, now: Instant) -> ServiceStats {
+    let name = service.to_string();
+    let requests = [Verdict::NotRun, Verdict::MayHaveRun, Verdict::Ran].map(|verdict| {
+        let verdict = verdict.as_str();
+        metrics::counter!(metric::REQUESTS, "service" => name.clone(), "verdict" => verdict)
+    });
+    ServiceStats {
+        history: History::new(now, HISTORY_SPAN),
+        requests,
+        seconds: metrics::histogram!(metric::REQUEST_SECONDS, "service" => name),
     }
-    let mut history = History::new(now, HISTORY_SPAN);
-    history.record(good, now);
-    team.stats.insert(service.clone(), ServiceStats { history });
 }
 
 /// The burn of one service for one team.
