Move the worlds of the tests into the stand-ins

Cause: measurements need the same daemons, platform and upstreams as the tests, and two copies would drift. Change: the world is a module of the stand-ins and applies its configuration through the control listener, so that it needs no plug-in. The cells of the admission step have a limit of one, because the base of slots had taken their teeth (six cells had come to read ran); a large answer that is cut has a cell. Conclusion: tests and measurements now stand on one harness.

--- a/crates/plugins/tests/daemons.rs
+++ b/crates/plugins/tests/daemons.rs
@@ -1,18 +1,16 @@
 //! Several daemons over one table service: limits, fences, outages, keys and configuration.
 
-mod common;
-
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
-use common::{Answer, Daemon, Shape, World};
 use http::Method;
 use serde_json::json;
 use wasabiswitch_kernel::Kernel;
 use wasabiswitch_kernel::http::problem::Problem;
 use wasabiswitch_plugins::config::{Proposal, apply_changes};
 use wasabiswitch_standin::upstream::Behaviour;
+use wasabiswitch_standin::world::{Answer, Daemon, Shape, World, teams};
 use wasabiswitch_standin::{Fault, Operation};
 
 fn seconds(count: u64) -> Duration {
@@ -160,7 +158,7 @@
 #[tokio::test(start_paused = true)]
 async fn live_work_goes_on_for_minutes_without_the_store() {
     seed();
-    let teams = vec![("t1", 1, 12), ("t2", 1, 12)];
+    let teams = teams(&[("t1", 1, 12), ("t2", 1, 12)]);
     let world = World::new(Shape { instances: 4, teams, ..Shape::default() });
     let daemons = world.start_many(3).await;
     for daemon in &daemons {
@@ -335,7 +333,7 @@
 #[tokio::test(start_paused = true)]
 async fn one_team_at_a_hundred_times_its_share_does_not_hold_up_another() {
     seed();
-    let teams = vec![("t1", 1, 64), ("t2", 1, 64)];
+    let teams = teams(&[("t1", 1, 64), ("t2", 1, 64)]);
     let world = World::new(Shape { instances: 2, slots: 4, teams, ..Shape::default() });
     let daemons = world.start_many(1).await;
     slow_upstreams(&world, Duration::from_millis(100));
--- a/crates/plugins/tests/fault_matrix.rs
+++ b/crates/plugins/tests/fault_matrix.rs
@@ -4,16 +4,15 @@
 //! told with what the upstreams have run. The table in docs/FAULTS.md is written by
 //! `UPDATE_EXPECT=1 cargo test -p wasabiswitch-plugins --test fault_matrix`.
 
-mod common;
-
 use std::time::Duration;
 
 use bytes::Bytes;
-use common::{Answer, Daemon, Shape, World, request};
 use expect_test::expect_file;
 use http::Method;
+use wasabiswitch_plugins as _;
 use wasabiswitch_standin::network::DialFault;
 use wasabiswitch_standin::upstream::Behaviour;
+use wasabiswitch_standin::world::{Answer, Daemon, Shape, World, request, teams};
 use wasabiswitch_standin::{Calls, Fault, Operation};
 
 /// The longest time that any answer may take: the service's deadline and what recording may add.
@@ -141,6 +140,7 @@
         cell("read head", "server error", |w| first(w, Behaviour::ServerError)),
         cell("read body", "cut", |w| always(w, Behaviour::CutBody)),
         cell("read body", "hangs", |w| always(w, Behaviour::HangInBody)),
+        cell("read body", "large and cut", |w| always(w, Behaviour::CutLarge)),
         cell("read body", "surplus bytes", |w| first(w, Behaviour::Surplus)),
         cell("read body", "larger than kept", |w| always(w, Behaviour::Large(200 << 10))),
         cell("record", "refused once", |w| commit(w, "once/", 1, Fault::Refuse)),
@@ -177,7 +177,9 @@
 /// Runs one cell and checks what must hold in each; returns its line of the table.
 async fn run_cell(cell: &Cell, kind: Kind) -> String {
     let context = format!("{} / {} / {kind:?}", cell.step, cell.fault);
-    let world = World::new(Shape::default());
+    // A limit of one leaves no base, so that a slot must be taken when the request comes.
+    let limit = if cell.warm { 4 } else { 1 };
+    let world = World::new(Shape { teams: teams(&[("t1", 1, limit)]), ..Shape::default() });
     for upstream in &world.upstreams[1..] {
         upstream.share_plan_of(&world.upstreams[0]);
     }
--- a/crates/plugins/tests/fleet.rs
+++ b/crates/plugins/tests/fleet.rs
@@ -1,15 +1,14 @@
 //! Waves, moves and jobs over several daemons, with deaths, races and workers that fail.
 
-mod common;
-
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use common::{Daemon, Shape, World, read_answer, team_key};
 use http::{Method, Request};
 use serde_json::{Value, json};
 use wasabiswitch_kernel::http::entry::handle;
 use wasabiswitch_kernel::http::full_body;
+use wasabiswitch_plugins as _;
+use wasabiswitch_standin::world::{Daemon, Shape, World, read_answer, team_key, teams};
 use wasabiswitch_standin::{Calls, Fault, Operation};
 
 fn seconds(count: u64) -> Duration {
@@ -26,7 +25,7 @@
         instances: 12,
         rack: 2,
         unavailable_max: 4,
-        teams: vec![("t1", 1, 48), ("t2", 1, 48)],
+        teams: teams(&[("t1", 1, 48), ("t2", 1, 48)]),
         ..Shape::default()
     }
 }
@@ -38,7 +37,7 @@
 
 async fn unavailable(daemon: &Daemon) -> u64 {
     let pools = list(daemon, "/v1/pools", "pools").await;
-    let pool = pools.iter().find(|pool| pool["pool"] == "p").expect("the pool is configured");
+    let pool = pools.iter().find(|pool| pool["pool"] == "p0").expect("the pool is configured");
     pool["unavailable"].as_u64().expect("it is a number")
 }
 
@@ -73,7 +72,7 @@
     let stop = tokio_util::sync::CancellationToken::new();
     let loads: Vec<_> =
         daemons.iter().map(|daemon| tokio::spawn(load(daemon.clone(), stop.clone()))).collect();
-    daemons[0].control_json(Method::POST, "/v1/waves?pool=p", "").await;
+    daemons[0].control_json(Method::POST, "/v1/waves?pool=p0", "").await;
     let mut most = 0;
     let mut waited = 0;
     while wave_state(&daemons[1]).await == "running" {
@@ -98,7 +97,7 @@
     seed();
     let world = World::new(shape());
     let daemons = world.start_many(3).await;
-    daemons[0].control_json(Method::POST, "/v1/waves?pool=p", "").await;
+    daemons[0].control_json(Method::POST, "/v1/waves?pool=p0", "").await;
     tokio::time::sleep(seconds(25)).await;
     daemons[0].kill(&world);
     tokio::time::sleep(seconds(60)).await;
@@ -122,7 +121,7 @@
     seed();
     let world = World::new(shape());
     let daemons = world.start_many(2).await;
-    daemons[0].control_json(Method::POST, "/v1/waves?pool=p", "").await;
+    daemons[0].control_json(Method::POST, "/v1/waves?pool=p0", "").await;
     let mut waited = 0;
     while wave_state(&daemons[1]).await == "running" {
         let fault = match waited % 4 {
@@ -159,7 +158,7 @@
         world.standin.with_instances(|list| list.remove(id));
     }
     tokio::time::sleep(seconds(5)).await;
-    daemons[0].control_json(Method::POST, "/v1/waves?pool=p", "").await;
+    daemons[0].control_json(Method::POST, "/v1/waves?pool=p0", "").await;
     tokio::time::sleep(seconds(120)).await;
     assert_eq!(unavailable(&daemons[0]).await, 3, "nothing was taken out on purpose");
     assert_eq!(wave_state(&daemons[0]).await, "running");
@@ -177,13 +176,13 @@
     let world = World::new(shape());
     let daemons = world.start_many(1).await;
     world.standin.faults().inject(Operation::Reboot, Fault::Refuse, u32::MAX);
-    daemons[0].control_json(Method::POST, "/v1/waves?pool=p", "").await;
+    daemons[0].control_json(Method::POST, "/v1/waves?pool=p0", "").await;
     tokio::time::sleep(seconds(20 * 60)).await;
     let waves = list(&daemons[0], "/v1/waves", "waves").await;
     assert_eq!(waves[0]["state"], "halted");
     assert_eq!(waves[0]["why"], "the first instance did not come back");
     assert_eq!(waves[0]["done"], 0);
-    let explained = list(&daemons[0], "/v1/explain/wave/p-1", "decisions").await;
+    let explained = list(&daemons[0], "/v1/explain/wave/p0-1", "decisions").await;
     assert!(explained.iter().any(|decision| decision["action"] == "halted"), "{explained:?}");
 }
 
@@ -228,7 +227,7 @@
 }
 
 async fn submit(daemon: &Daemon, extra: &Value) -> String {
-    let mut body = json!({ "queue": "q", "run_time_ms": 2_000 });
+    let mut body = json!({ "queue": "q0", "run_time_ms": 2_000 });
     for (name, value) in extra.as_object().into_iter().flatten() {
         body[name] = value.clone();
     }
@@ -266,7 +265,7 @@
     seed();
     let world = World::new(shape());
     let daemons = world.start_many(2).await;
-    let body = json!({ "queue": "q", "run_time_ms": 500 });
+    let body = json!({ "queue": "q0", "run_time_ms": 500 });
     let mut ids = Vec::new();
     for daemon in [&daemons[0], &daemons[1], &daemons[0]] {
         let job = jobs_call(daemon, Method::POST, "/v1/jobs", Some("invoice-7"), &body).await;
@@ -275,7 +274,7 @@
     }
     assert!(ids.iter().all(|id| *id == ids[0]));
     assert_eq!(starts(&world, &ids[0]), 1);
-    let other = json!({ "queue": "q", "run_time_ms": 501 });
+    let other = json!({ "queue": "q0", "run_time_ms": 501 });
     let refused = jobs_call(&daemons[0], Method::POST, "/v1/jobs", Some("invoice-7"), &other).await;
     assert_eq!(refused["code"], "other-request");
 }
@@ -401,7 +400,7 @@
 #[tokio::test(start_paused = true)]
 async fn running_jobs_count_for_the_limit_of_their_team() {
     seed();
-    let teams = vec![("t1", 1, 5), ("t2", 1, 48)];
+    let teams = teams(&[("t1", 1, 5), ("t2", 1, 48)]);
     let world = World::new(Shape { teams, ..shape() });
     let daemons = world.start_many(1).await;
     for _ in 0..12 {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -32,6 +32,7 @@
 mod table;
 pub mod upstream;
 mod workers;
+pub mod world;
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -52,6 +52,8 @@
     HangInHead,
     /// It runs the request and closes within the body of the answer.
     CutBody,
+    /// It runs the request and closes within a body that is too large to be read ahead.
+    CutLarge,
     /// It runs the request and stops within the body of the answer.
     HangInBody,
     /// It runs the request, answers, and sends more bytes than belong to the answer.
@@ -93,6 +95,9 @@
     draining: Arc<AtomicBool>,
 }
 
+/// The size of an answer that is cut within its body, in bytes.
+const LARGE_BYTES: usize = 1 << 20;
+
 /// The answer of an upstream that has not run a request.
 const NOT_RUN_ANSWER: &str = "HTTP/1.1 503 Service Unavailable\r\n\
     x-wasabiswitch-verdict: not-run\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
@@ -332,6 +337,11 @@
             Behaviour::HangInHead => (cut_head(), End::Hang),
             Behaviour::CutBody => (cut_body(), End::Close),
             Behaviour::HangInBody => (cut_body(), End::Hang),
+            Behaviour::CutLarge => {
+                let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {LARGE_BYTES}\r\n\r\n");
+                let half = "x".repeat(LARGE_BYTES / 2);
+                ((head + &half).into_bytes(), End::Close)
+            }
             Behaviour::Surplus => ((whole + "surplus").into_bytes(), End::Open),
             Behaviour::ServerError => {
                 let answer = b"HTTP/1.1 500 Internal Server Error\r\ncontent-length: 0\r\n\r\n";
--- a/crates/plugins/tests/common/mod.rs
+++ b/crates/standin/src/world.rs
@@ -1,6 +1,6 @@
-//! Daemons, a platform and upstreams inside one process, for tests on paused time.
-
-#![allow(dead_code, reason = "each test file uses a part of this")]
+//! Daemons, a platform and upstreams inside one process, for tests and measurements.
+//!
+//! On paused time minutes pass in milliseconds, and every run of a test is the same.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -11,6 +11,7 @@
 use futures_util::FutureExt as _;
 use http::{Method, Request, Response};
 use http_body_util::BodyExt as _;
+use serde_json::json;
 use tokio::sync::watch;
 use wasabiswitch_kernel::Kernel;
 use wasabiswitch_kernel::clock::Clock;
@@ -22,10 +23,10 @@
 use wasabiswitch_kernel::platform::{Platform, PlatformFn};
 use wasabiswitch_kernel::plugin::registered;
 use wasabiswitch_kernel::settings::{Settings, read_text};
-use wasabiswitch_plugins::config::{Proposal, apply_changes};
-use wasabiswitch_standin::StandIn;
-use wasabiswitch_standin::network::MemoryNetwork;
-use wasabiswitch_standin::upstream::Upstream;
+
+use crate::StandIn;
+use crate::network::MemoryNetwork;
+use crate::upstream::Upstream;
 
 /// The key of the operator in every world.
 pub const OPERATOR_KEY: &str = "wsk_ops_secret";
@@ -33,57 +34,78 @@
 /// What a world holds.
 #[derive(Clone, Debug)]
 pub struct Shape {
-    /// The instances of the pool `p`, each in its own failure domain.
+    /// The pools, `p0` and so on, each with a service `s0` and so on and a queue `q0` and so on.
+    pub pools: usize,
+    /// The instances, `i0` and so on, which are spread over the pools in turn.
     pub instances: usize,
     /// The slots of each instance.
     pub slots: u32,
-    /// The teams: name, weight, limit.
-    pub teams: Vec<(&'static str, u32, u32)>,
+    /// The teams: name, weight, limit in slots.
+    pub teams: Vec<(String, u32, u32)>,
     /// The instances of each failure domain.
     pub rack: usize,
-    /// The budget of the pool.
+    /// The budget of each pool.
     pub unavailable_max: u32,
+    /// The deadline of each service, in milliseconds.
+    pub deadline_ms: u64,
 }
 
 impl Default for Shape {
     fn default() -> Shape {
         Shape {
+            pools: 1,
             instances: 2,
             slots: 8,
-            teams: vec![("t1", 1, 4), ("t2", 1, 4)],
+            teams: vec![("t1".to_owned(), 1, 4), ("t2".to_owned(), 1, 4)],
             rack: 1,
             unavailable_max: 1,
+            deadline_ms: 5_000,
         }
     }
 }
 
+/// Returns teams from their names, weights and limits.
+pub fn teams(teams: &[(&str, u32, u32)]) -> Vec<(String, u32, u32)> {
+    teams.iter().map(|(name, weight, limit)| ((*name).to_owned(), *weight, *limit)).collect()
+}
+
 /// What one daemon's calls to the platform wait for.
 type Gates = Arc<Mutex<HashMap<String, watch::Sender<bool>>>>;
 
 /// A platform, upstreams and a network.
 pub struct World {
     gates: Gates,
+    /// The platform.
     pub standin: StandIn,
+    /// The network between daemons and upstreams.
     pub network: MemoryNetwork,
+    /// The upstreams, in the order of the instances.
     pub upstreams: Vec<Upstream>,
+    /// What the world holds.
     pub shape: Shape,
 }
 
 /// A daemon in a world.
 #[derive(Clone)]
 pub struct Daemon {
+    /// Its kernel.
     pub kernel: Arc<Kernel>,
+    /// Where its control listener is in the world's network.
     pub address: SocketAddr,
 }
 
 /// A whole answer.
 #[derive(Clone, Debug)]
 pub struct Answer {
+    /// The HTTP status.
     pub status: u16,
+    /// The verdict header.
     pub verdict: String,
+    /// The code of the problem, or empty.
     pub code: String,
-    /// `None` if the body broke off.
+    /// The body, or `None` if it broke off.
     pub body: Option<Bytes>,
+    /// Whether it was kept from an earlier run.
     pub repeated: bool,
 }
 
@@ -101,6 +123,7 @@
 }
 
 impl World {
+    /// Creates a world without daemons.
     pub fn new(shape: Shape) -> World {
         let network = MemoryNetwork::default();
         let standin = StandIn::new(Clock::tokio());
@@ -114,60 +137,56 @@
         World { gates: Gates::default(), standin, network, upstreams, shape }
     }
 
-    /// The configuration folder of the world, as one file.
+    /// Returns the configuration folder of the world, as one file.
     pub fn folder(&self) -> Vec<(String, String)> {
-        let instances: Vec<String> = (0..self.shape.instances)
-            .map(|index| {
-                format!(
-                    r#""i{index}": {{"pool": "p", "failure_domain": "r{}", "data_centre": "dc",
-                        "address": "{}", "slots": {}, "cpu_milli": 4000}}"#,
-                    index / self.shape.rack,
-                    upstream_address(index),
-                    self.shape.slots
-                )
-            })
-            .collect();
-        let teams: Vec<String> = self
-            .shape
-            .teams
-            .iter()
-            .map(|(name, weight, limit)| {
-                format!(r#""{name}": {{"weight": {weight}, "limit_slots": {limit}}}"#)
-            })
-            .collect();
-        let keys: Vec<String> = self
-            .shape
-            .teams
-            .iter()
-            .map(|(name, _, _)| {
-                format!(r#""{name}": {{"team": "{name}", "digest": "{}"}}"#, digest())
-            })
-            .collect();
+        let Shape { pools, instances, slots, teams, rack, unavailable_max, deadline_ms } =
+            &self.shape;
+        let entries = |lines: Vec<String>| lines.join(",");
+        let of_pools = |line: &dyn Fn(usize) -> String| entries((0..*pools).map(line).collect());
+        let digest = digest();
+        let instance = |index: usize| {
+            let (pool, domain) = (index % pools, index / rack);
+            let address = upstream_address(index);
+            format!(
+                r#""i{index}": {{"pool": "p{pool}", "failure_domain": "r{domain}",
+                    "data_centre": "dc", "address": "{address}", "slots": {slots},
+                    "cpu_milli": 4000}}"#
+            )
+        };
+        let service = |pool: usize| {
+            format!(
+                r#""s{pool}": {{"pool": "p{pool}", "repeatable_methods": ["GET"],
+                    "deadline_ms": {deadline_ms}}}"#
+            )
+        };
+        let team = |(name, weight, limit): &(String, u32, u32)| {
+            format!(r#""{name}": {{"weight": {weight}, "limit_slots": {limit}}}"#)
+        };
+        let key = |(name, _, _): &(String, u32, u32)| {
+            format!(r#""{name}": {{"team": "{name}", "digest": "{digest}"}}"#)
+        };
         let text = format!(
-            r#"{{
-                "pools": {{"p": {{"unavailable_max": {}}},
-                           "spare": {{"unavailable_max": 9, "spare": true}}}},
-                "services": {{"s": {{"pool": "p", "repeatable_methods": ["GET"],
-                              "deadline_ms": 5000}}}},
-                "queues": {{"q": {{"pool": "p"}}}},
-                "instances": {{{}}},
-                "teams": {{{}}},
-                "keys": {{{}, "ops": {{"operator": "ops", "digest": "{}"}}}}
-            }}"#,
-            self.shape.unavailable_max,
-            instances.join(","),
-            teams.join(","),
-            keys.join(","),
-            digest()
+            r#"{{"pools": {{{}, "spare": {{"unavailable_max": 9, "spare": true}}}},
+                "services": {{{}}}, "queues": {{{}}}, "instances": {{{}}}, "teams": {{{}}},
+                "keys": {{{}, "ops": {{"operator": "ops", "digest": "{digest}"}}}}}}"#,
+            of_pools(&|pool| format!(r#""p{pool}": {{"unavailable_max": {unavailable_max}}}"#)),
+            of_pools(&service),
+            of_pools(&|pool| format!(r#""q{pool}": {{"pool": "p{pool}"}}"#)),
+            entries((0..*instances).map(instance).collect()),
+            entries(teams.iter().map(team).collect()),
+            entries(teams.iter().map(key).collect()),
         );
         vec![("all.json".to_owned(), text)]
     }
 
+    /// Returns the settings of a daemon.
     pub fn settings(&self, name: &str, address: SocketAddr) -> Settings {
         let text = format!(
             r#"{{"daemon": "{name}", "data_centre": "dc", "entry_listen": "127.0.0.1:0",
                 "control_listen": "{address}", "peer_key": "peer-key-of-the-tests",
-                "platform": {{"embedded": true}}, "drain_notice_ms": 100}}"#
+                "platform": {{"embedded": true}}, "drain_notice_ms": 100,
+                "first_operator_digest": "{}"}}"#,
+            digest()
         );
         read_text("settings", &text).expect("the settings are valid")
     }
@@ -185,6 +204,7 @@
         daemon
     }
 
+    /// Creates a daemon without starting it.
     pub fn build(&self, name: &str, address: SocketAddr) -> Daemon {
         let kernel = Kernel::new(
             self.settings(name, address),
@@ -198,9 +218,16 @@
 
     async fn apply_folder(&self, daemon: &Daemon) {
         let document = read_texts_as_config(&self.folder()).expect("the folder has no errors");
-        let changes = wasabiswitch_policy::merge::diff(&Default::default(), &document.entries);
-        let proposal = Proposal { base: 0, changes, operator: "test".to_owned() };
-        apply_changes(&daemon.kernel, proposal).await.expect("the configuration is accepted");
+        let changes: Vec<serde_json::Value> = document
+            .entries
+            .iter()
+            .map(|((section, name), text)| {
+                let value: serde_json::Value = serde_json::from_str(text).unwrap_or_default();
+                json!({ "section": section, "name": name, "value": value })
+            })
+            .collect();
+        let body = json!({ "base": 0, "changes": changes }).to_string();
+        daemon.control(Method::POST, "/v1/config", &body).await.expect("it is accepted");
     }
 
     /// Starts daemons `1..=count` and lets them meet.
@@ -213,7 +240,7 @@
         daemons
     }
 
-    /// Returns how often the upstreams have run the requests with a label.
+    /// Returns how often all upstreams together have run the requests with a label.
     pub fn runs_of(&self, label: &str) -> u32 {
         self.upstreams.iter().map(|upstream| upstream.runs_of(label)).sum()
     }
@@ -305,6 +332,7 @@
         world.network.remove(self.address);
     }
 
+    /// Sends a request to the entry listener's routes.
     pub async fn call(&self, request: Request<Body>) -> Answer {
         read_answer(handle(self.kernel.clone(), request).await).await
     }
@@ -335,6 +363,7 @@
     }
 }
 
+/// Returns a request of a team; `key` is its idempotency key.
 pub fn request(
     team: &str,
     method: Method,
@@ -344,7 +373,7 @@
 ) -> Request<Body> {
     let mut builder = Request::builder()
         .method(method)
-        .uri("/s/s/path")
+        .uri("/s/s0/path")
         .header("authorization", format!("Bearer {}", team_key(team)))
         .header("x-label", label);
     if let Some(key) = key {
@@ -353,6 +382,7 @@
     builder.body(full_body(body)).expect("the request is well formed")
 }
 
+/// Reads a whole answer.
 pub async fn read_answer(response: Response<Body>) -> Answer {
     let (head, body) = response.into_parts();
     let body = body.collect().await.ok().map(|body| body.to_bytes());
