--- a/crates/kernel/src/tables/rows.rs
+++ b/crates/kernel/src/tables/rows.rs
@@ -229,6 +229,8 @@
     pub table: Table<UpstreamHandle, UpstreamEntry>,
     /// The upstreams of each pool.
     pub by_pool: HashMap<PoolId, Vec<UpstreamHandle>>,
+    /// The slots of the upstreams that accept work, or `None` since something has changed.
+    pub slots_by_pool: Option<Arc<BTreeMap<PoolId, u32>>>,
 }
 
 /// A request that waits in front of a pool.
--- a/crates/plugins/src/jobs/scheduler.rs
+++ b/crates/plugins/src/jobs/scheduler.rs
@@ -1,6 +1,6 @@
 //! The loop of the daemon that holds the role `jobs`.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -133,8 +133,7 @@
 }
 
 async fn place_jobs(kernel: &Kernel) {
-    let pools: Vec<PoolId> = kernel.config().config.pools.keys().cloned().collect();
-    for pool in pools {
+    for pool in pools_with_queued_jobs(kernel) {
         let workers = workers_of(kernel, &pool);
         let (waiting, rejected) = waiting_in(kernel, &pool, &workers);
         for (id, why) in rejected {
@@ -150,6 +149,16 @@
     }
 }
 
+fn pools_with_queued_jobs(kernel: &Kernel) -> BTreeSet<PoolId> {
+    let config = kernel.config();
+    let jobs = kernel.tables.jobs.lock();
+    let queued = jobs.table.iter().filter(|(_, entry)| entry.row.state == JobState::Queued);
+    queued
+        .filter_map(|(_, entry)| config.config.queues.get(&entry.row.spec.queue))
+        .map(|queue| queue.pool.clone())
+        .collect()
+}
+
 async fn claim(kernel: &Kernel, placement: &Placement) {
     let (daemon, epoch) = kernel.session();
     let claim = Claim { daemon, epoch, instance: placement.instance.clone() };
--- a/crates/plugins/src/limits/grants.rs
+++ b/crates/plugins/src/limits/grants.rs
@@ -10,12 +10,14 @@
 use wasabiswitch_kernel::{Kernel, metric};
 use wasabiswitch_policy::Verdict;
 use wasabiswitch_policy::grants::{
-    GrantRequest, GrantRow, Standing, adjust, base_slots, reclaim, target_slots,
+    GrantRequest, GrantRow, Standing, adjust, base_slots, fair_slots, reclaim, target_slots,
 };
 use wasabiswitch_policy::ids::{Epoch, TeamId};
+use wasabiswitch_wire::message::TeamLoad;
 
 use super::admission::pump_all;
 use crate::membership::holds_lease;
+use crate::peers::all_loads;
 
 /// The key prefix of the teams' rows.
 pub const GRANT_PREFIX: &str = "grant/";
@@ -48,18 +50,38 @@
 /// Returns the teams whose slots do not fit their demand, with the slots that they want.
 fn due_teams(kernel: &Kernel) -> Vec<(TeamId, u32)> {
     let now = kernel.clock.now();
-    let daemons = kernel.tables.members.lock().reach.live().len();
+    let loads = all_loads(kernel);
+    let own = loads.keys().position(|id| *id == kernel.settings.daemon).unwrap_or(0);
+    let loads: Vec<Vec<TeamLoad>> = loads.into_values().collect();
     let mut teams = kernel.tables.teams.lock();
     let ids: Vec<TeamId> = teams.table.iter().map(|(id, _)| id.clone()).collect();
     let due = ids.into_iter().filter_map(|id| {
         let team = teams.table.by_id_mut(&id)?;
-        Some((id, wanted_slots(team, daemons, now)?))
+        let contended = team.others_short_until.is_some_and(|until| now < until);
+        let fair = contended.then(|| fair_slots(team.limit_slots, &demands(&id, &loads))[own]);
+        Some((id, wanted_slots(team, loads.len(), fair, now)?))
     });
     due.collect()
 }
 
+/// Returns the demand of a team at each daemon, over all pools.
+fn demands(team: &str, loads: &[Vec<TeamLoad>]) -> Vec<u32> {
+    let of_daemon = |load: &Vec<TeamLoad>| {
+        let own = load.iter().filter(|load| *load.team == *team);
+        own.map(|load| load.demand_slots).sum()
+    };
+    loads.iter().map(of_daemon).collect()
+}
+
 /// Returns how many slots a team wants here, or `None` if nothing needs to be written now.
-fn wanted_slots(team: &mut TeamEntry, daemons: usize, now: Instant) -> Option<u32> {
+///
+/// `fair` is the daemon's part of the limit if another daemon is short of slots.
+fn wanted_slots(
+    team: &mut TeamEntry,
+    daemons: usize,
+    fair: Option<u32>,
+    now: Instant,
+) -> Option<u32> {
     let demand_slots = team.demand_slots();
     if demand_slots > 0 {
         team.busy_at = now;
@@ -68,7 +90,8 @@
         demand_slots,
         held_slots: team.held_slots,
         base_slots: base_slots(team.limit_slots, daemons),
-        others_short: team.others_short_until.is_some_and(|until| now < until),
+        fair_slots: fair.unwrap_or(team.limit_slots),
+        others_short: fair.is_some(),
         idle_long: now >= team.busy_at + IDLE_AFTER,
     };
     let wanted = target_slots(&standing).min(team.limit_slots.max(team.running));
--- a/crates/plugins/src/limits/portions.rs
+++ b/crates/plugins/src/limits/portions.rs
@@ -1,6 +1,7 @@
 //! Works out how much of each pool this daemon may use.
 
 use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
 
 use wasabiswitch_kernel::{Kernel, metric};
 use wasabiswitch_policy::ids::{PoolId, TeamId};
@@ -18,7 +19,7 @@
     let loads: Vec<Vec<TeamLoad>> = loads.into_values().collect();
     let slots = slots_by_pool(kernel);
     let mut capacities: HashMap<PoolId, u32> = HashMap::new();
-    for (pool, pool_slots) in &slots {
+    for (pool, pool_slots) in slots.iter() {
         let teams = demand_in_pool(kernel, pool, &loads);
         let portion = daemon_portion(&teams, own, loads.len(), *pool_slots);
         // Even without a portion one request may run, so that new work is seen by the others.
@@ -36,14 +37,19 @@
 }
 
 /// Returns the slots of the upstreams that accept work, by pool.
-fn slots_by_pool(kernel: &Kernel) -> BTreeMap<PoolId, u32> {
+fn slots_by_pool(kernel: &Kernel) -> Arc<BTreeMap<PoolId, u32>> {
     let config = kernel.config();
-    let upstreams = kernel.tables.upstreams.lock();
+    let mut upstreams = kernel.tables.upstreams.lock();
+    if let Some(known) = &upstreams.slots_by_pool {
+        return known.clone();
+    }
     let mut slots: BTreeMap<PoolId, u32> = BTreeMap::new();
     for (id, upstream) in upstreams.table.iter().filter(|(_, u)| u.accepts_work()) {
         let own = config.config.instances.get(id).map_or(0, |instance| instance.slots);
         *slots.entry(upstream.pool.clone()).or_default() += own;
     }
+    let slots = Arc::new(slots);
+    upstreams.slots_by_pool = Some(slots.clone());
     slots
 }
 
--- a/crates/plugins/src/pools/controller.rs
+++ b/crates/plugins/src/pools/controller.rs
@@ -8,7 +8,7 @@
 
 use wasabiswitch_kernel::Kernel;
 use wasabiswitch_kernel::platform::{SyncRequest, TaskState};
-use wasabiswitch_kernel::tables::{InstanceEntry, Subject};
+use wasabiswitch_kernel::tables::Subject;
 use wasabiswitch_policy::ids::{BootId, InstanceId, PoolId};
 use wasabiswitch_policy::instance::{
     Cause, Event, InstanceRow, InstanceState, Reason, note_available, note_failure,
@@ -132,30 +132,36 @@
 
 /// Books instances that have left the list without a reason, and those that are back.
 async fn note_failures(kernel: &Kernel) {
-    for (id, entry) in known_instances(kernel) {
+    let (missing, back) = changed_failures(kernel);
+    for id in missing {
         let Some(row) = current_row(kernel, &id) else { continue };
-        let cause = {
+        let booked = {
             let instances = kernel.tables.instances.lock();
-            instances.pools.get(&row.pool).and_then(|pool| pool.unavailable.get(&id).copied())
+            let books = instances.pools.get(&row.pool);
+            books.is_some_and(|books| books.unavailable.contains_key(&id))
         };
-        let failed = !entry.listed;
-        let outcome = match cause {
-            None if failed => change_pool(kernel, &row.pool, |pool| note_failure(pool, &id)).await,
-            Some(Cause::Failure) if !failed => {
-                change_pool(kernel, &row.pool, |pool| note_available(pool, &id)).await
-            }
-            _ => Ok(()),
-        };
-        if outcome.is_err() {
-            return;
+        if !booked {
+            let _ = change_pool(kernel, &row.pool, |books| note_failure(books, &id)).await;
         }
     }
+    for (pool, id) in back {
+        let _ = change_pool(kernel, &pool, |books| note_available(books, &id)).await;
+    }
 }
 
-fn known_instances(kernel: &Kernel) -> Vec<(InstanceId, InstanceEntry)> {
+/// Returns the instances that are not listed, and those that are booked as failed although they are.
+fn changed_failures(kernel: &Kernel) -> (Vec<InstanceId>, Vec<(PoolId, InstanceId)>) {
     let instances = kernel.tables.instances.lock();
     if !instances.list_read {
-        return Vec::new();
+        return (Vec::new(), Vec::new());
     }
-    instances.table.iter().map(|(id, entry)| (id.clone(), entry.clone())).collect()
+    let missing = instances.table.iter().filter(|(_, entry)| !entry.listed);
+    let missing = missing.map(|(id, _)| id.clone()).collect();
+    let failed = instances.pools.iter().flat_map(|(pool, books)| {
+        let failed = books.unavailable.iter().filter(|(_, cause)| **cause == Cause::Failure);
+        failed.map(move |(id, _)| (pool.clone(), id.clone()))
+    });
+    let is_back = |id: &InstanceId| instances.table.by_id(id).is_some_and(|entry| entry.listed);
+    let back = failed.filter(|(_, id)| is_back(id)).collect();
+    (missing, back)
 }
--- a/crates/plugins/src/pools/mod.rs
+++ b/crates/plugins/src/pools/mod.rs
@@ -41,7 +41,11 @@
             control(Method::POST, "/v1/instances/:id/serve", Access::Operator, routes::serve),
             control(Method::POST, "/v1/instances/:id/move", Access::Operator, routes::move_to),
         ],
-        on_config: |kernel, _| refresh_upstreams(kernel),
+        on_config: |kernel, _| {
+            // What is new in the configuration is looked up in the list soon.
+            kernel.tables.instances.lock().listed_at = None;
+            refresh_upstreams(kernel);
+        },
         start: |kernel| async move { start(&kernel).await }.boxed(),
         ticks: vec![
             Tick {
--- a/crates/plugins/src/pools/view.rs
+++ b/crates/plugins/src/pools/view.rs
@@ -84,6 +84,9 @@
             news
         })
     };
+    if news {
+        kernel.tables.upstreams.lock().slots_by_pool = None;
+    }
     if news {
         metrics::counter!(metric::UPSTREAMS_LEAVING, "source" => source).increment(1);
         kernel.wakes.peers.notify_one();
@@ -100,6 +103,7 @@
     let upstreams = &mut *upstreams;
     upstreams.table.retain(|id, _| config.config.instances.contains_key(id));
     upstreams.by_pool.clear();
+    upstreams.slots_by_pool = None;
     for (id, configured) in &config.config.instances {
         let seen = instances.table.by_id(id);
         let Some(fresh) = upstream_of(id, configured, seen, instances.list_read, daemons, now)
@@ -130,7 +134,9 @@
 ) -> Option<UpstreamEntry> {
     let row = seen.and_then(|entry| entry.row.as_ref());
     let serves = row.is_none_or(|row| row.state == InstanceState::Serving);
-    let listed = !list_read || seen.is_some_and(|entry| entry.listed);
+    // An instance that was configured since the last list was read is taken to be there, so that it
+    // does not go through a slow start when the list shows it.
+    let listed = !list_read || seen.is_none_or(|entry| entry.listed);
     let connections = (configured.connections_max / daemons).max(1);
     Some(UpstreamEntry {
         instance: id.clone(),
@@ -153,7 +159,9 @@
 const WARM: std::time::Duration = std::time::Duration::from_secs(60);
 
 fn update(known: &mut UpstreamEntry, fresh: UpstreamEntry) {
-    let came_back = fresh.serving && !known.serving || fresh.boot > known.boot;
+    // The first boot that is listed is no new boot: the instance may have served for long.
+    let rebooted = known.boot != 0 && fresh.boot > known.boot;
+    let came_back = fresh.serving && !known.serving || rebooted;
     if came_back {
         // The fresh entry's time lies before; a slow start begins now.
         known.serving_since = fresh.serving_since + WARM;
--- a/crates/policy/src/grants.rs
+++ b/crates/policy/src/grants.rs
@@ -8,6 +8,7 @@
 use wasabiswitch_derive::derives;
 
 use crate::ids::{DaemonId, Epoch};
+use crate::shares::{Claim, max_min};
 
 /// The slots that one session holds.
 #[derives(record)]
@@ -123,6 +124,8 @@
     pub held_slots: u32,
     /// The slots that it keeps while nobody else is short of them.
     pub base_slots: u32,
+    /// Its part of the limit when all daemons have what they need or the same.
+    pub fair_slots: u32,
     /// Whether another daemon is short of slots.
     pub others_short: bool,
     /// Whether the demand has been low for long.
@@ -137,13 +140,22 @@
 pub fn target_slots(standing: &Standing) -> u32 {
     let demand_slots = standing.demand_slots;
     if standing.others_short {
-        return demand_slots;
+        return demand_slots.min(standing.fair_slots);
     }
     let headroom = demand_slots.div_ceil(HEADROOM_DIVISOR);
     let comfortable = (demand_slots + headroom).max(standing.base_slots);
     if standing.idle_long { comfortable } else { comfortable.max(standing.held_slots) }
 }
 
+/// Returns each daemon's part of a limit, from what the daemons could use.
+pub fn fair_slots(limit_slots: u32, demands_slots: &[u32]) -> Vec<u32> {
+    let claims: Vec<Claim> = demands_slots
+        .iter()
+        .map(|&demand_slots| Claim { weight: 1, demand_slots, limit_slots })
+        .collect();
+    max_min(&claims, limit_slots)
+}
+
 /// Returns the base of one of `daemons`: half of the limit is spread over all, half is left for those
 /// that need more.
 pub fn base_slots(limit_slots: u32, daemons: usize) -> u32 {
