--- a/crates/plugins/src/jobs/scheduler.rs
+++ b/crates/plugins/src/jobs/scheduler.rs
@@ -13,7 +13,7 @@
 
 use super::rows::{JOB_PREFIX, change_job, hold_job_slots, options};
 use super::sync::sync_workers;
-use crate::membership::hold_role;
+use crate::membership::{hold_role, keeps_role};
 use crate::pools::current_row;
 
 /// The role of the daemon that schedules jobs.
@@ -27,13 +27,19 @@
 
 pub(super) async fn tick(kernel: &Arc<Kernel>) {
     if !hold_role(kernel, JOBS_ROLE).await {
-        kernel.tables.jobs.lock().forget();
+        if keeps_role(kernel, JOBS_ROLE) {
+            // The store is down for everyone; the workers' leases are renewed all the same.
+            sync_workers(kernel).await;
+        } else {
+            kernel.tables.jobs.lock().forget();
+        }
         return;
     }
-    if load_jobs(kernel).await.is_err() {
+    let loaded = load_jobs(kernel).await;
+    sync_workers(kernel).await;
+    if loaded.is_err() {
         return;
     }
-    sync_workers(kernel).await;
     end_withdrawn(kernel).await;
     place_jobs(kernel).await;
 }
--- a/crates/plugins/src/jobs/sync.rs
+++ b/crates/plugins/src/jobs/sync.rs
@@ -21,6 +21,7 @@
 
 use super::rows::hold_job_slots;
 use super::scheduler::{change, running_jobs};
+use crate::membership::holds_lease;
 
 /// How long a worker runs a task without hearing from a scheduler.
 const TASK_LEASE: Duration = Duration::from_secs(15);
@@ -246,6 +247,9 @@
 
 /// Gives back the slots of jobs that have ended.
 async fn give_back_slots(kernel: &Kernel) {
+    if !holds_lease(kernel) {
+        return;
+    }
     let config = kernel.config();
     let with_jobs: BTreeSet<_> = {
         let jobs = kernel.tables.jobs.lock();
--- a/crates/plugins/src/membership.rs
+++ b/crates/plugins/src/membership.rs
@@ -282,6 +282,16 @@
     taken
 }
 
+/// Reports whether this daemon may go on with a role that it holds although its lease has lapsed.
+///
+/// That is so while nobody can have fenced it; nothing new may be decided meanwhile.
+pub fn keeps_role(kernel: &Kernel, role: &'static str) -> bool {
+    let now = kernel.clock.now();
+    let members = kernel.tables.members.lock();
+    let holds = members.own.roles.contains(role);
+    holds && session_allows_work(&members, now, kernel.settings.cut_off)
+}
+
 /// Bounds how often a role is asked for that another daemon holds, however many plug-ins need it.
 fn may_ask_for_role(kernel: &Kernel, role: &'static str) -> bool {
     let now = kernel.clock.now();
--- a/crates/plugins/tests/fleet.rs
+++ b/crates/plugins/tests/fleet.rs
@@ -304,6 +304,30 @@
     }
 }
 
+#[tokio::test(start_paused = true)]
+async fn running_jobs_survive_an_outage_of_the_store() {
+    seed();
+    let world = World::new(shape());
+    let daemons = world.start_many(3).await;
+    let mut jobs = Vec::new();
+    for _ in 0..4 {
+        let extra = json!({ "run_time_ms": 60_000, "at_most_once": true });
+        jobs.push(submit(&daemons[0], &extra).await);
+    }
+    tokio::time::sleep(seconds(3)).await;
+    // The table service and the object store are down; the workers are not.
+    for operation in [Operation::Read, Operation::Scan, Operation::Commit, Operation::GetObject] {
+        world.standin.faults().inject(operation, Fault::Hang, u32::MAX);
+    }
+    tokio::time::sleep(seconds(180)).await;
+    world.standin.faults().clear();
+    tokio::time::sleep(seconds(30)).await;
+    for job in &jobs {
+        assert_eq!(state_of(&daemons[1], job).await, "done");
+        assert_eq!(starts(&world, job), 1);
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn lost_answers_of_workers_start_nothing_twice() {
     seed();
