--- a/crates/kernel/src/lock.rs
+++ b/crates/kernel/src/lock.rs
@@ -28,8 +28,6 @@
     Requests,
     /// The jobs.
     Jobs,
-    /// The maintenance waves.
-    Waves,
     /// The record of decisions.
     Journal,
 }
--- a/crates/kernel/src/metric.rs
+++ b/crates/kernel/src/metric.rs
@@ -93,6 +93,8 @@
         "Moves of instances between pools that were begun.";
     WAVE_STEPS = "wasabiswitch_wave_steps_total", Counter,
         "Steps of maintenance waves that this daemon took.";
+    ROWS_DROPPED = "wasabiswitch_rows_dropped_total", Counter,
+        "Expired idempotency keys and old jobs that were dropped.";
     TASK_PANICS = "wasabiswitch_task_panics_total", Counter,
         "Tasks that panicked, by task.";
 }
--- a/crates/kernel/src/store.rs
+++ b/crates/kernel/src/store.rs
@@ -279,24 +279,32 @@
         let mut stored = Vec::new();
         let mut after = String::new();
         loop {
-            let range = ScanRange {
-                prefix: prefix.to_owned(),
-                after: after.clone(),
-                rows_max: SCAN_ROWS_MAX,
-            };
-            let call = || (self.platform.scan)(range.clone());
-            let rows = self.repeat("scan", options, call).await.map_err(reading)?;
-            let whole = rows.len() < SCAN_ROWS_MAX;
-            for row in rows {
-                after.clone_from(&row.key);
-                stored.push((row.key.clone(), open_row(row)?));
+            let page = self.scan_page(options, prefix, &after, SCAN_ROWS_MAX).await?;
+            let whole = page.len() < SCAN_ROWS_MAX;
+            if let Some((last, _)) = page.last() {
+                after.clone_from(last);
             }
+            stored.extend(page);
             if whole {
                 return Ok(stored);
             }
         }
     }
 
+    /// Reads at most `rows_max` rows whose keys start with `prefix` and come after `after`.
+    pub async fn scan_page<T: WireType>(
+        &self,
+        options: CallOptions,
+        prefix: &str,
+        after: &str,
+        rows_max: usize,
+    ) -> Result<Vec<(String, Stored<T>)>, StoreError> {
+        let range = ScanRange { prefix: prefix.to_owned(), after: after.to_owned(), rows_max };
+        let call = || (self.platform.scan)(range.clone());
+        let rows = self.repeat("scan", options, call).await.map_err(reading)?;
+        rows.into_iter().map(|row| Ok((row.key.clone(), open_row(row)?))).collect()
+    }
+
     /// Reads a row, decides, and writes it on condition that it has not changed, until it works.
     ///
     /// `decide` may be called several times and must not have effects of its own.
--- a/crates/kernel/src/tables/journal.rs
+++ b/crates/kernel/src/tables/journal.rs
@@ -1,7 +1,7 @@
 //! The record of decisions, from which `wasabictl explain` answers.
 
 use std::collections::VecDeque;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use wasabiswitch_derive::derives;
 
@@ -60,16 +60,16 @@
 
 /// A bounded ring of decisions.
 #[derives(record)]
+#[derive(Default)]
 pub struct Journal {
     ring: VecDeque<Decision>,
     next_sequence: u64,
-    started_at: Instant,
 }
 
 impl Journal {
     /// Creates an empty journal.
-    pub fn new(now: Instant) -> Journal {
-        Journal { ring: VecDeque::new(), next_sequence: 0, started_at: now }
+    pub fn new() -> Journal {
+        Journal::default()
     }
 
     /// Records a decision.
@@ -101,14 +101,4 @@
     pub fn about(&self, subject: Subject, id: &str) -> Vec<&Decision> {
         self.ring.iter().filter(|d| d.subject == subject && d.id == id).collect()
     }
-
-    /// Returns the decisions from a sequence number on, oldest first.
-    pub fn since(&self, sequence: u64) -> impl Iterator<Item = &Decision> {
-        self.ring.iter().filter(move |decision| decision.sequence >= sequence)
-    }
-
-    /// Returns how long after the journal's start a decision was made.
-    pub fn age(&self, decision: &Decision) -> Duration {
-        decision.at.saturating_duration_since(self.started_at)
-    }
 }
--- a/crates/kernel/src/tables/mod.rs
+++ b/crates/kernel/src/tables/mod.rs
@@ -14,7 +14,7 @@
     ActiveConfig, ConfigTable, Connection, Gate, InstanceEntry, InstanceHandle, InstancesTable,
     JobEntry, JobHandle, JobsTable, KeyEntry, KeyHandle, MemberHandle, RequestHandle,
     RequestsTable, ServiceStats, TeamEntry, TeamHandle, TeamsTable, UpstreamEntry, UpstreamHandle,
-    UpstreamsTable, WaitingRequest, WaveEntry, WaveHandle, WavesTable,
+    UpstreamsTable, WaitingRequest,
 };
 pub use table::Table;
 
@@ -44,8 +44,6 @@
     pub requests: Ranked<RequestsTable>,
     /// The jobs, as far as this daemon schedules them.
     pub jobs: Ranked<JobsTable>,
-    /// The maintenance waves, as far as this daemon runs them.
-    pub waves: Ranked<WavesTable>,
     /// The record of decisions.
     pub journal: Ranked<Journal>,
 }
@@ -67,8 +65,7 @@
             upstreams: Ranked::new(Rank::Upstreams, UpstreamsTable::default()),
             requests: Ranked::new(Rank::Requests, RequestsTable::default()),
             jobs: Ranked::new(Rank::Jobs, JobsTable::default()),
-            waves: Ranked::new(Rank::Waves, WavesTable::default()),
-            journal: Ranked::new(Rank::Journal, Journal::new(now)),
+            journal: Ranked::new(Rank::Journal, Journal::new()),
         }
     }
 }
--- a/crates/kernel/src/tables/rows.rs
+++ b/crates/kernel/src/tables/rows.rs
@@ -24,7 +24,6 @@
 use wasabiswitch_policy::queue::FairQueue;
 use wasabiswitch_policy::retry::RetryBudget;
 use wasabiswitch_policy::routing::{Health, Leaving};
-use wasabiswitch_policy::waves::WaveRow;
 use wasabiswitch_wire::message::ConfigDelta;
 
 use super::table::Table;
@@ -46,8 +45,6 @@
     pub struct RequestHandle;
     /// Finds a job.
     pub struct JobHandle;
-    /// Finds a wave.
-    pub struct WaveHandle;
 }
 
 /// A configuration in force.
@@ -355,17 +352,3 @@
         queued.count() as u32
     }
 }
-
-/// A wave at its controller.
-#[derives(record)]
-pub struct WaveEntry {
-    /// Its row as last read or written.
-    pub row: WaveRow,
-}
-
-/// The waves at their controller.
-#[derive(Debug, Default)]
-pub struct WavesTable {
-    /// The waves, by id.
-    pub table: Table<WaveHandle, WaveEntry>,
-}
--- a/crates/plugins/src/jobs/rows.rs
+++ b/crates/plugins/src/jobs/rows.rs
@@ -84,9 +84,12 @@
         .store
         .transact(options(kernel, lane), &keys, |rows| {
             let Some(stored) = rows.get::<JobRow>(0)? else { return Ok(Change::Keep(None)) };
-            let Some(after) = apply(&stored.value, event) else { return Ok(Change::Keep(None)) };
+            let Some(mut after) = apply(&stored.value, event) else {
+                return Ok(Change::Keep(None));
+            };
             let base = Base::from(Some(&stored));
             let writes = if matches!(after.state, JobState::Ended(_)) {
+                after.ended_unix_s = kernel.clock.unix_s();
                 let ended = rows.get::<JobRow>(1)?;
                 vec![
                     RowWrite::new(keys[1], Base::from(ended.as_ref()), &after),
--- a/crates/plugins/src/lib.rs
+++ b/crates/plugins/src/lib.rs
@@ -24,6 +24,7 @@
 | [`jobs`] | takes, places and follows jobs |
 | [`maintenance`] | runs maintenance waves |
 | [`moves`] | moves instances to the pools that need them |
+| [`cleanup`] | drops expired idempotency keys and old jobs |
 | [`report`] | reports service-level burn |
 | [`explain`] | answers why something was decided |
 | [`operator`] | health, readiness, metrics and lists for operators |
@@ -32,6 +33,7 @@
 ask for it, and carry it out.
 */
 
+pub mod cleanup;
 pub mod config;
 pub mod explain;
 pub mod jobs;
--- a/crates/plugins/src/limits/admission.rs
+++ b/crates/plugins/src/limits/admission.rs
@@ -106,8 +106,7 @@
         pool: admission.pool.clone(),
         admitted: sender,
     });
-    let deadline = admission.deadline;
-    let offer = gate.queue.offer(&admission.team, weight, admission.urgency, deadline, handle);
+    let offer = gate.queue.offer(&admission.team, weight, admission.urgency, handle);
     match offer {
         Offer::Queued => {}
         Offer::QueuedInPlaceOf(shed) => drop_waiting(&mut teams, &mut requests, shed),
--- a/crates/plugins/tests/daemons.rs
+++ b/crates/plugins/tests/daemons.rs
@@ -4,13 +4,16 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
-use http::Method;
+use http::{Method, Request};
+use http_body::Frame;
+use http_body_util::{BodyExt as _, StreamBody};
 use serde_json::json;
 use wasabiswitch_kernel::Kernel;
+use wasabiswitch_kernel::http::BodyError;
 use wasabiswitch_kernel::http::problem::Problem;
 use wasabiswitch_plugins::config::{Proposal, apply_changes};
 use wasabiswitch_standin::upstream::Behaviour;
-use wasabiswitch_standin::world::{Answer, Daemon, Shape, World, teams};
+use wasabiswitch_standin::world::{Answer, Daemon, Shape, World, request, teams};
 use wasabiswitch_standin::{Fault, Operation};
 
 fn seconds(count: u64) -> Duration {
@@ -192,7 +195,8 @@
     daemons[0].send("t1", Method::POST, "warm", None).await;
     world.standin.faults().outage(Fault::Hang);
     world.isolate(&daemons[0], &daemons, true);
-    tokio::time::sleep(seconds(6)).await;
+    // The session is in force for at least four more seconds; the cut-off time is three.
+    tokio::time::sleep(Duration::from_millis(3_800)).await;
     let answer = daemons[0].send("t1", Method::GET, "x", None).await;
     assert_eq!((answer.verdict.as_str(), answer.code.as_str()), ("not-run", "cut-off"));
     let answer = daemons[1].send("t1", Method::GET, "warm", None).await;
@@ -378,3 +382,138 @@
         }
     }
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_store_that_answers_from_the_past_takes_no_generation_back() {
+    seed();
+    let world = World::new(Shape::default());
+    let daemons = world.start_many(3).await;
+    world.standin.keep_for_stale_answers();
+    apply_changes(&daemons[0].kernel, without_key(&daemons[0].kernel, "t1"))
+        .await
+        .expect("a majority confirms");
+    tokio::time::sleep(seconds(3)).await;
+    let generation = daemons[0].kernel.config().generation;
+    for operation in [Operation::Read, Operation::Scan] {
+        world.standin.faults().inject(operation, Fault::Stale, u32::MAX);
+    }
+    tokio::time::sleep(seconds(4)).await;
+    for daemon in &daemons {
+        assert_eq!(daemon.kernel.config().generation, generation);
+        assert_eq!(daemon.send("t1", Method::GET, "x", None).await.status, 401);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_data_centre_that_is_cut_off_refuses_and_the_others_go_on() {
+    seed();
+    let teams = teams(&[("t1", 1, 36), ("t2", 1, 36)]);
+    let world = World::new(Shape { instances: 6, teams, ..Shape::default() });
+    let daemons = world.start_many(9).await;
+    // Three of nine daemons lose the store and all daemons of the other data centres.
+    let (lost, others) = daemons.split_at(3);
+    let hung: Vec<_> = lost.iter().map(|daemon| world.hang_store(daemon)).collect();
+    for daemon in lost {
+        world.isolate(daemon, others, true);
+    }
+    tokio::time::sleep(seconds(20)).await;
+    for daemon in lost {
+        let answer = daemon.send("t1", Method::GET, "x", None).await;
+        assert_eq!((answer.verdict.as_str(), answer.code.as_str()), ("not-run", "cut-off"));
+    }
+    for daemon in others {
+        assert_eq!(daemon.send("t1", Method::GET, "x", None).await.verdict, "ran");
+    }
+    apply_changes(&others[0].kernel, without_key(&others[0].kernel, "t2"))
+        .await
+        .expect("six of nine are a majority");
+    for (daemon, hung) in lost.iter().zip(hung) {
+        hung.wake();
+        world.isolate(daemon, others, false);
+    }
+    tokio::time::sleep(seconds(15)).await;
+    for daemon in &daemons {
+        assert_eq!(daemon.send("t1", Method::GET, "x", None).await.verdict, "ran");
+        assert_eq!(daemon.send("t2", Method::GET, "x", None).await.status, 401);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_one_way_cut_fences_nobody_who_still_renews() {
+    seed();
+    let world = World::new(Shape::default());
+    let daemons = world.start_many(3).await;
+    for other in &daemons[1..] {
+        world.network.set_cut("d1", other.address, true);
+    }
+    tokio::time::sleep(seconds(60)).await;
+    for daemon in &daemons {
+        assert_eq!(daemon.kernel.session().1, 1);
+        assert_eq!(daemon.send("t1", Method::GET, "x", None).await.verdict, "ran");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_request_goes_on_and_is_recorded_when_its_caller_goes_away() {
+    seed();
+    let world = World::new(Shape::default());
+    let daemons = world.start_many(1).await;
+    slow_upstreams(&world, seconds(2));
+    let caller = daemons[0].clone();
+    let call =
+        tokio::spawn(async move { caller.send("t1", Method::POST, "order", Some("order")).await });
+    tokio::time::sleep(seconds(1)).await;
+    call.abort();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let running = || {
+        let teams = daemons[0].kernel.tables.teams.lock();
+        teams.table.by_id("t1").map_or(0, |team| team.running)
+    };
+    assert_eq!(running(), 1, "its slot stays counted while it runs");
+    tokio::time::sleep(seconds(3)).await;
+    assert_eq!(running(), 0);
+    let repeat = daemons[0].send("t1", Method::POST, "order", Some("order")).await;
+    assert!(repeat.repeated, "{repeat:?}");
+    assert_eq!(world.runs_of("order"), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_body_larger_than_memory_is_taken_only_as_fast_as_the_upstream_reads() {
+    seed();
+    let world = World::new(Shape::default());
+    let daemons = world.start_many(1).await;
+    for upstream in &world.upstreams {
+        upstream.always(Some(Behaviour::HangAfterHead));
+    }
+    let taken = Arc::new(AtomicU32::new(0));
+    let (seen, part) = (taken.clone(), bytes::Bytes::from(vec![b'x'; 16 << 10]));
+    let parts = futures_util::stream::repeat_with(move || {
+        seen.fetch_add(1, Ordering::AcqRel);
+        Ok::<_, BodyError>(Frame::data(part.clone()))
+    });
+    let (head, _) = request("t1", Method::POST, "large", None, bytes::Bytes::new()).into_parts();
+    let body = StreamBody::new(parts).boxed_unsync();
+    let answer = daemons[0].call(Request::from_parts(head, body)).await;
+    assert_eq!((answer.verdict.as_str(), answer.code.as_str()), ("may-have-run", "deadline"));
+    let taken_bytes = taken.load(Ordering::Acquire) * (16 << 10);
+    assert!(
+        taken_bytes < 4 << 20,
+        "{taken_bytes} bytes were taken for an upstream that reads none"
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_expired_key_is_dropped_and_not_sooner() {
+    seed();
+    let world = World::new(Shape::default());
+    let daemons = world.start_many(2).await;
+    daemons[0].send("t1", Method::POST, "order", Some("order")).await;
+    let kept = || world.standin.with_table(|table| table.scan("once/", "", 10).len());
+    // Answers are kept for a day, and an hour longer for clocks that differ.
+    tokio::time::sleep(seconds(24 * 3_600)).await;
+    let repeat = daemons[1].send("t1", Method::POST, "order", Some("order")).await;
+    assert!(repeat.repeated, "{repeat:?}");
+    assert_eq!(kept(), 1);
+    tokio::time::sleep(seconds(2 * 3_600)).await;
+    assert_eq!(kept(), 0);
+}
--- a/crates/policy/src/jobs.rs
+++ b/crates/policy/src/jobs.rs
@@ -117,6 +117,10 @@
     pub cancel: bool,
     /// Why it is where it is, for people.
     pub detail: String,
+    /// When it ended, in seconds of the Unix clock; zero before.
+    ///
+    /// The time only decides, a day later, when the row is dropped.
+    pub ended_unix_s: u64,
 }
 
 /// What happens to a job.
@@ -152,6 +156,7 @@
         failed_on: BTreeSet::new(),
         cancel: false,
         detail: String::new(),
+        ended_unix_s: 0,
     }
 }
 
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -5,7 +5,6 @@
 //! because it has waited least and its team has most to gain from slowing down.
 
 use std::collections::{BTreeMap, VecDeque};
-use std::time::Instant;
 
 use wasabiswitch_derive::derives;
 
@@ -20,18 +19,11 @@
     Deferrable,
 }
 
-/// One waiter; `handle` is the caller's own name for it.
-#[derives(value)]
-struct Waiter<K> {
-    handle: K,
-    deadline: Instant,
-}
-
 #[derives(record)]
 struct TeamLine<K> {
     weight: u32,
-    urgent: VecDeque<Waiter<K>>,
-    deferrable: VecDeque<Waiter<K>>,
+    urgent: VecDeque<K>,
+    deferrable: VecDeque<K>,
 }
 
 impl<K> TeamLine<K> {
@@ -46,7 +38,7 @@
         }
     }
 
-    fn line(&mut self, urgency: Urgency) -> &mut VecDeque<Waiter<K>> {
+    fn line(&mut self, urgency: Urgency) -> &mut VecDeque<K> {
         match urgency {
             Urgency::Urgent => &mut self.urgent,
             Urgency::Deferrable => &mut self.deferrable,
@@ -97,14 +89,7 @@
     }
 
     /// Adds a waiter, or sheds one if the queue is full.
-    pub fn offer(
-        &mut self,
-        team: &TeamId,
-        weight: u32,
-        urgency: Urgency,
-        deadline: Instant,
-        handle: K,
-    ) -> Offer<K> {
+    pub fn offer(&mut self, team: &TeamId, weight: u32, urgency: Urgency, handle: K) -> Offer<K> {
         let mut shed = None;
         if self.waiting >= self.waiting_max {
             let over = self.most_over_share(team, weight);
@@ -116,11 +101,11 @@
                 return Offer::Refused;
             }
         }
-        self.push(team, weight, urgency, Waiter { handle, deadline });
+        self.push(team, weight, urgency, handle);
         shed.map_or(Offer::Queued, Offer::QueuedInPlaceOf)
     }
 
-    fn push(&mut self, team: &TeamId, weight: u32, urgency: Urgency, waiter: Waiter<K>) {
+    fn push(&mut self, team: &TeamId, weight: u32, urgency: Urgency, handle: K) {
         let line = self.teams.entry(team.clone()).or_insert_with(|| TeamLine {
             weight,
             urgent: VecDeque::new(),
@@ -130,7 +115,7 @@
         if line.len() == 0 {
             self.round.push_back(team.clone());
         }
-        line.line(urgency).push_back(waiter);
+        line.line(urgency).push_back(handle);
         self.waiting += 1;
     }
 
@@ -150,10 +135,10 @@
 
     fn shed_newest(&mut self, team: &TeamId) -> Option<K> {
         let line = self.teams.get_mut(team)?;
-        let waiter = line.deferrable.pop_back().or_else(|| line.urgent.pop_back())?;
+        let handle = line.deferrable.pop_back().or_else(|| line.urgent.pop_back())?;
         self.waiting -= 1;
         self.forget_if_empty(team);
-        Some(waiter.handle)
+        Some(handle)
     }
 
     /// Takes the next waiter, urgent before deferrable, of the team that has least running for its
@@ -186,45 +171,25 @@
         }
         let (position, _, _) = best?;
         let team = self.round.remove(position)?;
-        let waiter = self.teams.get_mut(&team)?.line(urgency).pop_front()?;
+        let handle = self.teams.get_mut(&team)?.line(urgency).pop_front()?;
         self.waiting -= 1;
         self.round.push_back(team.clone());
         self.forget_if_empty(&team);
-        Some(waiter.handle)
+        Some(handle)
     }
 
     /// Removes a waiter that no longer waits; returns whether it was there.
     pub fn remove(&mut self, team: &TeamId, handle: K) -> bool {
         let Some(line) = self.teams.get_mut(team) else { return false };
         let before = line.len();
-        line.urgent.retain(|waiter| waiter.handle != handle);
-        line.deferrable.retain(|waiter| waiter.handle != handle);
+        line.urgent.retain(|waiter| *waiter != handle);
+        line.deferrable.retain(|waiter| *waiter != handle);
         let removed = before - line.len();
         self.waiting -= removed;
         self.forget_if_empty(team);
         removed > 0
     }
 
-    /// Removes and returns all waiters whose deadline has passed.
-    pub fn expire(&mut self, now: Instant) -> Vec<K> {
-        let mut expired = Vec::new();
-        for line in self.teams.values_mut() {
-            for waiters in [&mut line.urgent, &mut line.deferrable] {
-                waiters.retain(|waiter| {
-                    let late = waiter.deadline <= now;
-                    if late {
-                        expired.push(waiter.handle);
-                    }
-                    !late
-                });
-            }
-        }
-        self.waiting -= expired.len();
-        self.teams.retain(|_, line| line.len() > 0);
-        self.round.retain(|team| self.teams.contains_key(team));
-        expired
-    }
-
     fn forget_if_empty(&mut self, team: &TeamId) {
         if self.teams.get(team).is_some_and(|line| line.len() == 0) {
             self.teams.remove(team);
--- a/crates/policy/tests/queue.rs
+++ b/crates/policy/tests/queue.rs
@@ -1,23 +1,18 @@
 //! The fair queue: shares, urgency, shedding, and that nothing is lost.
 
 use std::collections::BTreeMap;
-use std::time::{Duration, Instant};
 
 use proptest::prelude::*;
 use wasabiswitch_policy::ids::TeamId;
 use wasabiswitch_policy::queue::{FairQueue, Offer, Urgency};
 
-fn late() -> Instant {
-    Instant::now() + Duration::from_secs(3_600)
-}
-
 #[test]
 fn a_full_pool_is_shared_by_weight_and_stays_so() {
     let mut queue = FairQueue::new(10_000);
     let teams: [(TeamId, u32); 3] = [("a".into(), 1), ("b".into(), 2), ("c".into(), 5)];
     for index in 0..1_000_u32 {
         for (team, weight) in &teams {
-            queue.offer(team, *weight, Urgency::Urgent, late(), (index, *weight));
+            queue.offer(team, *weight, Urgency::Urgent, (index, *weight));
         }
     }
     let mut running: BTreeMap<TeamId, u32> = BTreeMap::new();
@@ -44,8 +39,8 @@
     let mut queue = FairQueue::new(100);
     let (limited, open): (TeamId, TeamId) = ("limited".into(), "open".into());
     for handle in 0..10 {
-        queue.offer(&limited, 1, Urgency::Urgent, late(), handle);
-        queue.offer(&open, 1, Urgency::Urgent, late(), handle + 100);
+        queue.offer(&limited, 1, Urgency::Urgent, handle);
+        queue.offer(&open, 1, Urgency::Urgent, handle + 100);
     }
     // The limited team has one slot, which is taken while the other team runs five.
     let held_back = |team: &TeamId| (**team == *open).then_some(5);
@@ -60,11 +55,11 @@
     let mut queue = FairQueue::new(10);
     let (calm, flood): (TeamId, TeamId) = ("calm".into(), "flood".into());
     for index in 0..10 {
-        assert_eq!(queue.offer(&flood, 1, Urgency::Urgent, late(), index), Offer::Queued);
+        assert_eq!(queue.offer(&flood, 1, Urgency::Urgent, index), Offer::Queued);
     }
-    assert_eq!(queue.offer(&flood, 1, Urgency::Urgent, late(), 10), Offer::Refused);
+    assert_eq!(queue.offer(&flood, 1, Urgency::Urgent, 10), Offer::Refused);
     // The newest of the flood makes room.
-    let offer = queue.offer(&calm, 1, Urgency::Urgent, late(), 100);
+    let offer = queue.offer(&calm, 1, Urgency::Urgent, 100);
     assert_eq!(offer, Offer::QueuedInPlaceOf(9));
     assert_eq!((queue.team_len("calm"), queue.team_len("flood")), (1, 9));
 }
@@ -79,7 +74,7 @@
         (3, Urgency::Deferrable),
         (4, Urgency::Urgent),
     ] {
-        queue.offer(&team, 1, urgency, late(), handle);
+        queue.offer(&team, 1, urgency, handle);
     }
     let order: Vec<i32> = std::iter::from_fn(|| queue.take(|_| Some(0))).collect();
     assert_eq!(order, [2, 4, 1, 3]);
@@ -88,8 +83,8 @@
 #[test]
 fn a_team_that_may_not_run_does_not_hold_up_others() {
     let mut queue = FairQueue::new(10);
-    queue.offer(&"blocked".into(), 9, Urgency::Urgent, late(), 1);
-    queue.offer(&"open".into(), 1, Urgency::Urgent, late(), 2);
+    queue.offer(&"blocked".into(), 9, Urgency::Urgent, 1);
+    queue.offer(&"open".into(), 1, Urgency::Urgent, 2);
     assert_eq!(queue.take(|team| (&**team == "open").then_some(0)), Some(2));
     assert_eq!(queue.take(|team| (&**team == "open").then_some(0)), None);
     assert_eq!(queue.len(), 1);
@@ -104,13 +99,12 @@
         steps in prop::collection::vec((0_u8..4, 0_u8..4, 1_u32..4, any::<bool>()), 0..200),
     ) {
         let mut queue = FairQueue::new(12);
-        let now = Instant::now();
         let mut waiting: BTreeMap<usize, TeamId> = BTreeMap::new();
         for (handle, (action, team, weight, urgent)) in steps.into_iter().enumerate() {
             let team: TeamId = format!("t{team}").into();
             let urgency = if urgent { Urgency::Urgent } else { Urgency::Deferrable };
             match action {
-                0 | 1 => match queue.offer(&team, weight, urgency, now + Duration::from_secs(u64::from(weight)), handle) {
+                0 | 1 => match queue.offer(&team, weight, urgency, handle) {
                     Offer::Queued => drop(waiting.insert(handle, team)),
                     Offer::QueuedInPlaceOf(shed) => {
                         prop_assert!(waiting.remove(&shed).is_some());
@@ -129,8 +123,8 @@
             prop_assert_eq!(queue.len(), waiting.len());
             prop_assert!(queue.len() <= 12);
         }
-        let expired = queue.expire(now + Duration::from_secs(10));
-        prop_assert_eq!(expired.len(), waiting.len());
+        let left: Vec<usize> = std::iter::from_fn(|| queue.take(|_| Some(0))).collect();
+        prop_assert_eq!(left.len(), waiting.len());
         prop_assert!(queue.is_empty());
     }
 }
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -75,6 +75,7 @@
 /// A platform, upstreams and a network.
 pub struct World {
     gates: Gates,
+    clock: Clock,
     /// The platform.
     pub standin: StandIn,
     /// The network between daemons and upstreams.
@@ -122,11 +123,24 @@
     SocketAddr::from(([10, 0, (index / 250) as u8, (index % 250) as u8 + 1], 80))
 }
 
+/// The wall clock of a world at its beginning, in seconds of the Unix clock.
+const WALL_BEGIN: Duration = Duration::from_secs(1_800_000_000);
+
+/// Returns a clock whose wall time goes with tokio's time, so that paused time drives both.
+fn simulated_clock() -> Clock {
+    let begin = tokio::time::Instant::now();
+    Clock::new(
+        || tokio::time::Instant::now().into_std(),
+        move || std::time::UNIX_EPOCH + WALL_BEGIN + begin.elapsed(),
+    )
+}
+
 impl World {
     /// Creates a world without daemons.
     pub fn new(shape: Shape) -> World {
         let network = MemoryNetwork::default();
-        let standin = StandIn::new(Clock::tokio());
+        let clock = simulated_clock();
+        let standin = StandIn::new(clock.clone());
         let upstreams = (0..shape.instances)
             .map(|index| {
                 let name = format!("i{index}");
@@ -134,7 +148,7 @@
                 Upstream::in_memory(&name, upstream_address(index), &network)
             })
             .collect();
-        World { gates: Gates::default(), standin, network, upstreams, shape }
+        World { gates: Gates::default(), clock, standin, network, upstreams, shape }
     }
 
     /// Returns the configuration folder of the world, as one file.
@@ -210,7 +224,7 @@
             self.settings(name, address),
             self.gated_platform(name),
             self.network.network_of(name),
-            Clock::tokio(),
+            self.clock.clone(),
             registered(),
         );
         Daemon { kernel: kernel.expect("the plug-ins fit together"), address }
--- a/crates/wire/src/policy_types.rs
+++ b/crates/wire/src/policy_types.rs
@@ -53,7 +53,7 @@
 wire_struct!(Claim { daemon, epoch, instance });
 wire_enum!(Outcome { 0 => Done, 1 => Failed, 2 => Cancelled, 3 => Impossible, 4 => InDoubt });
 wire_enum!(JobState { 0 => Queued, 1 => Claimed(claim), 2 => Started(claim), 3 => Ended(outcome) });
-wire_struct!(JobRow { spec, state, attempt, failed_on, cancel, detail });
+wire_struct!(JobRow { spec, state, attempt, failed_on, cancel, detail, ended_unix_s });
 
 wire_enum!(WaveState { 0 => Running, 1 => Halted(why), 2 => Stopped, 3 => Finished });
 wire_struct!(WaveRow { pool, waiting, active, done, failed, batch, clean, state });
