Let the stop and the expiry tests bite, and run in seconds

Change: the stop test sends over connections to the entry listener, which the stop joins; the wall clock of a world can be set forward alone.

--- a/crates/kernel/src/http/entry.rs
+++ b/crates/kernel/src/http/entry.rs
@@ -15,14 +15,14 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 use wasabiswitch_policy::ids::RequestId;
 
 use super::Body;
 use super::problem::{NOT_FOUND, Problem, REQUEST_ID_HEADER};
 use crate::kernel::Kernel;
-use crate::tasks::TaskTree;
+use crate::network::Stream;
 
 /// The longest time in which the head of a request must arrive.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
@@ -65,9 +65,9 @@
     }
 }
 
-/// Accepts connections until `tasks` is stopped.
-pub async fn serve(kernel: Arc<Kernel>, listener: TcpListener, tasks: TaskTree) {
-    let stop = tasks.stop_token();
+/// Accepts connections until the tasks of requests are stopped.
+pub async fn serve(kernel: Arc<Kernel>, listener: TcpListener) {
+    let stop = kernel.request_tasks.stop_token();
     loop {
         let accepted = tokio::select! {
             () = stop.cancelled() => return,
@@ -75,16 +75,22 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                let connection = serve_connection(kernel.clone(), stream, stop.clone());
-                tasks.spawn("entry connection", connection);
+                let _ = stream.set_nodelay(true);
+                accept(&kernel, Stream::Tcp(stream));
             }
             Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
         }
     }
 }
 
-async fn serve_connection(kernel: Arc<Kernel>, stream: TcpStream, stop: CancellationToken) {
-    let _ = stream.set_nodelay(true);
+/// Serves a connection in a task that a stop of the daemon joins.
+pub fn accept(kernel: &Arc<Kernel>, stream: Stream) {
+    let stop = kernel.request_tasks.stop_token();
+    let connection = serve_connection(kernel.clone(), stream, stop);
+    kernel.request_tasks.spawn("entry connection", connection);
+}
+
+async fn serve_connection(kernel: Arc<Kernel>, stream: Stream, stop: CancellationToken) {
     let service_kernel = kernel.clone();
     let service = service_fn(move |request| {
         let kernel = service_kernel.clone();
--- a/crates/kernel/src/kernel.rs
+++ b/crates/kernel/src/kernel.rs
@@ -232,9 +232,7 @@
                 log::error!("the control listener failed: {error}");
             }
         });
-        let entry_tasks = self.request_tasks.clone();
-        self.request_tasks
-            .spawn("entry listener", entry::serve(self.clone(), entry_listener, entry_tasks));
+        self.request_tasks.spawn("entry listener", entry::serve(self.clone(), entry_listener));
         self.ready.store(true, Ordering::Release);
         log::info!("ready, serving callers on {}", listening.entry);
         Ok(listening)
--- a/crates/plugins/tests/daemons.rs
+++ b/crates/plugins/tests/daemons.rs
@@ -11,6 +11,7 @@
 use wasabiswitch_kernel::Kernel;
 use wasabiswitch_kernel::http::BodyError;
 use wasabiswitch_kernel::http::problem::Problem;
+use wasabiswitch_plugins::cleanup::drop_old_rows;
 use wasabiswitch_plugins::config::{Proposal, apply_changes};
 use wasabiswitch_standin::upstream::Behaviour;
 use wasabiswitch_standin::world::{Answer, Daemon, Shape, World, request, teams};
@@ -322,12 +323,19 @@
     let world = World::new(Shape { instances: 4, ..Shape::default() });
     let daemons = world.start_many(2).await;
     slow_upstreams(&world, seconds(2));
-    let stopping = daemons[0].clone();
-    let running = tokio::spawn(async move { flood(&[stopping], "t1", 4).await });
+    let world = Arc::new(world);
+    let calls: Vec<_> = (0..4)
+        .map(|_| {
+            let (daemon, world) = (daemons[0].clone(), world.clone());
+            tokio::spawn(async move { daemon.connect_and_send(&world, "t1").await })
+        })
+        .collect();
     tokio::time::sleep(seconds(1)).await;
     assert!(daemons[0].kernel.stop().await, "requests in flight are finished");
-    let answers = running.await.expect("the requests do not panic");
-    assert_eq!(count(&answers, "ran"), 4, "{answers:?}");
+    for call in calls {
+        let answer = call.await.expect("the request does not panic");
+        assert_eq!(answer.expect("it is not cut"), 200);
+    }
     // The other daemon can use all slots at once.
     slow_upstreams(&world, Duration::from_millis(100));
     let answers = flood(&daemons[1..], "t1", 4).await;
@@ -510,10 +518,12 @@
     daemons[0].send("t1", Method::POST, "order", Some("order")).await;
     let kept = || world.standin.with_table(|table| table.scan("once/", "", 10).len());
     // Answers are kept for a day, and an hour longer for clocks that differ.
-    tokio::time::sleep(seconds(24 * 3_600)).await;
+    world.advance_wall(seconds(24 * 3_600 + 3_500));
+    drop_old_rows(&daemons[0].kernel).await;
     let repeat = daemons[1].send("t1", Method::POST, "order", Some("order")).await;
     assert!(repeat.repeated, "{repeat:?}");
     assert_eq!(kept(), 1);
-    tokio::time::sleep(seconds(2 * 3_600)).await;
+    world.advance_wall(seconds(200));
+    drop_old_rows(&daemons[0].kernel).await;
     assert_eq!(kept(), 0);
 }
--- a/crates/standin/src/network.rs
+++ b/crates/standin/src/network.rs
@@ -23,6 +23,7 @@
 use wasabiswitch_derive::derives;
 use wasabiswitch_kernel::Kernel;
 use wasabiswitch_kernel::http::control::{Asked, dispatch};
+use wasabiswitch_kernel::http::entry;
 use wasabiswitch_kernel::network::{Network, Stream};
 
 /// The bytes that a connection holds before its writer waits.
@@ -87,6 +88,12 @@
         });
     }
 
+    /// Adds the entry listener of a daemon.
+    pub fn host_entry(&self, address: SocketAddr, kernel: &Arc<Kernel>) {
+        let kernel = kernel.clone();
+        self.host(address, move |stream| entry::accept(&kernel, stream));
+    }
+
     /// Removes a host, as when its process dies.
     pub fn remove(&self, address: SocketAddr) {
         let mut links = self.links();
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -4,6 +4,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -16,6 +17,7 @@
 use wasabiswitch_kernel::Kernel;
 use wasabiswitch_kernel::clock::Clock;
 use wasabiswitch_kernel::config_document::read_texts_as_config;
+use wasabiswitch_kernel::http::client::{ClientError, HttpClient, Outgoing};
 use wasabiswitch_kernel::http::control::{Asked, ControlResult, dispatch};
 use wasabiswitch_kernel::http::entry::handle;
 use wasabiswitch_kernel::http::{Body, full_body};
@@ -76,6 +78,7 @@
 pub struct World {
     gates: Gates,
     clock: Clock,
+    wall_ahead_s: Arc<AtomicU64>,
     /// The platform.
     pub standin: StandIn,
     /// The network between daemons and upstreams.
@@ -127,19 +130,21 @@
 const WALL_BEGIN: Duration = Duration::from_secs(1_800_000_000);
 
 /// Returns a clock whose wall time goes with tokio's time, so that paused time drives both.
-fn simulated_clock() -> Clock {
+fn simulated_clock(ahead_s: Arc<AtomicU64>) -> Clock {
     let begin = tokio::time::Instant::now();
-    Clock::new(
-        || tokio::time::Instant::now().into_std(),
-        move || std::time::UNIX_EPOCH + WALL_BEGIN + begin.elapsed(),
-    )
+    let wall = move || {
+        let ahead = Duration::from_secs(ahead_s.load(Ordering::Acquire));
+        std::time::UNIX_EPOCH + WALL_BEGIN + ahead + begin.elapsed()
+    };
+    Clock::new(|| tokio::time::Instant::now().into_std(), wall)
 }
 
 impl World {
     /// Creates a world without daemons.
     pub fn new(shape: Shape) -> World {
         let network = MemoryNetwork::default();
-        let clock = simulated_clock();
+        let wall_ahead_s = Arc::<AtomicU64>::default();
+        let clock = simulated_clock(wall_ahead_s.clone());
         let standin = StandIn::new(clock.clone());
         let upstreams = (0..shape.instances)
             .map(|index| {
@@ -148,7 +153,7 @@
                 Upstream::in_memory(&name, upstream_address(index), &network)
             })
             .collect();
-        World { gates: Gates::default(), clock, standin, network, upstreams, shape }
+        World { gates: Gates::default(), clock, wall_ahead_s, standin, network, upstreams, shape }
     }
 
     /// Returns the configuration folder of the world, as one file.
@@ -211,6 +216,7 @@
         let address = SocketAddr::from(([10, 1, 0, index], 8081));
         let daemon = self.build(&name, address);
         self.network.host_control(address, &daemon.kernel);
+        self.network.host_entry(daemon.entry_address(), &daemon.kernel);
         daemon.kernel.start_plugins().await.expect("the daemon starts");
         if daemon.kernel.config().generation == 0 {
             self.apply_folder(&daemon).await;
@@ -254,6 +260,11 @@
         daemons
     }
 
+    /// Sets the wall clock forward, and nothing else.
+    pub fn advance_wall(&self, by: Duration) {
+        self.wall_ahead_s.fetch_add(by.as_secs(), Ordering::AcqRel);
+    }
+
     /// Returns how often all upstreams together have run the requests with a label.
     pub fn runs_of(&self, label: &str) -> u32 {
         self.upstreams.iter().map(|upstream| upstream.runs_of(label)).sum()
@@ -346,6 +357,24 @@
         world.network.remove(self.address);
     }
 
+    /// Returns where its entry listener is in the world's network.
+    pub fn entry_address(&self) -> SocketAddr {
+        SocketAddr::new(self.address.ip(), 8080)
+    }
+
+    /// Sends a request over a connection of its own to the entry listener.
+    pub async fn connect_and_send(&self, world: &World, team: &str) -> Result<u16, ClientError> {
+        let client = HttpClient::new(world.network.network_of("caller"));
+        let outgoing = Outgoing {
+            method: Method::GET,
+            path: "/s/s0/path",
+            authorization: Some(&team_key(team)),
+            body: Bytes::new(),
+        };
+        let answer = client.send(self.entry_address(), outgoing).await?;
+        Ok(answer.status.as_u16())
+    }
+
     /// Sends a request to the entry listener's routes.
     pub async fn call(&self, request: Request<Body>) -> Answer {
         read_answer(handle(self.kernel.clone(), request).await).await
