Split the store and join the two writers of instance rows

Change: rows and errors of the store are modules of their own; one function writes the row, the feed and the pool's books. It now refuses when this daemon has not yet seen the instance move, where before it would have booked the drain in the books of the pool that the instance had left.

--- a/crates/kernel/src/store.rs
+++ b/crates/kernel/src/store/mod.rs
@@ -6,6 +6,9 @@
 //! list of write ids tells whether the first one took effect. An outcome that cannot be found out is
 //! reported as unknown. See docs/DESIGN.md, "The store".
 
+mod error;
+mod rows;
+
 use std::future::Future;
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -17,17 +20,18 @@
 use wasabiswitch_policy::breaker::{Breaker, BreakerConfig, Permit};
 use wasabiswitch_policy::retry::backoff;
 use wasabiswitch_wire::codec::WireType;
-use wasabiswitch_wire::{decode, encode, wire_struct};
+use wasabiswitch_wire::decode;
 
 use crate::clock::Clock;
 use crate::metric;
 use crate::platform::{
-    CommitOutcome, ListedInstance, Platform, PlatformError, PlatformResult, Row, RowValue,
-    ScanRange, Version, Write,
+    CommitOutcome, ListedInstance, Platform, PlatformError, PlatformResult, Row, ScanRange, Write,
 };
 
-/// The write ids that a row keeps.
-const RECENT_WRITES: usize = 8;
+pub use error::{StoreError, StoreErrorKind};
+pub use rows::{Base, ReadRows, RowWrite, Stored};
+use rows::{Envelope, RECENT_WRITES, open_row};
+
 /// How often a read-modify-write is tried before it gives up on races.
 const RACES_MAX: u32 = 16;
 /// How often a call is sent before its outcome counts as unknown or refused.
@@ -61,135 +65,6 @@
     pub deadline: Instant,
 }
 
-/// Why a call failed.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("the table service: {kind}")]
-pub struct StoreError {
-    kind: StoreErrorKind,
-}
-
-/// The kinds of [`StoreError`].
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-#[non_exhaustive]
-pub enum StoreErrorKind {
-    /// The call took no effect.
-    #[error("not reached: {0}")]
-    Unavailable(String),
-    /// The call may have taken effect.
-    #[error("outcome unknown: {0}")]
-    Unknown(String),
-    /// Others changed the row again and again.
-    #[error("too many races")]
-    Races,
-    /// A row could not be decoded.
-    #[error("row {key:?}: {detail}")]
-    Damaged {
-        /// The key of the row.
-        key: String,
-        /// What is wrong with it.
-        detail: String,
-    },
-}
-
-impl StoreError {
-    fn new(kind: StoreErrorKind) -> StoreError {
-        StoreError { kind }
-    }
-
-    /// Returns what went wrong.
-    pub fn kind(&self) -> &StoreErrorKind {
-        &self.kind
-    }
-
-    /// Returns whether the call may have taken effect.
-    pub fn verdict(&self) -> Verdict {
-        match self.kind {
-            StoreErrorKind::Unknown(_) => Verdict::MayHaveRun,
-            _ => Verdict::NotRun,
-        }
-    }
-}
-
-impl From<PlatformError> for StoreError {
-    fn from(error: PlatformError) -> StoreError {
-        StoreError::new(match error.verdict {
-            Verdict::NotRun => StoreErrorKind::Unavailable(error.detail),
-            Verdict::MayHaveRun | Verdict::Ran => StoreErrorKind::Unknown(error.detail),
-        })
-    }
-}
-
-/// The envelope of a row: the ids of its last writes, and the encoded value.
-struct Envelope {
-    recent_writes: Vec<u64>,
-    value: Vec<u8>,
-}
-
-wire_struct!(Envelope { recent_writes, value });
-
-/// A row as it was read.
-#[derives(record)]
-pub struct Stored<T> {
-    /// The version.
-    pub version: Version,
-    /// The ids of its last writes.
-    recent_writes: Vec<u64>,
-    /// The value.
-    pub value: T,
-}
-
-impl<T> Stored<T> {
-    fn without_value(&self) -> Base {
-        Base { version: self.version, recent_writes: self.recent_writes.clone() }
-    }
-}
-
-/// What a write builds on.
-#[derives(record)]
-#[derive(Default)]
-pub struct Base {
-    version: Version,
-    recent_writes: Vec<u64>,
-}
-
-impl<T> From<Option<&Stored<T>>> for Base {
-    fn from(stored: Option<&Stored<T>>) -> Base {
-        stored.map(Stored::without_value).unwrap_or_default()
-    }
-}
-
-/// A row to write or to delete.
-#[derives(record)]
-pub struct RowWrite {
-    key: String,
-    base: Base,
-    value: Option<Vec<u8>>,
-}
-
-impl RowWrite {
-    /// Prepares to write `value` over the row that was read as `base`.
-    pub fn new<T: WireType>(key: &str, base: Base, value: &T) -> RowWrite {
-        RowWrite { key: key.to_owned(), base, value: Some(encode(value)) }
-    }
-
-    /// Prepares to delete the row that was read as `base`.
-    ///
-    /// A deleted row keeps no write id, so a batch must start with a row that is written.
-    pub fn delete(key: &str, base: Base) -> RowWrite {
-        RowWrite { key: key.to_owned(), base, value: None }
-    }
-
-    fn to_platform(&self, write_id: u64) -> Write {
-        let kept = self.base.recent_writes.iter().take(RECENT_WRITES - 1);
-        let recent_writes = std::iter::once(write_id).chain(kept.copied()).collect();
-        let value = self.value.clone().map(|value| {
-            let envelope = Envelope { recent_writes, value };
-            RowValue(encode(&envelope))
-        });
-        Write { key: self.key.clone(), expected: self.base.version, value }
-    }
-}
-
 /// What to do with a row that was read.
 #[derive(Debug)]
 pub enum Change<T, R> {
@@ -199,26 +74,6 @@
     Keep(R),
 }
 
-/// The rows that a transaction has read, in the order of its keys.
-#[derives(record)]
-pub struct ReadRows {
-    rows: Vec<Option<Row>>,
-}
-
-impl ReadRows {
-    /// Decodes the row at `index`, if it exists.
-    pub fn get<T: WireType>(&self, index: usize) -> Result<Option<Stored<T>>, StoreError> {
-        self.rows[index].clone().map(open_row).transpose()
-    }
-
-    /// Reports whether any of the rows was written under `write_id`.
-    fn show_write(&self, write_id: u64) -> bool {
-        self.rows.iter().flatten().any(|row| {
-            decode::<Envelope>(&row.value).is_ok_and(|row| row.recent_writes.contains(&write_id))
-        })
-    }
-}
-
 /// The table service and the object store, behind a breaker.
 pub struct Store {
     platform: Platform,
@@ -609,11 +464,3 @@
 fn reading(error: PlatformError) -> StoreError {
     StoreError::new(StoreErrorKind::Unavailable(error.detail))
 }
-
-fn open_row<T: WireType>(row: Row) -> Result<Stored<T>, StoreError> {
-    let damaged =
-        |detail: String| StoreError::new(StoreErrorKind::Damaged { key: row.key.clone(), detail });
-    let envelope: Envelope = decode(&row.value).map_err(|error| damaged(error.to_string()))?;
-    let value = decode(&envelope.value).map_err(|error| damaged(error.to_string()))?;
-    Ok(Stored { version: row.version, recent_writes: envelope.recent_writes, value })
-}
--- a/crates/plugins/src/pools/rows.rs
+++ b/crates/plugins/src/pools/rows.rs
@@ -55,75 +55,60 @@
     instance: &InstanceId,
     event: &Event,
 ) -> Result<RowChange, StoreError> {
-    let Some(configured) = configured_row(kernel, instance) else { return Ok(RowChange::Unknown) };
-    let pool = super::current_row(kernel, instance).map_or(configured.pool.clone(), |r| r.pool);
-    let keys = [&*instance_key(instance), FEED_KEY, &*pool_key(&pool)];
-    let outcome = kernel
-        .store
-        .transact(options(kernel), &keys, |rows| {
-            let stored = rows.get::<InstanceRow>(0)?;
-            let before = stored.as_ref().map_or(&configured, |stored| &stored.value);
-            let after = match apply(before, event) {
-                Ok(after) => after,
-                Err(misfit) => return Ok(Change::Keep(RowChange::Misfit(misfit))),
-            };
-            if stored.is_some() && after == *before {
-                return Ok(Change::Keep(RowChange::Changed(after)));
-            }
-            let feed = rows.get::<FeedRow>(1)?;
-            let mut writes = vec![
-                RowWrite::new(keys[0], Base::from(stored.as_ref()), &after),
-                feed_write(feed.as_ref(), instance),
-            ];
-            // A move takes the instance off the books of the pool that it leaves.
-            if after.state == InstanceState::Serving || after.pool != before.pool {
-                let pool_row = rows.get::<PoolRow>(2)?;
-                writes.extend(available_write(keys[2], pool_row.as_ref(), instance));
-            }
-            Ok(Change::Write(writes, RowChange::Changed(after)))
-        })
-        .await?;
-    note_change(kernel, instance, &outcome);
-    Ok(outcome)
+    write_change(kernel, instance, event, None, |before, after, books| {
+        // A move takes the instance off the books of the pool that it leaves.
+        let is_back = after.state == InstanceState::Serving || after.pool != before.pool;
+        Ok(if is_back { note_available(books, instance) } else { books.clone() })
+    })
+    .await
 }
 
-fn feed_write(feed: Option<&Stored<FeedRow>>, instance: &InstanceId) -> RowWrite {
-    let next = feed.map(|stored| stored.value.clone()).unwrap_or_default().after_change(instance);
-    RowWrite::new(FEED_KEY, Base::from(feed), &next)
+/// Takes an instance out of service on purpose, if the budget of its pool allows it.
+///
+/// `also` adds a write that must take effect together with it, such as the progress of a wave.
+pub async fn plan_down_instance(
+    kernel: &Kernel,
+    instance: &InstanceId,
+    reason: &Reason,
+    also: Option<&RowWrite>,
+) -> Result<RowChange, StoreError> {
+    let event = Event::Drain(reason.clone());
+    let view = pool_view(kernel, &pool_of(kernel, instance));
+    write_change(kernel, instance, &event, also, |_, _, books| plan_down(books, &view, instance))
+        .await
 }
 
-fn available_write(
-    key: &str,
-    row: Option<&Stored<PoolRow>>,
-    instance: &InstanceId,
-) -> Option<RowWrite> {
-    let stored = row?;
-    let next = note_available(&stored.value, instance);
-    (next != stored.value).then(|| RowWrite::new(key, Base::from(row), &next))
+/// Returns the pool that an instance is in, as this daemon knows it.
+fn pool_of(kernel: &Kernel, instance: &str) -> PoolId {
+    super::current_row(kernel, instance).map_or_else(PoolId::default, |row| row.pool)
 }
 
-/// Takes an instance out of service on purpose, if the budget of its pool allows it.
+/// Writes the row of an instance after an event, the feed, and the books of its pool together.
 ///
-/// The pool's row and the instance's row are written together, so that of two controllers that race
-/// for the last of the budget one meets a conflict and decides again. `also` adds a write that must
-/// take effect with them, such as the progress of a wave.
-pub async fn plan_down_instance(
+/// Since all of them are written on condition of what was read, of two controllers that race for the
+/// last of a budget one meets a conflict and decides again.
+async fn write_change(
     kernel: &Kernel,
     instance: &InstanceId,
-    reason: &Reason,
+    event: &Event,
     also: Option<&RowWrite>,
+    books_after: impl Fn(&InstanceRow, &InstanceRow, &PoolRow) -> Result<PoolRow, Denied>,
 ) -> Result<RowChange, StoreError> {
     let Some(configured) = configured_row(kernel, instance) else { return Ok(RowChange::Unknown) };
-    let pool = super::current_row(kernel, instance).map_or(configured.pool.clone(), |r| r.pool);
-    let view = pool_view(kernel, &pool);
+    let pool = pool_of(kernel, instance);
     let keys = [&*instance_key(instance), FEED_KEY, &*pool_key(&pool)];
     let outcome = kernel
         .store
         .transact(options(kernel), &keys, |rows| {
             let stored = rows.get::<InstanceRow>(0)?;
             let before = stored.as_ref().map_or(&configured, |stored| &stored.value);
-            let after = match apply(before, &Event::Drain(reason.clone())) {
-                Ok(after) if after == *before => {
+            if before.pool != pool {
+                // This daemon has not yet seen the instance move, so these are not its pool's books.
+                kernel.wakes.instances.notify_one();
+                return Ok(Change::Keep(RowChange::Misfit(Misfit::State)));
+            }
+            let after = match apply(before, event) {
+                Ok(after) if stored.is_some() && after == *before => {
                     return Ok(Change::Keep(RowChange::Changed(after)));
                 }
                 Ok(after) => after,
@@ -131,7 +116,7 @@
             };
             let pool_row = rows.get::<PoolRow>(2)?;
             let books = pool_row.as_ref().map(|row| row.value.clone()).unwrap_or_default();
-            let next_books = match plan_down(&books, &view, instance) {
+            let next_books = match books_after(before, &after, &books) {
                 Ok(next) => next,
                 Err(denied) => return Ok(Change::Keep(RowChange::Denied(denied))),
             };
@@ -139,8 +124,10 @@
             let mut writes = vec![
                 RowWrite::new(keys[0], Base::from(stored.as_ref()), &after),
                 feed_write(feed.as_ref(), instance),
-                RowWrite::new(keys[2], Base::from(pool_row.as_ref()), &next_books),
             ];
+            if next_books != books {
+                writes.push(RowWrite::new(keys[2], Base::from(pool_row.as_ref()), &next_books));
+            }
             writes.extend(also.cloned());
             Ok(Change::Write(writes, RowChange::Changed(after)))
         })
@@ -149,6 +136,11 @@
     Ok(outcome)
 }
 
+fn feed_write(feed: Option<&Stored<FeedRow>>, instance: &InstanceId) -> RowWrite {
+    let next = feed.map(|stored| stored.value.clone()).unwrap_or_default().after_change(instance);
+    RowWrite::new(FEED_KEY, Base::from(feed), &next)
+}
+
 fn note_change(kernel: &Kernel, instance: &InstanceId, outcome: &RowChange) {
     let RowChange::Changed(row) = outcome else { return };
     set_row(kernel, instance, row.clone());
