--- a/crates/plugins/src/live/mod.rs
+++ b/crates/plugins/src/live/mod.rs
@@ -1,7 +1,7 @@
 //! Serves live requests: admits, routes, forwards, retries, and answers with a true verdict.
 //!
-//! The path of a request is one function a step: [`request::accept`] checks it, the limits plug-in
-//! admits it, [`once`] claims its idempotency key, and [`forward`] sends it, again if that is safe. All
+//! The path of a request is one function a step: `request::accept` checks it, the limits plug-in
+//! admits it, `once` claims its idempotency key, and `forward` sends it, again if that is safe. All
 //! of it goes on in a task of its own if the caller goes away, so that work which counts for a limit or
 //! must be recorded comes to its end. See docs/DESIGN.md, "A live request".
 
