--- a/crates/measure/src/capacity.rs
+++ b/crates/measure/src/capacity.rs
@@ -133,15 +133,20 @@
     runtime.block_on(measure_world(size))
 }
 
-async fn measure_world(size: Size) -> Spent {
+/// Creates a world of a size, without daemons.
+fn world_of(size: Size) -> World {
     let teams = (0..size.teams).map(|team| (format!("t{team}"), 1, 100)).collect();
-    let world = World::new(Shape {
+    World::new(Shape {
         pools: size.pools,
         instances: size.instances,
         rack: 4,
         teams,
         ..Shape::default()
-    });
+    })
+}
+
+async fn measure_world(size: Size) -> Spent {
+    let world = world_of(size);
     let memory_before = resident_mb();
     let daemons = world.start_many(size.daemons).await;
     // The base of slots has been taken for all teams by then.
@@ -213,14 +218,7 @@
 }
 
 async fn measure_changes(size: Size) -> f64 {
-    let teams = (0..size.teams).map(|team| (format!("t{team}"), 1, 100)).collect();
-    let world = World::new(Shape {
-        pools: size.pools,
-        instances: size.instances,
-        rack: 4,
-        teams,
-        ..Shape::default()
-    });
+    let world = world_of(size);
     let daemons = world.start_many(size.daemons).await;
     let before = cpu_seconds();
     for change in 0..CHANGES {
--- a/crates/standin/src/network.rs
+++ b/crates/standin/src/network.rs
@@ -38,8 +38,6 @@
     cut: HashSet<(String, SocketAddr)>,
     // Tells the open connections to look whether their link was cut.
     changed: Arc<Notify>,
-    // Links on which dialling never ends.
-    silent: HashSet<(String, SocketAddr)>,
     // How the next dials to an address fail, one each.
     planned: HashMap<SocketAddr, VecDeque<DialFault>>,
     delay: Duration,
@@ -113,17 +111,6 @@
         links.changed.notify_waiters();
     }
 
-    /// Makes dialling from a daemon to an address hang, or mends it.
-    pub fn set_silent(&self, from: &str, to: SocketAddr, silent: bool) {
-        let link = (from.to_owned(), to);
-        let mut links = self.links();
-        if silent {
-            links.silent.insert(link)
-        } else {
-            links.silent.remove(&link)
-        };
-    }
-
     /// Makes the next dials to an address fail, one each.
     pub fn plan_dials(&self, to: SocketAddr, faults: impl IntoIterator<Item = DialFault>) {
         self.links().planned.entry(to).or_default().extend(faults);
@@ -164,13 +151,9 @@
             let lost = fastrand::u32(..100) < links.loss_percent;
             let reachable = !links.cut.contains(link) && !lost;
             let accept = links.hosts.get(&link.1).filter(|_| reachable).cloned();
-            let delay = if links.silent.contains(link) { None } else { Some(links.delay) };
-            (accept, delay)
+            (accept, links.delay)
         };
-        match delay {
-            Some(delay) => tokio::time::sleep(delay).await,
-            None => std::future::pending().await,
-        }
+        tokio::time::sleep(delay).await;
         let accept = accept.ok_or(io::ErrorKind::ConnectionRefused)?;
         let (caller, near) = tokio::io::duplex(STREAM_BYTES);
         let (far, host) = tokio::io::duplex(STREAM_BYTES);
