Log what a worker's account holds at each start, and the runs that it leaves out

Each start now ends in the taken and the whole capacity and the number of orphans and of starts in doubt; new events, counted by wasabiswitch_run_events_total, name such runs, and adopted runs that exceed the capacity; fleet show has both numbers by worker. No decision changes.

--- a/crates/plugins/src/fleet/view.rs
+++ b/crates/plugins/src/fleet/view.rs
@@ -190,6 +190,8 @@
         "draining": worker.entry.draining,
         "cordon": worker.cordon.map(|cordon| format!("{cordon:?}")),
         "runs": worker.runs.len(),
+        "orphans": worker.orphans.len(),
+        "starts_in_doubt": worker.starts_in_doubt.len(),
         "reserved_cpu_milli": worker.reserved.cpu_milli,
         "cpu_milli": worker.entry.capacity.cpu_milli,
     })
--- a/crates/policy/src/fleet/plan.rs
+++ b/crates/policy/src/fleet/plan.rs
@@ -370,7 +370,8 @@
         let until_ms = clock.until(now, START_VALIDITY);
         self.record_renewal(worker, until_ms);
         self.add_run(task, new_run(worker, attempt, now, clock.latest_time_of(until_ms)));
-        let detail = self.describe(worker, &task, attempt);
+        let load = self.workers[worker].describe_load();
+        let detail = format!("{}, {load}", self.describe(worker, &task, attempt));
         events.push(JobEvent { job: name.job.clone(), kind: "start", detail });
         let job = &mut self.jobs[task.job];
         let submission = job.submission.clone();
--- a/crates/policy/src/fleet/reports.rs
+++ b/crates/policy/src/fleet/reports.rs
@@ -10,7 +10,7 @@
 use super::outcomes::DELIVERY_DELAY_MAX;
 use super::placement::UNRESPONSIVE_AFTER;
 use super::state::{Engine, Orphan, Phase, Run, RunState, TaskName, TaskRef, WorkerKey};
-use crate::ids::{BootId, JobId};
+use crate::ids::{BootId, InstanceId, JobId};
 
 /// Maximum number of ended runs in one report; a report with fewer lists all of them.
 pub const ENDS_PER_REPORT_MAX: usize = 500;
@@ -133,6 +133,7 @@
             worker.orphans = barriers.clone();
             worker.consecutive_failures = 0;
             if known {
+                self.report_barriers(key, &barriers, events);
                 self.drop_runs_of_previous_incarnation(key, timing.received, events);
                 self.block_until_barriers(&barriers, timing.received);
             }
@@ -209,10 +210,10 @@
     ) {
         let orphan = (running.task.clone(), running.attempt);
         let Some(task) = self.task_ref(&running.task) else {
-            return self.add_orphan(key, orphan);
+            return self.add_orphan(key, orphan, events);
         };
         let Some(entry) = self.jobs.get_mut(task.job).and_then(|job| job.task_mut(&task)) else {
-            return self.add_orphan(key, orphan);
+            return self.add_orphan(key, orphan, events);
         };
         let known = entry.runs.iter_mut().find(|r| r.attempt == running.attempt && r.worker == key);
         let Some(run) = known else {
@@ -271,6 +272,7 @@
             detail: self.describe(key, &task, running.attempt),
         });
         self.add_run(task, run);
+        self.report_excess(key, &running.task.job, events);
         if let Some(entry) = self.jobs.get_mut(task.job).and_then(|job| job.task_mut(&task)) {
             entry.unconfirmed_until = None;
             if wanted && running.percent >= 100 {
@@ -283,9 +285,41 @@
         self.mark_started(&task);
     }
 
-    fn add_orphan(&mut self, key: WorkerKey, orphan: (TaskName, u32)) {
-        if let Some(worker) = self.workers.get_mut(key) {
-            worker.orphans.entry(orphan).or_default();
+    fn add_orphan(&mut self, key: WorkerKey, orphan: (TaskName, u32), events: &mut Vec<JobEvent>) {
+        let Some(worker) = self.workers.get_mut(key) else { return };
+        if !worker.orphans.contains_key(&orphan) {
+            events.push(JobEvent {
+                job: orphan.0.job.clone(),
+                kind: "run of no known task",
+                detail: describe_run(&orphan.0, orphan.1, &worker.entry.id),
+            });
+        }
+        worker.orphans.entry(orphan).or_default();
+    }
+
+    /// Reports an event for each start in doubt that the new incarnation of a worker may still carry out.
+    fn report_barriers(
+        &self,
+        key: WorkerKey,
+        barriers: &BTreeMap<(TaskName, u32), Orphan>,
+        events: &mut Vec<JobEvent>,
+    ) {
+        let Some(worker) = self.workers.get(key) else { return };
+        for (name, attempt) in barriers.keys() {
+            events.push(JobEvent {
+                job: name.job.clone(),
+                kind: "start in doubt at a restarted worker",
+                detail: describe_run(name, *attempt, &worker.entry.id),
+            });
+        }
+    }
+
+    /// Reports an event if the known runs of a worker exceed its capacity.
+    fn report_excess(&self, key: WorkerKey, job: &JobId, events: &mut Vec<JobEvent>) {
+        let Some(worker) = self.workers.get(key) else { return };
+        if !worker.reserved.fits(&worker.entry.capacity) {
+            let detail = format!("worker={}, {}", worker.entry.id, worker.describe_load());
+            events.push(JobEvent { job: job.clone(), kind: "worker over capacity", detail });
         }
     }
 
@@ -587,3 +621,9 @@
         format!("task={occurrence}.{step}.{index} attempt={attempt} worker={worker}")
     }
 }
+
+/// Describes a run for the log as [`Engine::describe`] does, by the name of its task.
+fn describe_run(name: &TaskName, attempt: u32, worker: &InstanceId) -> String {
+    let TaskName { occurrence, step, index, .. } = name;
+    format!("task={occurrence}.{step}.{index} attempt={attempt} worker={worker}")
+}
--- a/crates/policy/src/fleet/worker.rs
+++ b/crates/policy/src/fleet/worker.rs
@@ -120,6 +120,20 @@
             <= now
     }
 
+    /// Describes for the log what the known runs take of the capacity, and how many runs are not in this account.
+    pub fn describe_load(&self) -> String {
+        let (taken, capacity) = (&self.reserved, &self.entry.capacity);
+        format!(
+            "taken_cpu_milli={} of={} taken_memory_mib={} of={} orphans={} starts_in_doubt={}",
+            taken.cpu_milli,
+            capacity.cpu_milli,
+            taken.memory_mib,
+            capacity.memory_mib,
+            self.orphans.len(),
+            self.starts_in_doubt.len()
+        )
+    }
+
     /// Returns the unreserved part of the capacity.
     pub fn free(&self) -> ResourceVector {
         self.entry.capacity.saturating_sub(&self.reserved)
