Let stand-in workers take the stated time to stop a run

The fake worker ended a run in the call that stopped it, so no test could see what is started beside a run that is being stopped. It now keeps the run, with its resources, for the 200 ms that the platform states as the maximum, refuses to start the same attempt meanwhile, and then lists the end. No check is changed.

--- a/crates/standin/src/fleet_worker.rs
+++ b/crates/standin/src/fleet_worker.rs
@@ -13,6 +13,10 @@
 use wasabiswitch_policy::fleet::reports::{EndEntry, RunEnd, RunningEntry, WorkerReport};
 use wasabiswitch_policy::fleet::state::{TaskName, WorkerEntry};
 
+/// Time that the worker takes to stop a run, the maximum that the platform states; the run occupies its resources until
+/// its end is listed.
+pub const STOP_TIME: Duration = Duration::from_millis(200);
+
 /// A run of a task on the worker.
 #[derives(record)]
 pub struct FakeRun {
@@ -24,6 +28,8 @@
     pub started_at: Instant,
     /// Time at which the run completes; `None` for a task that runs until it is stopped.
     pub ends_at: Option<Instant>,
+    /// Time at which the run ends because it was stopped; `None` unless it is being stopped.
+    pub stops_at: Option<Instant>,
     /// End that is reported when the run completes.
     pub run_end: RunEnd,
 }
@@ -102,8 +108,9 @@
         let lease_expired = self.clock_ms(now) >= self.lease_until_ms;
         let runs = std::mem::take(&mut self.runs);
         for run in runs {
-            match run.ends_at {
-                Some(ends_at) if ends_at <= now => self.end(&run, run.run_end),
+            match (run.stops_at, run.ends_at) {
+                (Some(stops_at), _) if stops_at <= now => self.end(&run, RunEnd::Stopped),
+                (None, Some(ends_at)) if ends_at <= now => self.end(&run, run.run_end),
                 _ if lease_expired => self.end(&run, RunEnd::LeaseExpired),
                 _ => self.runs.push(run),
             }
@@ -140,7 +147,7 @@
         }
         self.lease_until_ms = self.lease_until_ms.max(start.until_ms);
         let same = |run: &FakeRun| run.task == start.task && run.attempt == start.attempt;
-        if self.runs.iter().any(same) {
+        if self.runs.iter().any(|run| same(run) && run.stops_at.is_none()) {
             return StartOutcome::Started;
         }
         if self.barriers.get(&start.task).is_some_and(|barrier| start.attempt <= *barrier) {
@@ -151,12 +158,14 @@
             attempt: start.attempt,
             started_at: now,
             ends_at: start.run_time.map(|run_time| now + run_time),
+            stops_at: None,
             run_end: start.run_end,
         });
         StartOutcome::Started
     }
 
-    /// Stops a run and raises the task's barrier; returns `false` if the fence is too low.
+    /// Raises the task's barrier and begins to stop a run, which ends after [`STOP_TIME`]; returns `false` if the fence
+    /// is too low.
     pub fn stop(&mut self, task: &TaskName, attempt: u32, fence: u64, now: Instant) -> bool {
         self.advance(now);
         if !self.admit(fence) {
@@ -164,9 +173,8 @@
         }
         let barrier = self.barriers.entry(task.clone()).or_default();
         *barrier = (*barrier).max(attempt);
-        if let Some(at) = self.runs.iter().position(|r| r.task == *task && r.attempt == attempt) {
-            let run = self.runs.remove(at);
-            self.end(&run, RunEnd::Stopped);
+        for run in self.runs.iter_mut().filter(|r| r.task == *task && r.attempt == attempt) {
+            run.stops_at.get_or_insert(now + STOP_TIME);
         }
         true
     }
