Give no tasks to a worker with runs that the engine does not track

Cause: a run that a worker reports and that belongs to no open task (its job was cancelled, failed or completed, and its owner ended before the run had stopped) becomes an orphan of the successor's engine. A stop is sent for it, but no resources are reserved, and starts go on beside it while it is being stopped, and for as long as the stop does not arrive.

Why it works: a worker is usable only while it is reconciled, that is while every run that it has is in the account. The size of an orphan is unknown once its job is retired, so nothing less than the whole worker is safe; it is usable again with the report that no longer lists the run, about 0.2 s later. The line of a takeover now has the number of orphans.

--- a/crates/plugins/src/fleet/takeover.rs
+++ b/crates/plugins/src/fleet/takeover.rs
@@ -87,11 +87,12 @@
     let unseen_count = unseen_pools.len();
     let unresponsive =
         engine.workers.values().filter(|worker| worker.last_contact.is_none()).count();
+    let orphans: usize = engine.workers.values().map(|worker| worker.orphans.len()).sum();
     let unconfirmed =
         engine.mark_unconfirmed(unseen_pools, predecessor_deadline, kernel.clock.now());
     log::info!(
         "fleet rebuilt fence={fence} jobs={} live={} workers={} silent={unresponsive} replaced={replaced} \
-         unseen_pools={unseen_count} doubted={unconfirmed} rows_ms={} took_ms={}",
+         orphans={orphans} unseen_pools={unseen_count} doubted={unconfirmed} rows_ms={} took_ms={}",
         engine.jobs.len(),
         engine.live.len(),
         engine.workers.len(),
--- a/crates/policy/src/fleet/placement.rs
+++ b/crates/policy/src/fleet/placement.rs
@@ -45,8 +45,12 @@
 
 impl Engine {
     /// Returns whether a worker may get new tasks.
+    ///
+    /// A worker that may be running more than the engine accounts for gets none, since not every worker refuses what
+    /// exceeds its capacity.
     pub fn is_usable(&self, worker: &Worker, now: Instant) -> bool {
         worker.listed
+            && worker.is_reconciled()
             && !worker.entry.draining
             && worker.cordon.is_none()
             && worker.clock.is_some()
--- a/crates/policy/tests/fleet_engine/main.rs
+++ b/crates/policy/tests/fleet_engine/main.rs
@@ -13,3 +13,4 @@
 mod sizing;
 mod slow_store;
 mod split_brain;
+mod worker_capacity;
