Ignore worker reports that newer ones have overtaken

Callers saw tasks start twice and beside more than a worker has room for, for some milliseconds after a worker had restarted.

Cause: responses on different connections may overtake each other, and the engine took each for the present. A report of the previous incarnation that came after one of the current incarnation looked like another restart and removed all confirmed runs from the account; an older report of the same incarnation brought back or removed runs; and the first report of a new incarnation removed runs that it had confirmed after the report was written.

Why it works: incarnations never come back, and within one a worker's clock only rises, so both tell which report is older. A run is removed only by a report that was requested after the run was confirmed. Overtaken reports are counted and logged.

--- a/crates/plugins/src/fleet/workers.rs
+++ b/crates/plugins/src/fleet/workers.rs
@@ -157,7 +157,14 @@
     metrics::counter!(metric::WORKER_REPORTS, "outcome" => outcome).increment(1);
     match reply {
         Ok(WorkerReply::Done(report)) => {
-            engine.apply_report(key, timing, &report, events);
+            if !engine.apply_report(key, timing, &report, events) {
+                metrics::counter!(metric::WORKER_REPORTS, "outcome" => "overtaken").increment(1);
+                log::info!(
+                    "report overtaken by a newer one worker={id} incarnation={} clock_ms={}",
+                    report.incarnation,
+                    report.clock_ms
+                );
+            }
             return AppliedReply::Report;
         }
         Ok(WorkerReply::Fenced) => return AppliedReply::Fenced,
--- a/crates/policy/src/fleet/reports.rs
+++ b/crates/policy/src/fleet/reports.rs
@@ -115,18 +115,24 @@
 }
 
 impl Engine {
-    /// Applies a worker's report.
+    /// Applies a worker's report, unless a newer one has overtaken it; returns whether it was applied.
     pub fn apply_report(
         &mut self,
         key: WorkerKey,
         timing: ReportTiming,
         report: &WorkerReport,
         events: &mut Vec<JobEvent>,
-    ) {
-        let Some(worker) = self.workers.get_mut(key) else { return };
+    ) -> bool {
+        let Some(worker) = self.workers.get_mut(key) else { return false };
+        if worker.is_overtaken(report) {
+            return false;
+        }
         if worker.incarnation != report.incarnation {
             let known = worker.incarnation != 0;
             let barriers = barrier_stops(&worker.starts_in_doubt, timing.received);
+            if known {
+                worker.past_incarnations.push(worker.incarnation);
+            }
             worker.incarnation = report.incarnation;
             worker.last_end_received = 0;
             worker.last_end_persisted = 0;
@@ -134,11 +140,11 @@
             worker.consecutive_failures = 0;
             if known {
                 self.report_barriers(key, &barriers, events);
-                self.drop_runs_of_previous_incarnation(key, timing.received, events);
+                self.drop_runs_of_previous_incarnation(key, timing, events);
                 self.block_until_barriers(&barriers, timing.received);
             }
         }
-        let Some(worker) = self.workers.get_mut(key) else { return };
+        let Some(worker) = self.workers.get_mut(key) else { return false };
         if worker.last_contact.is_none() {
             // An earlier owner may have renewed the leases on this worker until just now.
             worker.leases_expire_at = worker.leases_expire_at.max(timing.received + lease_bound());
@@ -159,6 +165,7 @@
         if report.ended.len() < ENDS_PER_REPORT_MAX {
             self.drop_unlisted_runs(key, &listed, timing, events);
         }
+        true
     }
 
     /// Records that an order may have extended the leases of a worker to `until_ms` on its clock.
@@ -511,11 +518,11 @@
             });
             let Some(run) = run else { continue };
             let certain = match run.state {
-                RunState::Running(confirmed) => confirmed <= timing.sent,
+                RunState::Running(confirmed) => confirmed < timing.sent,
                 RunState::Starting => false,
                 RunState::Unconfirmed => run.start_expires_by <= timing.sent,
                 RunState::Stopping { acknowledged, .. } => {
-                    acknowledged.is_some_and(|at| at <= timing.sent)
+                    acknowledged.is_some_and(|at| at < timing.sent)
                         || run.start_expires_by <= timing.sent
                 }
             };
@@ -548,11 +555,12 @@
     ///
     /// The new incarnation has none of the barriers and fences of the previous one, so a start whose answer was
     /// lost could still take effect there. The run of such a start is kept until the new incarnation acknowledges
-    /// a stop.
+    /// a stop. A run that was confirmed after its report was requested may be one of the new incarnation, and is
+    /// kept until a later report shows whether it is.
     fn drop_runs_of_previous_incarnation(
         &mut self,
         key: WorkerKey,
-        now: Instant,
+        timing: ReportTiming,
         events: &mut Vec<JobEvent>,
     ) {
         let runs: Vec<_> = self.workers[key].runs.iter().copied().collect();
@@ -562,11 +570,15 @@
                 entry.runs.iter_mut().find(|run| run.attempt == attempt && run.worker == key)
             });
             let Some(run) = run else { continue };
-            if matches!(run.state, RunState::Running(_)) {
-                self.drop_run(key, task, attempt, "the worker has restarted", events);
-            } else {
-                run.state = RunState::Stopping { sent: None, acknowledged: None };
-                run.start_expires_by = now + NO_KNOWN_BOUND;
+            match run.state {
+                RunState::Running(confirmed) if confirmed >= timing.sent => {}
+                RunState::Running(_) => {
+                    self.drop_run(key, task, attempt, "the worker has restarted", events);
+                }
+                _ => {
+                    run.state = RunState::Stopping { sent: None, acknowledged: None };
+                    run.start_expires_by = timing.received + NO_KNOWN_BOUND;
+                }
             }
         }
     }
--- a/crates/policy/src/fleet/state.rs
+++ b/crates/policy/src/fleet/state.rs
@@ -307,6 +307,7 @@
         let key = self.workers.insert(Worker {
             listed: true,
             incarnation: 0,
+            past_incarnations: Vec::new(),
             clock: None,
             leases_expire_at: now,
             leases_expire_at_if_renewed: None,
--- a/crates/policy/src/fleet/worker.rs
+++ b/crates/policy/src/fleet/worker.rs
@@ -7,6 +7,7 @@
 
 use super::job::{TaskName, TaskRef};
 use super::lease::ClockSample;
+use super::reports::WorkerReport;
 use super::spec::ResourceVector;
 use crate::ids::{BootId, DataCentre, FailureDomain, InstanceId, PoolId};
 
@@ -68,6 +69,8 @@
     pub listed: bool,
     /// Incarnation that sent the last report; zero before the first report.
     pub incarnation: BootId,
+    /// Incarnations that the current one has replaced; their reports are outdated.
+    pub past_incarnations: Vec<BootId>,
     /// Last sample of the worker's clock.
     pub clock: Option<ClockSample>,
     /// Time by which the leases of all runs on the worker have expired unless they are renewed.
@@ -101,6 +104,14 @@
 }
 
 impl Worker {
+    /// Returns whether a report that was applied before is newer: responses on different connections may overtake each
+    /// other, and an outdated report would undo what the newer one has shown.
+    pub fn is_overtaken(&self, report: &WorkerReport) -> bool {
+        let is_older = self.clock.is_some_and(|clock| report.clock_ms < clock.clock_ms);
+        self.past_incarnations.contains(&report.incarnation)
+            || (self.incarnation == report.incarnation && is_older)
+    }
+
     /// Returns whether all runs on the worker are known: the worker has reported, and has no orphans.
     pub fn is_reconciled(&self) -> bool {
         self.last_contact.is_some() && self.orphans.is_empty()
--- a/crates/policy/tests/fleet_engine/random_faults.rs
+++ b/crates/policy/tests/fleet_engine/random_faults.rs
@@ -26,6 +26,7 @@
         late_orders: choices.f64() * 0.1,
         lost_reports: choices.f64() * 0.2,
         failed_tasks: 0.0,
+        late_answers: 0.0,
     };
     let mut sim = Simulation::new(WORKERS, CAP_MILLI, faults, seed);
     for round in 0..24 {
@@ -61,6 +62,60 @@
     }
 }
 
+/// Seeds of histories of full workers on which a worker got more tasks than it has capacity for.
+const FULL_WORKER_REGRESSION_SEEDS: [u64; 3] = [10_022, 10_038, 10_151];
+/// Seeds of the further histories of full workers.
+const FULL_WORKER_SEEDS: std::ops::Range<u64> = 2_000..2_040;
+/// Number of workers that are kept full.
+const FULL_WORKERS: usize = 3;
+
+/// Runs a history in which more tasks wait than the workers can run, jobs are cancelled, workers restart within
+/// a second, owners are replaced, and answers overtake each other.
+fn run_history_of_full_workers(seed: u64) -> Simulation {
+    let mut choices = Rng::with_seed(seed ^ 0xf011);
+    let faults = Faults {
+        lost_acks: choices.f64() * 0.2,
+        late_orders: choices.f64() * 0.4,
+        lost_reports: choices.f64() * 0.2,
+        failed_tasks: choices.f64() * 0.05,
+        late_answers: choices.f64() * 0.3,
+    };
+    let mut sim = Simulation::new(FULL_WORKERS, 0, faults, seed);
+    for round in 0..40 {
+        let work = step(choices.u32(4..12), choices.u64(200..3_000));
+        sim.submit(submission(&format!("job-{round}"), vec![work]));
+        let worker = format!("w{}", choices.usize(0..FULL_WORKERS));
+        match choices.u8(0..8) {
+            0 => sim.take_over(),
+            1 => {
+                let until = sim.now + Duration::from_millis(choices.u64(100..3_000));
+                sim.partitioned.insert(worker.as_str().into(), until);
+            }
+            2 | 3 => sim.crash(&worker),
+            4 | 5 => {
+                let job = format!("job-{}", choices.u32(0..=round));
+                sim.engine.cancel(&job, sim.now);
+            }
+            _ => {}
+        }
+        sim.run(Duration::from_millis(choices.u64(50..800)));
+    }
+    sim.faults = Faults::default();
+    sim.run(Duration::from_secs(150));
+    sim
+}
+
+#[test]
+fn full_workers_never_exceed_their_capacity() {
+    for seed in FULL_WORKER_REGRESSION_SEEDS.into_iter().chain(FULL_WORKER_SEEDS) {
+        let sim = run_history_of_full_workers(seed);
+        assert_eq!(sim.violations, Vec::<String>::new(), "seed {seed}");
+        for job in sim.engine.jobs.values() {
+            assert!(job.visible_phase.is_ended(), "seed {seed} job {}", job.submission.job);
+        }
+    }
+}
+
 #[test]
 fn checker_detects_duplicate_starts_of_a_new_owner() {
     let mut sim = Simulation::new(2, 0, Faults::default(), 7);
--- a/crates/policy/tests/fleet_engine/simulation.rs
+++ b/crates/policy/tests/fleet_engine/simulation.rs
@@ -108,6 +108,23 @@
     pub lost_reports: f64,
     /// Probability that a task fails.
     pub failed_tasks: f64,
+    /// Probability that the answer to an order or to a request for a report is overtaken by later ones.
+    pub late_answers: f64,
+}
+
+/// The answer of a worker, on its way to the owner with the fence.
+struct LateAnswer {
+    due: Instant,
+    fence: u64,
+    worker: WorkerKey,
+    content: AnswerContent,
+}
+
+/// Content of an answer.
+enum AnswerContent {
+    Report { sent: Instant, report: WorkerReport },
+    Start { task: TaskRef, attempt: u32, outcome: StartOutcome },
+    Stop { name: TaskName, attempt: u32 },
 }
 
 /// A simulated fleet with its owner, workers and store.
@@ -144,6 +161,7 @@
     /// Jobs of which the store has only the progress row.
     retired: BTreeSet<JobId>,
     deliveries: Vec<Delivery>,
+    answers: Vec<LateAnswer>,
     /// Starts that get no answer: time of the timeout, fence of the sender, worker, task and attempt.
     timeouts: Vec<(Instant, u64, WorkerKey, TaskRef, u32)>,
     /// Tasks whose successful end an owner has acknowledged to the worker.
@@ -196,6 +214,7 @@
             objectives: BTreeMap::new(),
             retired: BTreeSet::new(),
             deliveries: Vec::new(),
+            answers: Vec::new(),
             timeouts: Vec::new(),
             acknowledged_done: BTreeSet::new(),
             next_report: BTreeMap::new(),
@@ -318,14 +337,48 @@
         let report = worker.hold(self.engine.fence, acknowledged, until_ms, self.now);
         self.engine.end_renewal(key, true);
         match report.filter(|_| self.rng.f64() >= self.faults.lost_reports) {
-            Some(report) => self.apply_report(key, &report),
+            Some(report) => self.answer(key, AnswerContent::Report { sent: self.now, report }),
             None => self.engine.record_missed_report(key),
         }
     }
 
-    fn apply_report(&mut self, key: WorkerKey, report: &WorkerReport) {
-        let timing = ReportTiming { sent: self.now, received: self.now };
-        self.engine.apply_report(key, timing, report, &mut Vec::new());
+    /// Passes an answer to the owner, now or after later answers.
+    fn answer(&mut self, worker: WorkerKey, content: AnswerContent) {
+        let late = self.faults.late_answers > 0.0 && self.rng.f64() < self.faults.late_answers;
+        let fence = self.engine.fence;
+        match late {
+            true => {
+                let due = self.now + Duration::from_millis(self.rng.u64(10..600));
+                self.answers.push(LateAnswer { due, fence, worker, content });
+            }
+            false => self.apply_answer(worker, content),
+        }
+    }
+
+    fn apply_answer(&mut self, worker: WorkerKey, content: AnswerContent) {
+        match content {
+            AnswerContent::Report { sent, report } => {
+                let timing = ReportTiming { sent, received: self.now };
+                self.engine.apply_report(worker, timing, &report, &mut Vec::new());
+            }
+            AnswerContent::Start { task, attempt, outcome } => {
+                self.resolve_start(worker, task, attempt, outcome);
+            }
+            AnswerContent::Stop { name, attempt } => {
+                self.engine.record_stop_acknowledgement(worker, &name, attempt, self.now);
+            }
+        }
+    }
+
+    /// Applies the late answers that are due; those for an earlier owner are lost.
+    fn apply_late_answers(&mut self) {
+        let (now, fence) = (self.now, self.engine.fence);
+        let answers = std::mem::take(&mut self.answers).into_iter();
+        let (due, later): (Vec<_>, Vec<_>) = answers.partition(|answer| answer.due <= now);
+        self.answers = later;
+        for answer in due.into_iter().filter(|answer| answer.fence == fence) {
+            self.apply_answer(answer.worker, answer.content);
+        }
     }
 
     fn trace_task(&mut self, task: &TaskName, event: String) {
@@ -369,6 +422,7 @@
         self.run_instance_service();
         self.plan();
         self.deliver();
+        self.apply_late_answers();
         if self.rng.u8(0..6) == 0 && !self.writes_paused {
             self.write_progress();
         }
@@ -499,14 +553,15 @@
                     StartOutcome::Unknown
                 };
                 if current && delivery.answered {
-                    self.resolve_start(worker, task, attempt, outcome);
+                    let content = AnswerContent::Start { task, attempt, outcome };
+                    self.answer(worker, content);
                 }
             }
             Order::Stop { worker, name, attempt } if reached => {
                 let fake = self.workers.get_mut(&delivery.worker).expect("the worker exists");
                 let done = fake.stop(&name, attempt, delivery.fence, self.now);
                 if done && delivery.answered && current {
-                    self.engine.record_stop_acknowledgement(worker, &name, attempt, self.now);
+                    self.answer(worker, AnswerContent::Stop { name, attempt });
                 }
             }
             Order::Stop { .. } | Order::Pace { .. } | Order::Advise { .. } => {}
--- a/crates/policy/tests/fleet_engine/worker_capacity.rs
+++ b/crates/policy/tests/fleet_engine/worker_capacity.rs
@@ -1,7 +1,11 @@
 //! Regression tests for workers that got more tasks than they have capacity for, because the owner did not count
 //! all that a worker may be running.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
+
+use wasabiswitch_policy::fleet::outcomes::StartOutcome;
+use wasabiswitch_policy::fleet::reports::{ReportTiming, WorkerReport};
+use wasabiswitch_policy::fleet::state::TaskRef;
 
 use crate::simulation::{Faults, Simulation, step, submission};
 
@@ -25,3 +29,63 @@
     assert_eq!(sim.violations, Vec::<String>::new());
     assert_eq!(sim.starts.len(), 8, "the tasks start once the runs have stopped");
 }
+
+/// Returns a report of a worker, requested and received at `now`.
+fn report(sim: &mut Simulation, id: &str) -> WorkerReport {
+    let (now, fence) = (sim.now, sim.engine.fence);
+    let worker = sim.workers.get_mut(id).expect("the worker exists");
+    worker.hold(fence, 0, None, now).expect("the fence is the newest")
+}
+
+/// Applies a report that was requested at `sent` and arrives now.
+fn apply(sim: &mut Simulation, id: &str, sent: Instant, report: &WorkerReport) {
+    let timing = ReportTiming { sent, received: sim.now };
+    let key = sim.engine.worker_key(id).expect("the engine knows the worker");
+    sim.engine.apply_report(key, timing, report, &mut Vec::new());
+}
+
+/// Returns the resources that the engine accounts for on a worker, in thousandths of a core.
+fn reserved_milli(sim: &Simulation, id: &str) -> u64 {
+    let key = sim.engine.worker_key(id).expect("the engine knows the worker");
+    sim.engine.workers[key].reserved.cpu_milli
+}
+
+// A worker got tasks once it had acknowledged the stop of a start in doubt, although that start had begun after its
+// A report that a newer one had overtaken removed runs from the account of a worker.
+#[test]
+fn overtaken_report_of_a_previous_incarnation_changes_nothing() {
+    let mut sim = Simulation::new(1, 0, Faults::default(), 1);
+    sim.run(SECOND);
+    let (overtaken, sent) = (report(&mut sim, "w0"), sim.now);
+    sim.crash("w0");
+    sim.run(SECOND);
+    sim.submit(submission("a", vec![step(4, 60_000)]));
+    sim.run(SECOND);
+    assert_eq!(reserved_milli(&sim, "w0"), 4_000);
+    apply(&mut sim, "w0", sent, &overtaken);
+    assert_eq!(reserved_milli(&sim, "w0"), 4_000);
+    sim.submit(submission("b", vec![step(4, 500)]));
+    sim.run(SECOND);
+    assert_eq!(sim.violations, Vec::<String>::new());
+}
+
+// The first report of a restarted worker removed runs that had started on it after the report was written.
+#[test]
+fn first_report_of_a_restarted_worker_keeps_runs_that_were_confirmed_after_it() {
+    let mut sim = Simulation::new(1, 0, Faults::default(), 1);
+    sim.run(SECOND);
+    sim.workers.get_mut("w0").expect("the worker exists").crash(sim.now);
+    let (first, sent) = (report(&mut sim, "w0"), sim.now);
+    sim.submit(submission("a", vec![step(4, 60_000)]));
+    sim.plan();
+    sim.now += SECOND / 10;
+    let key = sim.engine.worker_key("w0").expect("the engine knows the worker");
+    let job = sim.engine.job_key("a").expect("the job was accepted");
+    for index in 0..4 {
+        let task = TaskRef { job, occurrence: 0, step: 0, index };
+        let (now, started) = (sim.now, StartOutcome::Started);
+        sim.engine.apply_start_outcome(key, task, 1, started, now, &mut Vec::new());
+    }
+    apply(&mut sim, "w0", sent, &first);
+    assert_eq!(reserved_milli(&sim, "w0"), 4_000);
+}
