Keep a barrier until a report shows that its start has not begun

Callers saw a worker that had restarted take more tasks than it has room for: a start of before its restart, delivered late, began just before the stop that was to prevent it, and new tasks started while it was still being stopped.

Cause: an acknowledged barrier counted as the end of the doubt. The acknowledgement only says that nothing will begin from now on; a start that was delivered in between runs for up to 0.2 s more, outside the account, and its task could start elsewhere at once. A barrier that no worker ever acknowledges had no end either; it would now keep the worker unusable, so it ends with the time in which its start can be delivered.

Why it works: a barrier leaves the account like every other run, by a report that was requested after the acknowledgement and does not list it. That report is requested at once, as for stopped runs that never began.

--- a/crates/policy/src/fleet/outcomes.rs
+++ b/crates/policy/src/fleet/outcomes.rs
@@ -5,7 +5,7 @@
 use wasabiswitch_derive::derives;
 
 use super::reports::JobEvent;
-use super::state::{Engine, RunState, TaskName, TaskRef, WorkerKey};
+use super::state::{Engine, Orphan, RunState, TaskName, TaskRef, WorkerKey};
 
 /// Time for which a worker that refused a start for lack of capacity gets no further start.
 const NO_CAPACITY_BACKOFF: Duration = Duration::from_millis(150);
@@ -110,10 +110,10 @@
         }
     }
 
-    /// Unblocks a task if no worker has to acknowledge a barrier for it any more.
-    fn unblock_after_barriers(&mut self, name: &TaskName) {
+    /// Unblocks a task if no worker has a barrier for it any more.
+    pub(super) fn unblock_after_barriers(&mut self, name: &TaskName) {
         let orphans = self.workers.values().flat_map(|worker| &worker.orphans);
-        if orphans.into_iter().any(|((task, _), orphan)| task == name && orphan.is_barrier) {
+        if orphans.into_iter().any(|((task, _), orphan)| task == name && orphan.is_barrier()) {
             return;
         }
         let Some(task) = self.task_ref(name) else { return };
@@ -122,8 +122,13 @@
         }
     }
 
-    /// Returns whether a task only waits for a report which confirms that its stopped run never began.
+    /// Returns whether a task or a worker only waits for a report which confirms that a stopped run never began.
     pub fn waits_for_report(&self, key: WorkerKey, name: &TaskName, attempt: u32) -> bool {
+        let orphans = self.workers.get(key).map(|worker| &worker.orphans);
+        let orphan = orphans.and_then(|orphans| orphans.get(&(name.clone(), attempt)));
+        if orphan.is_some_and(Orphan::is_barrier) {
+            return true;
+        }
         let task = self.task_ref(name);
         let job = task.and_then(|task| Some((self.jobs.get(task.job)?, task)));
         let Some((job, task)) = job.filter(|(job, _)| !job.phase.is_ended()) else { return false };
@@ -142,10 +147,9 @@
         now: Instant,
     ) {
         if let Some(worker) = self.workers.get_mut(key) {
-            let run = (name.clone(), attempt);
-            if worker.orphans.get(&run).is_some_and(|orphan| orphan.is_barrier) {
-                worker.orphans.remove(&run);
-                self.unblock_after_barriers(name);
+            // The next report shows whether the run had begun, and is being stopped.
+            if let Some(orphan) = worker.orphans.get_mut(&(name.clone(), attempt)) {
+                orphan.acknowledged.get_or_insert(now);
             }
         }
         let Some(task) = self.task_ref(name) else { return };
--- a/crates/policy/src/fleet/reports.rs
+++ b/crates/policy/src/fleet/reports.rs
@@ -28,7 +28,7 @@
     now: Instant,
 ) -> BTreeMap<(TaskName, u32), Orphan> {
     let open = starts_in_doubt.iter().filter(|(_, until)| **until > now);
-    open.map(|(run, _)| (run.clone(), Orphan { sent: None, is_barrier: true })).collect()
+    open.map(|(run, until)| (run.clone(), Orphan::barrier(*until))).collect()
 }
 
 /// Time after which a start without a known bound expires; an acknowledged stop ends such a run long before.
@@ -530,8 +530,25 @@
                 self.drop_run(key, task, attempt, "the worker's report does not list it", events);
             }
         }
-        let worker = &mut self.workers[key];
-        worker.orphans.retain(|orphan, state| state.is_barrier || listed.contains(orphan));
+        self.drop_unlisted_orphans(key, listed, timing);
+    }
+
+    /// Drops the orphans that a complete report does not list, and unblocks the tasks of barriers among them.
+    fn drop_unlisted_orphans(
+        &mut self,
+        key: WorkerKey,
+        listed: &BTreeSet<(TaskName, u32)>,
+        timing: ReportTiming,
+    ) {
+        let orphans = std::mem::take(&mut self.workers[key].orphans).into_iter();
+        let (kept, gone): (BTreeMap<_, _>, BTreeMap<_, _>) = orphans
+            .partition(|(run, orphan)| listed.contains(run) || orphan.may_begin_after(timing.sent));
+        self.workers[key].orphans = kept;
+        for ((name, _), orphan) in gone {
+            if orphan.is_barrier() {
+                self.unblock_after_barriers(&name);
+            }
+        }
     }
 
     /// Removes a run that has certainly ended without a report of its end.
--- a/crates/policy/src/fleet/worker.rs
+++ b/crates/policy/src/fleet/worker.rs
@@ -54,10 +54,32 @@
 pub struct Orphan {
     /// Time at which a stop was sent last.
     pub sent: Option<Instant>,
-    /// Whether the stop is a barrier against a start that may still be delivered.
+    /// Time at which the worker acknowledged a stop; a run that had begun still takes some time to stop.
+    pub acknowledged: Option<Instant>,
+    /// Time by which a start that may still be delivered has arrived, for a barrier; `None` for a run that the worker
+    /// has listed.
     ///
     /// A barrier is sent even while the worker does not list the run.
-    pub is_barrier: bool,
+    pub start_expires_by: Option<Instant>,
+}
+
+impl Orphan {
+    /// Creates a barrier against a start that has arrived by `start_expires_by`, if it arrives at all.
+    pub fn barrier(start_expires_by: Instant) -> Orphan {
+        Orphan { start_expires_by: Some(start_expires_by), ..Orphan::default() }
+    }
+
+    /// Returns whether the orphan is a barrier.
+    pub fn is_barrier(&self) -> bool {
+        self.start_expires_by.is_some()
+    }
+
+    /// Returns whether the run may exist or begin although a report that was requested at `requested` does not list
+    /// it.
+    pub fn may_begin_after(&self, requested: Instant) -> bool {
+        self.start_expires_by.is_some_and(|until| until > requested)
+            && self.acknowledged.is_none_or(|at| at >= requested)
+    }
 }
 
 /// State of a worker as the owner knows it.
--- a/crates/policy/tests/fleet_engine/worker_capacity.rs
+++ b/crates/policy/tests/fleet_engine/worker_capacity.rs
@@ -5,7 +5,7 @@
 
 use wasabiswitch_policy::fleet::outcomes::StartOutcome;
 use wasabiswitch_policy::fleet::reports::{ReportTiming, WorkerReport};
-use wasabiswitch_policy::fleet::state::TaskRef;
+use wasabiswitch_policy::fleet::state::{TaskName, TaskRef};
 
 use crate::simulation::{Faults, Simulation, step, submission};
 
@@ -30,6 +30,11 @@
     assert_eq!(sim.starts.len(), 8, "the tasks start once the runs have stopped");
 }
 
+/// Returns the name of a task of the first step of a job without a schedule.
+fn task_name(job: &str, index: u32) -> TaskName {
+    TaskName { job: job.into(), occurrence: 0, step: 0, index }
+}
+
 /// Returns a report of a worker, requested and received at `now`.
 fn report(sim: &mut Simulation, id: &str) -> WorkerReport {
     let (now, fence) = (sim.now, sim.engine.fence);
@@ -50,7 +55,43 @@
     sim.engine.workers[key].reserved.cpu_milli
 }
 
+/// Returns whether a worker may get new tasks.
+fn is_usable(sim: &Simulation, id: &str) -> bool {
+    let key = sim.engine.worker_key(id).expect("the engine knows the worker");
+    sim.engine.is_usable(&sim.engine.workers[key], sim.now)
+}
+
 // A worker got tasks once it had acknowledged the stop of a start in doubt, although that start had begun after its
+// restart and was still being stopped.
+#[test]
+fn restarted_worker_is_usable_once_a_report_shows_that_no_start_in_doubt_has_begun() {
+    let mut sim = Simulation::new(1, 0, Faults::default(), 1);
+    let key = sim.engine.worker_key("w0").expect("the engine knows the worker");
+    sim.submit(submission("a", vec![step(1, 500)]));
+    sim.plan();
+    let name = task_name("a", 0);
+    let job = sim.engine.job_key("a").expect("the job was accepted");
+    let task = TaskRef { job, occurrence: 0, step: 0, index: 0 };
+    let now = sim.now;
+    let unknown = StartOutcome::Unknown;
+    sim.engine.apply_start_outcome(key, task, 1, unknown, now, &mut Vec::new());
+    sim.now += SECOND / 10;
+    sim.workers.get_mut("w0").expect("the worker exists").crash(sim.now);
+    let first = report(&mut sim, "w0");
+    let sent = sim.now;
+    apply(&mut sim, "w0", sent, &first);
+    assert!(!is_usable(&sim, "w0"), "the start may still begin");
+    sim.now += SECOND / 10;
+    let stopped_at = sim.now;
+    sim.engine.record_stop_acknowledgement(key, &name, 1, stopped_at);
+    assert!(!is_usable(&sim, "w0"), "the start may have begun before the stop");
+    sim.now += SECOND / 10;
+    let second = report(&mut sim, "w0");
+    let sent = sim.now;
+    apply(&mut sim, "w0", sent, &second);
+    assert!(is_usable(&sim, "w0"));
+}
+
 // A report that a newer one had overtaken removed runs from the account of a worker.
 #[test]
 fn overtaken_report_of_a_previous_incarnation_changes_nothing() {
