Give no tasks to a worker that has missed a report until it reports again

Callers saw tasks begin beside more than a worker has room for, and tasks that had completed run once more, in the moments between a worker's restart and its first report.

Cause: a failed request for a report is the first sign of a restart, and a restarted worker has no barriers and no fence, so starts of before may begin there. A report that had been requested before the failed request, and came late, also cleared the sign, and with it the ack cursor of zero that protects the ends of a new incarnation.

Why it works: only a report that was requested after the failure shows which incarnation the worker is in and what it runs.

--- a/crates/plugins/src/fleet/workers.rs
+++ b/crates/plugins/src/fleet/workers.rs
@@ -182,7 +182,7 @@
             );
         }
     }
-    engine.record_missed_report(key);
+    engine.record_missed_report(key, timing.received);
     AppliedReply::NoReport
 }
 
--- a/crates/policy/src/fleet/placement.rs
+++ b/crates/policy/src/fleet/placement.rs
@@ -47,10 +47,11 @@
     /// Returns whether a worker may get new tasks.
     ///
     /// A worker that may be running more than the engine accounts for gets none, since not every worker refuses what
-    /// exceeds its capacity.
+    /// exceeds its capacity. After a missed report the worker may have restarted, and starts of before may begin there.
     pub fn is_usable(&self, worker: &Worker, now: Instant) -> bool {
         worker.listed
             && worker.is_reconciled()
+            && worker.report_missed_at.is_none()
             && !worker.entry.draining
             && worker.cordon.is_none()
             && worker.clock.is_some()
--- a/crates/policy/src/fleet/reports.rs
+++ b/crates/policy/src/fleet/reports.rs
@@ -152,7 +152,7 @@
         worker.clock = Some(ClockSample { clock_ms: report.clock_ms, received: timing.received });
         worker.last_contact = worker.last_contact.max(Some(timing.sent));
         worker.gauges_updated = true;
-        worker.report_missed = false;
+        worker.report_missed_at = worker.report_missed_at.filter(|at| *at > timing.sent);
         let mut listed = BTreeSet::new();
         for end in &report.ended {
             listed.insert((end.task.clone(), end.attempt));
@@ -193,10 +193,10 @@
         Some(until_ms)
     }
 
-    /// Records that a request for a worker's report failed.
-    pub fn record_missed_report(&mut self, key: WorkerKey) {
+    /// Records that a request for a worker's report has failed.
+    pub fn record_missed_report(&mut self, key: WorkerKey, now: Instant) {
         if let Some(worker) = self.workers.get_mut(key) {
-            worker.report_missed = true;
+            worker.report_missed_at = Some(now);
         }
     }
 
--- a/crates/policy/src/fleet/state.rs
+++ b/crates/policy/src/fleet/state.rs
@@ -314,7 +314,7 @@
             last_contact: None,
             last_end_received: 0,
             last_end_persisted: 0,
-            report_missed: false,
+            report_missed_at: None,
             runs: BTreeSet::new(),
             reserved: ResourceVector::default(),
             orphans: BTreeMap::new(),
--- a/crates/policy/src/fleet/worker.rs
+++ b/crates/policy/src/fleet/worker.rs
@@ -105,8 +105,10 @@
     pub last_end_received: u64,
     /// Number of the last end of a run that is persisted.
     pub last_end_persisted: u64,
-    /// Whether the last request for a report failed, so that the next report may come from another incarnation.
-    pub report_missed: bool,
+    /// Time at which a request for a report failed; `None` once a report that was requested later has arrived.
+    ///
+    /// Until then the worker may have restarted, and the next report may come from another incarnation.
+    pub report_missed_at: Option<Instant>,
     /// Tasks, with their attempts, that may be running on the worker.
     pub runs: BTreeSet<(TaskRef, u32)>,
     /// Resources that [`Worker::runs`] reserve.
@@ -144,7 +146,7 @@
     /// A new incarnation numbers its ends from the start. After a missed report the cursor is zero, since the
     /// old cursor would acknowledge ends of a new incarnation that have not been processed.
     pub fn ack_cursor(&self) -> u64 {
-        if self.report_missed { 0 } else { self.last_end_persisted }
+        if self.report_missed_at.is_some() { 0 } else { self.last_end_persisted }
     }
 
     /// Returns whether the leases of all runs on the worker have expired, renewals in flight included.
--- a/crates/policy/tests/fleet_engine/simulation.rs
+++ b/crates/policy/tests/fleet_engine/simulation.rs
@@ -328,7 +328,7 @@
         let removed = !self.workers.contains_key(&id);
         if removed || self.is_partitioned(&id, self.engine.fence) || self.disconnected.remove(&id) {
             self.engine.end_renewal(key, false);
-            self.engine.record_missed_report(key);
+            self.engine.record_missed_report(key, self.now);
             return;
         }
         let acknowledged = self.engine.workers[key].ack_cursor();
@@ -338,7 +338,7 @@
         self.engine.end_renewal(key, true);
         match report.filter(|_| self.rng.f64() >= self.faults.lost_reports) {
             Some(report) => self.answer(key, AnswerContent::Report { sent: self.now, report }),
-            None => self.engine.record_missed_report(key),
+            None => self.engine.record_missed_report(key, self.now),
         }
     }
 
--- a/crates/policy/tests/fleet_engine/worker_capacity.rs
+++ b/crates/policy/tests/fleet_engine/worker_capacity.rs
@@ -130,3 +130,17 @@
     apply(&mut sim, "w0", sent, &first);
     assert_eq!(reserved_milli(&sim, "w0"), 4_000);
 }
+
+// A worker got tasks between its restart and its first report, and began starts of before beside them.
+#[test]
+fn worker_whose_report_was_missed_gets_no_tasks_until_it_reports() {
+    let mut sim = Simulation::new(1, 0, Faults::default(), 1);
+    sim.run(SECOND);
+    assert!(is_usable(&sim, "w0"));
+    sim.crash("w0");
+    let key = sim.engine.worker_key("w0").expect("the engine knows the worker");
+    sim.poll_worker(key, true);
+    assert!(!is_usable(&sim, "w0"));
+    sim.poll_worker(key, true);
+    assert!(is_usable(&sim, "w0"));
+}
