Ignore acknowledgements of stops by a previous incarnation

A worker that had restarted could be given more than its capacity, and a task could run twice, when the answer to a stop of before the restart arrived after the first report of the new incarnation.

Cause: the acknowledgement was recorded for the current incarnation, which has no barrier; the next report did not list the run, so that the run left the account although its start could still be delivered.

Evidence: stop_that_a_previous_incarnation_acknowledged_does_not_release_the_worker fails without the change.

Why it works: only a stop that was sent after the incarnation became known certainly reached it; others are sent again.

--- a/crates/plugins/src/fleet/workers.rs
+++ b/crates/plugins/src/fleet/workers.rs
@@ -254,12 +254,13 @@
         Order::Stop { worker, name, attempt } => {
             let Some((target, fence)) = order_target(kernel, worker) else { return };
             let run = RunOrder { target, task: name.clone(), attempt, fence };
+            let sent = kernel.clock.now();
             let reply = (port(kernel).stop)(run).await;
             let done = handle_order_reply(kernel, "stop", &name.job, reply);
             let now = kernel.clock.now();
             let needs_report = match kernel.tables.term.lock().as_mut().filter(|_| done) {
                 Some(term) => {
-                    term.engine.record_stop_acknowledgement(worker, &name, attempt, now);
+                    term.engine.record_stop_acknowledgement(worker, &name, attempt, sent, now);
                     term.engine.waits_for_report(worker, &name, attempt)
                 }
                 None => false,
--- a/crates/policy/src/fleet/outcomes.rs
+++ b/crates/policy/src/fleet/outcomes.rs
@@ -138,14 +138,22 @@
         run.is_some_and(|run| run.is_stopping() && run.percent == 0)
     }
 
-    /// Records that a worker has acknowledged a stop.
+    /// Records that a worker has acknowledged a stop that was sent at `sent`.
+    ///
+    /// If the worker has restarted since, the previous incarnation may have acknowledged the stop, which does not bind
+    /// the current one; the stop is sent again.
     pub fn record_stop_acknowledgement(
         &mut self,
         key: WorkerKey,
         name: &TaskName,
         attempt: u32,
+        sent: Instant,
         now: Instant,
     ) {
+        let known_since = self.workers.get(key).and_then(|worker| worker.incarnation_known_since);
+        if known_since.is_some_and(|since| sent < since) {
+            return;
+        }
         if let Some(worker) = self.workers.get_mut(key) {
             // The next report shows whether the run had begun, and is being stopped.
             if let Some(orphan) = worker.orphans.get_mut(&(name.clone(), attempt)) {
--- a/crates/policy/src/fleet/reports.rs
+++ b/crates/policy/src/fleet/reports.rs
@@ -134,6 +134,7 @@
                 worker.past_incarnations.push(worker.incarnation);
             }
             worker.incarnation = report.incarnation;
+            worker.incarnation_known_since = Some(timing.received);
             worker.last_end_received = 0;
             worker.last_end_persisted = 0;
             worker.orphans = barriers.clone();
--- a/crates/policy/src/fleet/state.rs
+++ b/crates/policy/src/fleet/state.rs
@@ -308,6 +308,7 @@
             listed: true,
             incarnation: 0,
             past_incarnations: Vec::new(),
+            incarnation_known_since: None,
             clock: None,
             leases_expire_at: now,
             leases_expire_at_if_renewed: None,
--- a/crates/policy/src/fleet/worker.rs
+++ b/crates/policy/src/fleet/worker.rs
@@ -93,6 +93,8 @@
     pub incarnation: BootId,
     /// Incarnations that the current one has replaced; their reports are outdated.
     pub past_incarnations: Vec<BootId>,
+    /// Time at which the first report of the current incarnation arrived; `None` before the first report.
+    pub incarnation_known_since: Option<Instant>,
     /// Last sample of the worker's clock.
     pub clock: Option<ClockSample>,
     /// Time by which the leases of all runs on the worker have expired unless they are renewed.
--- a/crates/policy/tests/fleet_engine/simulation.rs
+++ b/crates/policy/tests/fleet_engine/simulation.rs
@@ -79,6 +79,7 @@
 
 /// An order in flight to a worker.
 struct Delivery {
+    sent: Instant,
     due: Instant,
     worker: InstanceId,
     fence: u64,
@@ -124,7 +125,7 @@
 enum AnswerContent {
     Report { sent: Instant, report: WorkerReport },
     Start { task: TaskRef, attempt: u32, outcome: StartOutcome },
-    Stop { name: TaskName, attempt: u32 },
+    Stop { name: TaskName, attempt: u32, sent: Instant },
 }
 
 /// A simulated fleet with its owner, workers and store.
@@ -364,8 +365,8 @@
             AnswerContent::Start { task, attempt, outcome } => {
                 self.resolve_start(worker, task, attempt, outcome);
             }
-            AnswerContent::Stop { name, attempt } => {
-                self.engine.record_stop_acknowledgement(worker, &name, attempt, self.now);
+            AnswerContent::Stop { name, attempt, sent } => {
+                self.engine.record_stop_acknowledgement(worker, &name, attempt, sent, self.now);
             }
         }
     }
@@ -502,6 +503,7 @@
             self.timeouts.push((at, self.engine.fence, *worker, *task, *attempt));
         }
         self.deliveries.push(Delivery {
+            sent: self.now,
             due: self.now + Duration::from_millis(after_ms),
             worker: self.engine.workers[worker].entry.id.clone(),
             fence: self.engine.fence,
@@ -561,7 +563,8 @@
                 let fake = self.workers.get_mut(&delivery.worker).expect("the worker exists");
                 let done = fake.stop(&name, attempt, delivery.fence, self.now);
                 if done && delivery.answered && current {
-                    self.answer(worker, AnswerContent::Stop { name, attempt });
+                    let sent = delivery.sent;
+                    self.answer(worker, AnswerContent::Stop { name, attempt, sent });
                 }
             }
             Order::Stop { .. } | Order::Pace { .. } | Order::Advise { .. } => {}
--- a/crates/policy/tests/fleet_engine/worker_capacity.rs
+++ b/crates/policy/tests/fleet_engine/worker_capacity.rs
@@ -83,7 +83,7 @@
     assert!(!is_usable(&sim, "w0"), "the start may still begin");
     sim.now += SECOND / 10;
     let stopped_at = sim.now;
-    sim.engine.record_stop_acknowledgement(key, &name, 1, stopped_at);
+    sim.engine.record_stop_acknowledgement(key, &name, 1, stopped_at, stopped_at);
     assert!(!is_usable(&sim, "w0"), "the start may have begun before the stop");
     sim.now += SECOND / 10;
     let second = report(&mut sim, "w0");
@@ -131,6 +131,33 @@
     assert_eq!(reserved_milli(&sim, "w0"), 4_000);
 }
 
+// A worker that had restarted counted the acknowledgement of its previous incarnation as its own.
+#[test]
+fn stop_that_a_previous_incarnation_acknowledged_does_not_release_the_worker() {
+    let mut sim = Simulation::new(1, 0, Faults::default(), 1);
+    let key = sim.engine.worker_key("w0").expect("the engine knows the worker");
+    sim.submit(submission("a", vec![step(1, 500)]));
+    sim.plan();
+    let job = sim.engine.job_key("a").expect("the job was accepted");
+    let task = TaskRef { job, occurrence: 0, step: 0, index: 0 };
+    let now = sim.now;
+    let unknown = StartOutcome::Unknown;
+    sim.engine.apply_start_outcome(key, task, 1, unknown, now, &mut Vec::new());
+    sim.now += SECOND / 10;
+    let stop_sent = sim.now;
+    sim.now += SECOND / 10;
+    sim.workers.get_mut("w0").expect("the worker exists").crash(sim.now);
+    for _ in 0..2 {
+        let (newest, sent) = (report(&mut sim, "w0"), sim.now);
+        apply(&mut sim, "w0", sent, &newest);
+        let name = task_name("a", 0);
+        sim.engine.record_stop_acknowledgement(key, &name, 1, stop_sent, sim.now);
+        sim.now += SECOND / 10;
+    }
+    assert!(!is_usable(&sim, "w0"));
+    assert_eq!(reserved_milli(&sim, "w0"), 1_000);
+}
+
 // A worker got tasks between its restart and its first report, and began starts of before beside them.
 #[test]
 fn worker_whose_report_was_missed_gets_no_tasks_until_it_reports() {
