Account for the runs of ended jobs at a takeover

A team whose job was cancelled or failed around a change of the owner got more than its cap: its old runs were still being stopped, or went on at a worker that the successor could not reach, while its next job started.

Cause: a successor restored an ended job without its tasks, so that the runs that workers reported matched no task. They were stopped as orphans, which neither the worker nor the team is charged for; and the charge for unreachable workers covered only live jobs.

Evidence: successor_charges_a_team_for_the_runs_of_a_cancelled_job_until_they_have_stopped and successor_charges_a_team_for_a_cancelled_job_on_unreachable_workers failed before (0 of 4,000 millicores charged).

Why it works: the tasks stay until the job's rows are removed, which happens only once it has no runs. Such a run is adopted as one to be stopped: it reserves its resources at the worker, which stays usable for the rest, and counts as used by its team. Orphans, which make a worker unusable, are left for runs of jobs whose rows are gone.

--- a/crates/policy/src/fleet/progress.rs
+++ b/crates/policy/src/fleet/progress.rs
@@ -12,7 +12,7 @@
 use super::lease::lease_bound;
 use super::maintenance::{Instance, InstanceState, PREDECESSOR_CALL_TIMEOUT};
 use super::spec::{ResourceVector, Submission};
-use super::state::{Engine, JobKey, Occurrence, Phase, QueueSettings, WorkerKey};
+use super::state::{Engine, Job, JobKey, Occurrence, Phase, QueueSettings, WorkerKey};
 use crate::ids::{BootId, InstanceId, JobId, PoolId, TeamId};
 
 /// Row of a job; it is written once.
@@ -189,8 +189,8 @@
         job.phase = progress.phase;
         job.visible_phase = progress.phase;
         if progress.phase.is_ended() {
+            // The tasks stay until the job is retired: runs of theirs that have not stopped count as taken.
             job.ended = Some(now);
-            job.occurrences.clear();
             self.live.remove(&key);
             self.retiring.insert(key);
             return;
@@ -302,8 +302,10 @@
     ) -> usize {
         let mut unconfirmed = 0;
         let mut charges: BTreeMap<TeamId, ResourceVector> = BTreeMap::new();
-        for key in &self.live {
-            let Some(job) = self.jobs.get_mut(*key) else { continue };
+        for key in self.live.union(&self.retiring) {
+            // Runs of a job that was ended early may still be stopping; a completed job has none.
+            let open = |job: &&mut Job| job.phase != Phase::Done;
+            let Some(job) = self.jobs.get_mut(*key).filter(open) else { continue };
             let pool = &self.queues.get(&job.submission.queue).unwrap_or(&job.queue_settings).pool;
             if !pools.contains(pool) {
                 continue;
--- a/crates/policy/tests/fleet_engine/worker_capacity.rs
+++ b/crates/policy/tests/fleet_engine/worker_capacity.rs
@@ -171,3 +171,45 @@
     sim.poll_worker(key, true);
     assert!(is_usable(&sim, "w0"));
 }
+
+// A successor exceeded the cap of a team, because it did not charge the team for runs of a cancelled job that its
+// predecessor could not stop.
+#[test]
+fn successor_charges_a_team_for_the_runs_of_a_cancelled_job_until_they_have_stopped() {
+    let mut sim = Simulation::new(2, 4_000, Faults::default(), 1);
+    sim.submit(submission("a", vec![step(4, 60_000)]));
+    sim.run(SECOND);
+    assert_eq!(sim.starts.len(), 4);
+    for id in ["w0", "w1"] {
+        sim.partitioned.insert(id.into(), sim.now + SECOND / 2);
+    }
+    assert!(sim.engine.cancel("a", sim.now));
+    sim.run(SECOND / 4);
+    sim.write_progress();
+    sim.submit(submission("b", vec![step(4, 500)]));
+    sim.run(SECOND / 4);
+    sim.take_over();
+    let team = &sim.engine.teams["t"];
+    assert_eq!(team.used.cpu_milli, 4_000, "all four runs continue");
+    assert_eq!(reserved_milli(&sim, "w0") + reserved_milli(&sim, "w1"), 4_000);
+    sim.run(3 * SECOND);
+    assert_eq!(sim.violations, Vec::<String>::new());
+    assert_eq!(sim.starts.len(), 8, "the tasks start once the runs have stopped");
+}
+
+// A successor exceeded the cap of a team, because it did not charge the team for runs of a cancelled job on workers that it
+// could not reach.
+#[test]
+fn successor_charges_a_team_for_a_cancelled_job_on_unreachable_workers() {
+    let mut sim = Simulation::new(2, 4_000, Faults::default(), 1);
+    sim.submit(submission("a", vec![step(4, 60_000)]));
+    sim.run(SECOND);
+    for id in ["w0", "w1"] {
+        sim.partitioned.insert(id.into(), sim.now + SECOND);
+    }
+    assert!(sim.engine.cancel("a", sim.now));
+    sim.run(SECOND / 4);
+    sim.write_progress();
+    sim.take_over();
+    assert_eq!(sim.engine.teams["t"].used.cpu_milli, 4_000);
+}
