Keep a job's tasks until its last run has ended

A worker lost a part of its capacity for the rest of the owner's term, and with it callers waited longer.

Cause: a worker can report a run of an ended job between the choice of the jobs to retire and the write that removes their rows. Dropping the job's tasks then left the run in the worker's account without a task to take it out by.

Evidence: run_of_a_job_that_is_being_retired_leaves_the_account_when_it_ends failed before (1,000 millicores reserved after the end).

Why it works: a job with runs stays among the retiring ones, and its rows, which are gone already, are removed once more.

--- a/crates/policy/src/fleet/progress.rs
+++ b/crates/policy/src/fleet/progress.rs
@@ -152,6 +152,10 @@
     /// A run of such a job that a worker still reports matches no task of the engine, and is stopped.
     pub fn mark_retired(&mut self, keys: &[(JobKey, JobId)]) {
         for (key, id) in keys {
+            // A run that a worker has reported since the write keeps its place in the account until it has stopped.
+            if self.jobs.get(*key).is_some_and(Job::has_runs) {
+                continue;
+            }
             self.retiring.remove(key);
             if let Some(job) = self.jobs.get_mut(*key) {
                 job.submission = Arc::new(Submission::id_only(id.clone()));
--- a/crates/policy/tests/fleet_engine/worker_capacity.rs
+++ b/crates/policy/tests/fleet_engine/worker_capacity.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use wasabiswitch_policy::fleet::outcomes::StartOutcome;
-use wasabiswitch_policy::fleet::reports::{ReportTiming, WorkerReport};
+use wasabiswitch_policy::fleet::reports::{ReportTiming, RunningEntry, WorkerReport};
 use wasabiswitch_policy::fleet::state::{TaskName, TaskRef};
 
 use crate::simulation::{Faults, Simulation, step, submission};
@@ -213,3 +213,34 @@
     sim.take_over();
     assert_eq!(sim.engine.teams["t"].used.cpu_milli, 4_000);
 }
+
+// A worker lost capacity for good when a run of an ended job was reported while the job's rows were being removed.
+#[test]
+fn run_of_a_job_that_is_being_retired_leaves_the_account_when_it_ends() {
+    let mut sim = Simulation::new(1, 0, Faults::default(), 1);
+    sim.run(SECOND);
+    sim.submit(submission("a", vec![step(1, 500)]));
+    assert!(sim.engine.cancel("a", sim.now));
+    let changes = sim.engine.take_changes(usize::MAX);
+    sim.engine.confirm_changes(&changes);
+    let retired = sim.engine.retirable_jobs(usize::MAX);
+    assert_eq!(retired.len(), 1);
+    let (empty, sent) = (report(&mut sim, "w0"), sim.now);
+    let mut running = empty.clone();
+    running.running.push(RunningEntry {
+        task: task_name("a", 0),
+        attempt: 7,
+        checkpoint: String::new(),
+        percent: 10,
+        gauge: 0.0,
+    });
+    apply(&mut sim, "w0", sent, &running);
+    assert_eq!(reserved_milli(&sim, "w0"), 1_000);
+    sim.engine.mark_retired(&retired);
+    sim.now += SECOND;
+    let sent = sim.now;
+    apply(&mut sim, "w0", sent, &empty);
+    assert_eq!(reserved_milli(&sim, "w0"), 0);
+    let retired = sim.engine.retirable_jobs(usize::MAX);
+    assert_eq!(retired.len(), 1, "the job is retired once its run has ended");
+}
