Refuse submissions whose run times exceed the clock's range

A caller whose job declared a run time of 2^64-1 ms got no answer: the task that served the call panicked when the objective was computed, and the products of such figures overflowed.

Cause: a declared run time had no bound. It is now at most ten years, and sums and products of resources saturate.

--- a/crates/policy/src/fleet/admission.rs
+++ b/crates/policy/src/fleet/admission.rs
@@ -177,9 +177,9 @@
         let left = job.occurrences.values().flat_map(|o| steps.iter().zip(&o.steps));
         let work = |(step, step_state): (&super::spec::Step, &super::state::StepState)| {
             let tasks = u64::from(step.count.saturating_sub(step_state.done));
-            tasks * step.reserved().cpu_milli * step.estimate_ms
+            tasks.saturating_mul(step.reserved().cpu_milli).saturating_mul(step.estimate_ms)
         };
-        (left.map(work).sum::<u64>() as f64 * ratio) as u64
+        (left.map(work).fold(0, u64::saturating_add) as f64 * ratio) as u64
     }
 
     /// Returns the processors of a pool's workers, or of its target number of instances if that is more, in
--- a/crates/policy/src/fleet/spec.rs
+++ b/crates/policy/src/fleet/spec.rs
@@ -13,6 +13,9 @@
 /// Maximum number of occurrences of one scheduled job.
 pub const OCCURRENCES_MAX: u32 = 100_000;
 
+/// Maximum declared run time of a task, ten years; with it times that are derived from a job can be represented.
+pub const ESTIMATE_MAX_MS: u64 = 10 * 365 * 24 * 3_600_000;
+
 /// A quantity of each resource.
 #[derives(value)]
 #[derive(Default)]
@@ -33,12 +36,12 @@
             && self.accelerators <= capacity.accelerators
     }
 
-    /// Returns the sum by component.
+    /// Returns the sum by component, saturating at the largest number.
     pub fn plus(&self, other: &ResourceVector) -> ResourceVector {
         ResourceVector {
-            cpu_milli: self.cpu_milli + other.cpu_milli,
-            memory_mib: self.memory_mib + other.memory_mib,
-            accelerators: self.accelerators + other.accelerators,
+            cpu_milli: self.cpu_milli.saturating_add(other.cpu_milli),
+            memory_mib: self.memory_mib.saturating_add(other.memory_mib),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
         }
     }
 
@@ -60,12 +63,12 @@
         }
     }
 
-    /// Returns the product of each component and `count`.
+    /// Returns the product of each component and `count`, saturating at the largest number.
     pub fn times(&self, count: u64) -> ResourceVector {
         ResourceVector {
-            cpu_milli: self.cpu_milli * count,
-            memory_mib: self.memory_mib * count,
-            accelerators: self.accelerators * count,
+            cpu_milli: self.cpu_milli.saturating_mul(count),
+            memory_mib: self.memory_mib.saturating_mul(count),
+            accelerators: self.accelerators.saturating_mul(count),
         }
     }
 
@@ -165,6 +168,9 @@
         /// Index of the step that it depends on.
         after: u32,
     },
+    /// The declared run time of a task exceeds [`ESTIMATE_MAX_MS`].
+    #[error("the estimate of step {0} is above {ESTIMATE_MAX_MS} ms")]
+    Estimate(usize),
     /// The job has more than [`OCCURRENCES_MAX`] occurrences.
     #[error("a job has at most {OCCURRENCES_MAX} occurrences")]
     TooManyOccurrences,
@@ -195,6 +201,9 @@
             if step.count == 0 {
                 return Err(SpecError::NoTasks(number));
             }
+            if step.estimate_ms > ESTIMATE_MAX_MS {
+                return Err(SpecError::Estimate(number));
+            }
             tasks = tasks.saturating_add(step.count);
             if let Some(&after) = step.after.iter().find(|after| **after as usize >= number) {
                 return Err(SpecError::Order { step: number, after });
@@ -233,8 +242,10 @@
     /// Returns the declared work, in thousandths of a core times milliseconds, without fillers.
     pub fn work_milli_ms(&self) -> u64 {
         let work = |step: &Step| {
-            u64::from(step.count) * step.resources.cpu_milli.saturating_mul(step.estimate_ms)
+            let task = step.resources.cpu_milli.saturating_mul(step.estimate_ms);
+            task.saturating_mul(u64::from(step.count))
         };
-        self.steps.iter().filter(|step| !step.fills).map(work).sum()
+        let steps = self.steps.iter().filter(|step| !step.fills);
+        steps.map(work).fold(0, u64::saturating_add)
     }
 }
