Do not take an instance for empty whose worker has missed a report

Callers' long-running tasks were ended by a move while another of their step was away (AVAIL).

Cause: the runs of a worker that no longer answers at its address are dropped. Until the list of instances showed the worker that had replaced it, the instance seemed to run an idle worker, and was moved, or could be taken down for a wave, under the runs of the new one.

Why it works: after a missed report an instance counts as empty only once a report has come or the leases of its worker have expired; the list of instances is requested every 0.4 to 2 s, well before that.

--- a/crates/policy/src/fleet/sizing.rs
+++ b/crates/policy/src/fleet/sizing.rs
@@ -134,7 +134,7 @@
         if !self.is_directory_populated() {
             return Vec::new();
         }
-        let mut pools = self.pool_states();
+        let mut pools = self.pool_states(now);
         let mut standby_state = pools.remove(&standby).unwrap_or_default();
         let names: Vec<PoolId> = pools.keys().cloned().collect();
         let total = standby_state.empty.len() + pools.values().map(|p| p.instances).sum::<usize>();
@@ -390,7 +390,7 @@
         jobs.filter(|job| job.can_meet_objective(now)).map(peak_demand_milli).sum::<u64>() as f64
     }
 
-    pub(super) fn pool_states(&self) -> BTreeMap<PoolId, PoolState> {
+    pub(super) fn pool_states(&self, now: Instant) -> BTreeMap<PoolId, PoolState> {
         let mut pools: BTreeMap<PoolId, PoolState> =
             self.pools.keys().map(|id| (id.clone(), PoolState::default())).collect();
         for (id, instance) in &self.instances {
@@ -413,7 +413,7 @@
             if !movable || self.is_under_maintenance(id) {
                 continue;
             }
-            self.classify_instance(id, worker, in_standby, state);
+            self.classify_instance(id, worker, in_standby, state, now);
         }
         pools
     }
@@ -424,6 +424,7 @@
         worker: Option<&super::state::Worker>,
         in_standby: bool,
         state: &mut PoolState,
+        now: Instant,
     ) {
         let Some(worker) = worker else {
             if in_standby {
@@ -431,7 +432,7 @@
             }
             return;
         };
-        if worker.entry.draining || !worker.listed || !worker.is_reconciled() {
+        if worker.entry.draining || !worker.listed || !worker.are_instance_runs_known(now) {
             return;
         }
         if worker.runs.is_empty() {
--- a/crates/policy/src/fleet/view.rs
+++ b/crates/policy/src/fleet/view.rs
@@ -126,7 +126,7 @@
 impl Engine {
     /// Returns a view of each pool.
     pub fn view_pools(&self, now: Instant) -> Vec<PoolView> {
-        let states = self.pool_states();
+        let states = self.pool_states(now);
         let view = |(pool, state): (&PoolId, &super::sizing::PoolState)| {
             let workers = self.workers.values().filter(|w| w.listed && w.entry.pool == *pool);
             PoolView {
--- a/crates/policy/src/fleet/worker.rs
+++ b/crates/policy/src/fleet/worker.rs
@@ -143,6 +143,14 @@
         self.last_contact.is_some() && self.orphans.is_empty()
     }
 
+    /// Returns whether the worker's instance runs nothing but [`Worker::runs`].
+    ///
+    /// After a missed report the worker may have been replaced on its instance by one that the list of instances does not
+    /// show yet, and whose runs are not known here. The list is requested anew before the worker's leases have expired.
+    pub fn are_instance_runs_known(&self, now: Instant) -> bool {
+        self.is_reconciled() && (self.report_missed_at.is_none() || self.leases_expired(now))
+    }
+
     /// Returns the cursor that acknowledges ends to the worker, which then discards all ends up to it.
     ///
     /// A new incarnation numbers its ends from the start. After a missed report the cursor is zero, since the
--- a/crates/policy/tests/fleet_engine/regressions.rs
+++ b/crates/policy/tests/fleet_engine/regressions.rs
@@ -412,3 +412,36 @@
     );
     assert_eq!(sim.violations, Vec::<String>::new());
 }
+
+// An instance was moved or taken down under the long-running tasks of its new worker, because the worker that it had replaced
+// had no runs any more.
+#[test]
+fn instance_of_a_worker_that_missed_a_report_is_not_taken_for_empty() {
+    let mut sim = fault_free(3);
+    sim.submit(submission("a", vec![long_running_step(2)]));
+    sim.run(SECOND);
+    let replaced = sim.starts[0].1.clone();
+    let instances = instances_with(&sim, &"nobody".into());
+    let is_replaced =
+        |(_, instance): &(&InstanceId, &Instance)| instance.worker.as_ref() == Some(&replaced);
+    let id = instances.iter().find(is_replaced).expect("each worker has an instance").0.clone();
+    let key = sim.engine.worker_key(&replaced).expect("the engine knows the worker");
+    sim.engine.drop_all_runs(key, "another incarnation answered", &mut Vec::new());
+    sim.engine.record_missed_report(key, sim.now);
+    let wave = Wave::new(vec![id.clone()], 1, sim.now + 20 * SECOND);
+    sim.engine.waves.insert(1, wave);
+    for _ in 0..30 {
+        sim.now += Duration::from_millis(100);
+        let now = sim.now;
+        sim.engine.apply_instance_list(instances.clone(), now, now, &mut Vec::new());
+        let orders = sim.engine.plan_waves(now).into_iter().chain(sim.engine.plan_moves(now));
+        for order in orders {
+            match order {
+                FleetOrder::Maintain { instance, .. } | FleetOrder::Move { instance, .. } => {
+                    assert_ne!(instance, id);
+                }
+                FleetOrder::Report { .. } => {}
+            }
+        }
+    }
+}
