Keep a start in doubt from when it is sent until it is answered

A worker that had restarted was given more than its capacity: a start of a job that had been cancelled meanwhile began there late, beside a full set of tasks.

Cause: a start counted as in doubt only once its answer was overdue. If the job ended before that, the stop was acknowledged, a report did not list the run, and the run left the account, rightly for that incarnation; when the worker then restarted, no barrier was made for the start, and its being overdue was recorded too late.

Why it works: every start that may still be delivered is known at the time of the restart; a definite answer settles it.

--- a/crates/policy/src/fleet/outcomes.rs
+++ b/crates/policy/src/fleet/outcomes.rs
@@ -51,10 +51,12 @@
         now: Instant,
         events: &mut Vec<JobEvent>,
     ) {
+        if outcome != StartOutcome::Unknown {
+            self.settle_start(key, &task, attempt);
+        }
         match outcome {
             StartOutcome::Started => self.confirm_start(key, task, attempt, now),
             StartOutcome::Unknown => {
-                self.record_start_in_doubt(key, task, attempt, now);
                 self.set_state(key, task, attempt, |state| match state {
                     RunState::Starting => RunState::Unconfirmed,
                     other => other,
@@ -77,11 +79,25 @@
         }
     }
 
-    fn record_start_in_doubt(&mut self, key: WorkerKey, task: TaskRef, attempt: u32, now: Instant) {
-        let name = self.task_name(&task);
-        if let (Some(name), Some(worker)) = (name, self.workers.get_mut(key)) {
+    /// Records a start as in doubt when it is sent; its run can leave the account before it is answered.
+    pub(super) fn record_start_in_doubt(
+        &mut self,
+        key: WorkerKey,
+        name: &TaskName,
+        attempt: u32,
+        now: Instant,
+    ) {
+        if let Some(worker) = self.workers.get_mut(key) {
             worker.starts_in_doubt.retain(|_, until| *until > now);
-            worker.starts_in_doubt.insert((name, attempt), now + DELIVERY_DELAY_MAX);
+            worker.starts_in_doubt.insert((name.clone(), attempt), now + DELIVERY_DELAY_MAX);
+        }
+    }
+
+    /// Records that a start has been answered.
+    fn settle_start(&mut self, key: WorkerKey, task: &TaskRef, attempt: u32) {
+        let name = self.task_name(task);
+        if let (Some(name), Some(worker)) = (name, self.workers.get_mut(key)) {
+            worker.starts_in_doubt.remove(&(name, attempt));
         }
     }
 
--- a/crates/policy/src/fleet/worker.rs
+++ b/crates/policy/src/fleet/worker.rs
@@ -117,7 +117,7 @@
     pub reserved: ResourceVector,
     /// Runs to stop although the engine does not track them, and barriers, by task and attempt.
     pub orphans: BTreeMap<(TaskName, u32), Orphan>,
-    /// Starts without an answer, with the time until which the platform may still deliver them.
+    /// Starts that are not answered yet or got no answer, with the time until which they may still be delivered.
     pub starts_in_doubt: BTreeMap<(TaskName, u32), Instant>,
     /// Number of failed runs since the last success.
     pub consecutive_failures: u32,
--- a/crates/policy/tests/fleet_engine/random_faults.rs
+++ b/crates/policy/tests/fleet_engine/random_faults.rs
@@ -63,8 +63,8 @@
 }
 
 /// Seeds of histories of full workers on which a worker got more tasks than it has capacity for.
-const FULL_WORKER_REGRESSION_SEEDS: [u64; 9] =
-    [10_022, 10_038, 10_151, 10_011, 10_094, 10_292, 10_461, 10_560, 11_102];
+const FULL_WORKER_REGRESSION_SEEDS: [u64; 10] =
+    [10_022, 10_038, 10_151, 10_011, 10_094, 10_292, 10_461, 10_560, 11_102, 20_596];
 /// Seeds of the further histories of full workers.
 const FULL_WORKER_SEEDS: std::ops::Range<u64> = 2_000..2_040;
 /// Number of workers that are kept full.
--- a/crates/policy/tests/fleet_engine/worker_capacity.rs
+++ b/crates/policy/tests/fleet_engine/worker_capacity.rs
@@ -244,3 +244,26 @@
     let retired = sim.engine.retirable_jobs(usize::MAX);
     assert_eq!(retired.len(), 1, "the job is retired once its run has ended");
 }
+
+// A start that was delivered late to a restarted worker began beside a full set of tasks: its job had been cancelled, and its
+// run had left the account, before the start counted as unanswered.
+#[test]
+fn start_of_a_cancelled_job_that_is_not_answered_yet_has_a_barrier_after_a_restart() {
+    let mut sim = Simulation::new(1, 0, Faults::default(), 1);
+    let key = sim.engine.worker_key("w0").expect("the engine knows the worker");
+    sim.submit(submission("a", vec![step(1, 500)]));
+    sim.plan();
+    sim.now += SECOND / 10;
+    assert!(sim.engine.cancel("a", sim.now));
+    let stop_sent = sim.now;
+    sim.engine.record_stop_acknowledgement(key, &task_name("a", 0), 1, stop_sent, sim.now);
+    sim.now += SECOND / 10;
+    let (empty, sent) = (report(&mut sim, "w0"), sim.now);
+    apply(&mut sim, "w0", sent, &empty);
+    assert_eq!(reserved_milli(&sim, "w0"), 0, "this incarnation will not begin the run");
+    sim.workers.get_mut("w0").expect("the worker exists").crash(sim.now);
+    sim.now += SECOND / 10;
+    let (first, sent) = (report(&mut sim, "w0"), sim.now);
+    apply(&mut sim, "w0", sent, &first);
+    assert!(!is_usable(&sim, "w0"), "the next one may");
+}
