--- a/crates/policy/tests/fleet_engine/worker_capacity.rs
+++ b/crates/policy/tests/fleet_engine/worker_capacity.rs
@@ -11,17 +11,27 @@
 
 const SECOND: Duration = Duration::from_secs(1);
 
-// A successor started tasks beside runs of a cancelled job that its predecessor could not stop.
-#[test]
-fn successor_counts_the_runs_of_a_cancelled_job_until_they_have_stopped() {
-    let mut sim = Simulation::new(1, 0, Faults::default(), 1);
+/// Creates a fleet whose workers run the job `a` of four tasks, and cancels the job while no worker can be reached.
+///
+/// The cancellation is persisted before the fleet is returned.
+fn fleet_cut_off_from_a_cancelled_job(workers: usize, cap_milli: u64) -> Simulation {
+    let mut sim = Simulation::new(workers, cap_milli, Faults::default(), 1);
     sim.submit(submission("a", vec![step(4, 60_000)]));
     sim.run(SECOND);
     assert_eq!(sim.starts.len(), 4);
-    sim.partitioned.insert("w0".into(), sim.now + SECOND / 2);
+    for number in 0..workers {
+        sim.partitioned.insert(format!("w{number}").into(), sim.now + SECOND / 2);
+    }
     assert!(sim.engine.cancel("a", sim.now));
     sim.run(SECOND / 4);
     sim.write_progress();
+    sim
+}
+
+// A successor started tasks beside runs of a cancelled job that its predecessor could not stop.
+#[test]
+fn successor_counts_the_runs_of_a_cancelled_job_until_they_have_stopped() {
+    let mut sim = fleet_cut_off_from_a_cancelled_job(1, 0);
     sim.submit(submission("b", vec![step(4, 500)]));
     sim.run(SECOND / 4);
     sim.take_over();
@@ -176,16 +186,7 @@
 // predecessor could not stop.
 #[test]
 fn successor_charges_a_team_for_the_runs_of_a_cancelled_job_until_they_have_stopped() {
-    let mut sim = Simulation::new(2, 4_000, Faults::default(), 1);
-    sim.submit(submission("a", vec![step(4, 60_000)]));
-    sim.run(SECOND);
-    assert_eq!(sim.starts.len(), 4);
-    for id in ["w0", "w1"] {
-        sim.partitioned.insert(id.into(), sim.now + SECOND / 2);
-    }
-    assert!(sim.engine.cancel("a", sim.now));
-    sim.run(SECOND / 4);
-    sim.write_progress();
+    let mut sim = fleet_cut_off_from_a_cancelled_job(2, 4_000);
     sim.submit(submission("b", vec![step(4, 500)]));
     sim.run(SECOND / 4);
     sim.take_over();
@@ -201,15 +202,7 @@
 // could not reach.
 #[test]
 fn successor_charges_a_team_for_a_cancelled_job_on_unreachable_workers() {
-    let mut sim = Simulation::new(2, 4_000, Faults::default(), 1);
-    sim.submit(submission("a", vec![step(4, 60_000)]));
-    sim.run(SECOND);
-    for id in ["w0", "w1"] {
-        sim.partitioned.insert(id.into(), sim.now + SECOND);
-    }
-    assert!(sim.engine.cancel("a", sim.now));
-    sim.run(SECOND / 4);
-    sim.write_progress();
+    let mut sim = fleet_cut_off_from_a_cancelled_job(2, 4_000);
     sim.take_over();
     assert_eq!(sim.engine.teams["t"].used.cpu_milli, 4_000);
 }
