Keep an instance until the ends of its runs are persisted

Callers saw a task of theirs run twice, the second time after its first run had ended as done (TWICE).

Cause: an instance whose last run had ended counted as empty at once, and was moved or maintained, which ends its worker. Until the progress row was written, the owner's memory was then the only record of the end. A successor read the old row, found the worker replaced, and started the task again.

Evidence: both tests failed before. Without writes, six instances were moved while the engine had ends that were not persisted, and the wave called instances whose workers had just ended a run.

Now an instance counts as empty once its worker's ends are persisted as well; until then it drains. Nothing is given up that holds the only durable record of an end.

--- a/crates/policy/src/fleet/maintenance.rs
+++ b/crates/policy/src/fleet/maintenance.rs
@@ -349,7 +349,7 @@
         let Some(worker) = self.workers.get(key) else { return true };
         let runs: Vec<(TaskRef, u32)> = worker.runs.iter().copied().collect();
         let drain_timed_out = now.saturating_duration_since(since) >= DRAIN_TIMEOUT;
-        let mut may_go_down = worker.are_instance_runs_known(now);
+        let mut may_go_down = worker.are_instance_runs_known(now) && worker.are_ends_persisted();
         for (task, attempt) in runs {
             let Some(job) = self.jobs.get(task.job) else { continue };
             let Some(step) = job.submission.steps.get(task.step as usize) else { continue };
--- a/crates/policy/src/fleet/sizing.rs
+++ b/crates/policy/src/fleet/sizing.rs
@@ -112,9 +112,9 @@
 pub(super) struct PoolState {
     /// Number of instances that serve the pool or move to it.
     pub(super) instances: usize,
-    /// Instances without runs, which can move at once.
+    /// Instances without runs, all of whose ends are persisted; they can move at once.
     pub(super) empty: Vec<InstanceId>,
-    /// Instances with short tasks only, with the number of their runs.
+    /// Instances with short tasks only or with ends that are not persisted, with the number of their runs.
     drainable: Vec<(usize, InstanceId)>,
     /// Instances that drain for a move.
     draining: Vec<InstanceId>,
@@ -435,7 +435,7 @@
         if worker.entry.draining || !worker.listed || !worker.are_instance_runs_known(now) {
             return;
         }
-        if worker.runs.is_empty() {
+        if worker.runs.is_empty() && worker.are_ends_persisted() {
             state.empty.push(id.clone());
         } else if worker.cordon == Some(Cordon::Move) {
             state.draining.push(id.clone());
--- a/crates/policy/src/fleet/worker.rs
+++ b/crates/policy/src/fleet/worker.rs
@@ -151,6 +151,13 @@
         self.is_reconciled() && (self.report_missed_at.is_none() || self.leases_expired(now))
     }
 
+    /// Returns whether all ends that the worker has reported are persisted.
+    ///
+    /// Until then the worker holds the only record that survives this owner, so its instance must stay.
+    pub fn are_ends_persisted(&self) -> bool {
+        self.last_end_received <= self.last_end_persisted
+    }
+
     /// Returns the cursor that acknowledges ends to the worker, which then discards all ends up to it.
     ///
     /// A new incarnation numbers its ends from the start. After a missed report the cursor is zero, since the
--- a/crates/policy/tests/fleet_engine/instance_service.rs
+++ b/crates/policy/tests/fleet_engine/instance_service.rs
@@ -35,6 +35,13 @@
     pub charged_s: f64,
 }
 
+impl InstanceService {
+    /// Returns the instances as the service lists them.
+    pub fn instances(&self) -> &BTreeMap<InstanceId, Instance> {
+        &self.instances
+    }
+}
+
 /// Returns a configuration with `queues` queues, a pool for each, and a standby pool.
 pub fn config_of_queues(queues: usize) -> FleetConfig {
     let route = |number: usize| {
--- a/crates/policy/tests/fleet_engine/main.rs
+++ b/crates/policy/tests/fleet_engine/main.rs
@@ -2,6 +2,7 @@
 //! delivered late or executed twice.
 
 mod bursts;
+mod ends_on_record;
 mod head_of_line_blocking;
 mod hot_team;
 mod instance_service;
