Acknowledge ends as soon as the progress of their jobs is persisted

Cause: Engine::take_changes acknowledged ends only with a write that emptied the queue of progress. Under load that is longer than one write, no write does.

Now each worker has the ends whose job has to be persisted, in order, and a write acknowledges those before the first end whose job is not in it. Engine::requeue_changes had no caller and goes.

--- a/crates/policy/src/fleet/progress.rs
+++ b/crates/policy/src/fleet/progress.rs
@@ -87,7 +87,8 @@
 
     /// Takes the progress of at most `jobs_max` jobs that has not been persisted.
     ///
-    /// Ended jobs come first: their callers wait for the phase, which becomes visible once it is persisted.
+    /// Ended jobs come first: their callers wait for the phase, which becomes visible once it is persisted. Progress
+    /// that was taken before must have been persisted: one write is in flight at a time.
     pub fn take_changes(&mut self, jobs_max: usize) -> ProgressChanges {
         let mut keys: Vec<JobKey> = self.unpersisted.iter().copied().collect();
         if keys.len() > jobs_max {
@@ -103,10 +104,11 @@
             let row = progress_of(job.phase, job.next_occurrence, &job.occurrences);
             changes.jobs.push((key, job.submission.job.clone(), row));
         }
-        if self.unpersisted.is_empty() {
-            let ends =
-                self.workers.iter().filter(|(_, w)| w.last_end_received > w.last_end_persisted);
-            changes.ends = ends.map(|(key, w)| (key, w.incarnation, w.last_end_received)).collect();
+        for (key, worker) in &self.workers {
+            let persisted = worker.last_end_persisted_without(&self.unpersisted);
+            if persisted > worker.last_end_persisted {
+                changes.ends.push((key, worker.incarnation, persisted));
+            }
         }
         changes
     }
@@ -125,16 +127,11 @@
             if let Some(worker) = self.workers.get_mut(*key)
                 && worker.incarnation == *incarnation
             {
-                worker.last_end_persisted = worker.last_end_persisted.max(*number);
+                worker.record_ends_persisted(*number);
             }
         }
     }
 
-    /// Queues changes again that were certainly not persisted.
-    pub fn requeue_changes(&mut self, changes: &ProgressChanges) {
-        self.unpersisted.extend(changes.jobs.iter().map(|(key, _, _)| *key));
-    }
-
     /// Returns at most `jobs_max` ended jobs of which only the phase is still needed.
     ///
     /// Their rows can be removed except for the progress, so that a takeover reads only live jobs.
--- a/crates/policy/src/fleet/reports.rs
+++ b/crates/policy/src/fleet/reports.rs
@@ -135,8 +135,7 @@
             }
             worker.incarnation = report.incarnation;
             worker.incarnation_known_since = Some(timing.received);
-            worker.last_end_received = 0;
-            worker.last_end_persisted = 0;
+            worker.reset_ends();
             worker.orphans = barriers.clone();
             worker.consecutive_failures = 0;
             if known {
@@ -355,6 +354,7 @@
         }
         worker.last_end_received = end.number;
         let Some(task) = self.task_ref(&end.task) else { return };
+        self.workers[key].ends_to_persist.push_back((end.number, task.job));
         let run = self.remove_run(task, end.attempt, key);
         events.push(JobEvent {
             job: end.task.job.clone(),
--- a/crates/policy/src/fleet/state.rs
+++ b/crates/policy/src/fleet/state.rs
@@ -1,6 +1,6 @@
 //! The tables of the engine: jobs, workers, teams, instances and pools, and the operations on them.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -315,6 +315,7 @@
             last_contact: None,
             last_end_received: 0,
             last_end_persisted: 0,
+            ends_to_persist: VecDeque::new(),
             report_missed_at: None,
             runs: BTreeSet::new(),
             reserved: ResourceVector::default(),
--- a/crates/policy/src/fleet/worker.rs
+++ b/crates/policy/src/fleet/worker.rs
@@ -1,6 +1,6 @@
 //! Workers: their entries in the platform's directory, their runs and their leases.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Instant;
 
 use wasabiswitch_derive::derives;
@@ -9,6 +9,7 @@
 use super::lease::ClockSample;
 use super::reports::WorkerReport;
 use super::spec::ResourceVector;
+use super::state::JobKey;
 use crate::ids::{BootId, DataCentre, FailureDomain, InstanceId, PoolId};
 
 /// Entry of a worker in the platform's directory.
@@ -105,8 +106,10 @@
     pub last_contact: Option<Instant>,
     /// Number of the last end of a run that was processed.
     pub last_end_received: u64,
-    /// Number of the last end of a run that is persisted.
+    /// Number of the last end of a run that is persisted, as are all ends before it.
     pub last_end_persisted: u64,
+    /// Ends after [`Worker::last_end_persisted`] whose job has to be persisted, with their numbers in rising order.
+    pub ends_to_persist: VecDeque<(u64, JobKey)>,
     /// Time at which a request for a report failed; `None` once a report that was requested later has arrived.
     ///
     /// Until then the worker may have restarted, and the next report may come from another incarnation.
@@ -158,6 +161,29 @@
         self.last_end_received <= self.last_end_persisted
     }
 
+    /// Returns the number of the last end that is persisted, as are all ends before it, once all progress except that
+    /// of the `unpersisted` jobs is.
+    pub fn last_end_persisted_without(&self, unpersisted: &BTreeSet<JobKey>) -> u64 {
+        let mut waiting = self.ends_to_persist.iter();
+        let first_open = waiting.find(|(_, job)| unpersisted.contains(job));
+        first_open.map_or(self.last_end_received, |(number, _)| number - 1)
+    }
+
+    /// Records that the ends up to `number` are persisted.
+    pub fn record_ends_persisted(&mut self, number: u64) {
+        self.last_end_persisted = self.last_end_persisted.max(number);
+        while self.ends_to_persist.front().is_some_and(|(end, _)| *end <= number) {
+            self.ends_to_persist.pop_front();
+        }
+    }
+
+    /// Forgets the ends of the previous incarnation; the new one numbers its ends from the start.
+    pub fn reset_ends(&mut self) {
+        self.last_end_received = 0;
+        self.last_end_persisted = 0;
+        self.ends_to_persist.clear();
+    }
+
     /// Returns the cursor that acknowledges ends to the worker, which then discards all ends up to it.
     ///
     /// A new incarnation numbers its ends from the start. After a missed report the cursor is zero, since the
