Trace workers in the random histories, and run further seeds by an environment variable

It now has the last events of the worker: restarts, reports with their age, starts with fence, stops, and the engine's account at each. HISTORY_SEEDS=a..b runs other seeds, all of them on half of the cores, and reports each that breaks a rule instead of the first; the checks are the same.

--- a/crates/policy/tests/fleet_engine/random_faults.rs
+++ b/crates/policy/tests/fleet_engine/random_faults.rs
@@ -2,6 +2,8 @@
 //!
 //! The checker of the simulation checks every start. After a final period without faults, every job must be done.
 
+use std::ops::Range;
+use std::thread::ScopedJoinHandle;
 use std::time::Duration;
 
 use fastrand::Rng;
@@ -13,12 +15,47 @@
 /// (1); a start was delivered late to a new incarnation (471), and to the one after it (680).
 const REGRESSION_SEEDS: [u64; 3] = [1, 471, 680];
 /// Seeds of the further histories.
-const SEEDS: std::ops::Range<u64> = 1_000..1_040;
+const SEEDS: Range<u64> = 1_000..1_040;
 /// Number of workers.
 const WORKERS: usize = 5;
 /// Cap of the team in thousandths of a core, less than the capacity of the workers so that it takes effect.
 const CAP_MILLI: u64 = 14_000;
 
+/// Environment variable with a range of further seeds, such as `100..200`, for both kinds of history.
+const SEEDS_VARIABLE: &str = "HISTORY_SEEDS";
+
+/// Returns the seeds that the environment asks for, or `regressions` and then `others`.
+fn seeds(regressions: &[u64], others: Range<u64>) -> Vec<u64> {
+    let Ok(range) = std::env::var(SEEDS_VARIABLE) else {
+        return regressions.iter().copied().chain(others).collect();
+    };
+    let (first, end) = range.split_once("..").expect("a range such as 100..200");
+    let number = |text: &str| text.parse().expect("a range of whole numbers");
+    (number(first)..number(end)).collect()
+}
+
+/// Checks the histories of all seeds, each on its own, and reports every seed that broke a rule or lost a job.
+fn check_histories(seeds: &[u64], run: fn(u64) -> Simulation, is_settled: fn(Phase) -> bool) {
+    let threads = std::thread::available_parallelism().map_or(1, |cores| cores.get().div_ceil(2));
+    let check = |seed: u64| {
+        let sim = run(seed);
+        let open = sim.engine.jobs.values().filter(|job| !is_settled(job.visible_phase));
+        let open = open.map(|job| format!("job {} is not settled", job.submission.job));
+        let broken: Vec<String> = sim.violations.iter().cloned().chain(open).collect();
+        (!broken.is_empty()).then_some((seed, broken))
+    };
+    let failed: Vec<(u64, Vec<String>)> = std::thread::scope(|scope| {
+        let chunks = seeds.chunks(seeds.len().div_ceil(threads).max(1));
+        let workers: Vec<_> = chunks
+            .map(|chunk| scope.spawn(move || chunk.iter().copied().filter_map(check).collect()))
+            .collect();
+        let join = |worker: ScopedJoinHandle<'_, Vec<_>>| worker.join().expect("a history ends");
+        workers.into_iter().flat_map(join).collect()
+    });
+    println!("{} histories, {} of them with a violation", seeds.len(), failed.len());
+    assert!(failed.is_empty(), "{failed:#?}");
+}
+
 fn run_history(seed: u64) -> Simulation {
     let mut choices = Rng::with_seed(seed ^ 0x5eed);
     let faults = Faults {
@@ -53,20 +90,15 @@
 
 #[test]
 fn random_faults_break_no_rule_and_lose_no_job() {
-    for seed in REGRESSION_SEEDS.into_iter().chain(SEEDS) {
-        let sim = run_history(seed);
-        assert_eq!(sim.violations, Vec::<String>::new(), "seed {seed}");
-        for job in sim.engine.jobs.values() {
-            assert_eq!(job.visible_phase, Phase::Done, "seed {seed} job {}", job.submission.job);
-        }
-    }
+    let seeds = seeds(&REGRESSION_SEEDS, SEEDS);
+    check_histories(&seeds, run_history, |phase| phase == Phase::Done);
 }
 
 /// Seeds of histories of full workers on which a worker got more tasks than it has capacity for.
 const FULL_WORKER_REGRESSION_SEEDS: [u64; 10] =
     [10_022, 10_038, 10_151, 10_011, 10_094, 10_292, 10_461, 10_560, 11_102, 20_596];
 /// Seeds of the further histories of full workers.
-const FULL_WORKER_SEEDS: std::ops::Range<u64> = 2_000..2_040;
+const FULL_WORKER_SEEDS: Range<u64> = 2_000..2_040;
 /// Number of workers that are kept full.
 const FULL_WORKERS: usize = 3;
 
@@ -108,13 +140,8 @@
 
 #[test]
 fn full_workers_never_exceed_their_capacity() {
-    for seed in FULL_WORKER_REGRESSION_SEEDS.into_iter().chain(FULL_WORKER_SEEDS) {
-        let sim = run_history_of_full_workers(seed);
-        assert_eq!(sim.violations, Vec::<String>::new(), "seed {seed}");
-        for job in sim.engine.jobs.values() {
-            assert!(job.visible_phase.is_ended(), "seed {seed} job {}", job.submission.job);
-        }
-    }
+    let seeds = seeds(&FULL_WORKER_REGRESSION_SEEDS, FULL_WORKER_SEEDS);
+    check_histories(&seeds, run_history_of_full_workers, Phase::is_ended);
 }
 
 #[test]
--- a/crates/policy/tests/fleet_engine/simulation.rs
+++ b/crates/policy/tests/fleet_engine/simulation.rs
@@ -24,6 +24,9 @@
 /// Length of one simulation step.
 pub const TICK: Duration = Duration::from_millis(10);
 
+/// Maximum number of a worker's events that are printed with a violation.
+const WORKER_EVENTS_MAX: usize = 40;
+
 /// Time after which the sender of an order stops waiting for the answer.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -145,6 +148,8 @@
     disconnected: BTreeSet<InstanceId>,
     /// Events of each task, printed with a violation.
     trace: BTreeMap<TaskName, Vec<String>>,
+    /// Events of each worker, the last of which are printed with a violation.
+    worker_trace: BTreeMap<InstanceId, Vec<String>>,
     /// Start of the simulation.
     origin: Instant,
     /// Starts that the duplicate check ignores: delivered late to a worker incarnation of which the owner
@@ -206,6 +211,7 @@
             newest_fence: 0,
             disconnected: BTreeSet::new(),
             trace: BTreeMap::new(),
+            worker_trace: BTreeMap::new(),
             origin: now,
             exempt_starts: BTreeSet::new(),
             violations: Vec::new(),
@@ -258,6 +264,7 @@
     pub fn crash(&mut self, id: &str) {
         self.workers.get_mut(id).expect("the worker exists").crash(self.now);
         self.disconnected.insert(id.into());
+        self.trace_worker(&id.into(), "restarts".to_owned());
     }
 
     /// Starts the term of a new owner; orders of the old one remain in flight.
@@ -330,6 +337,7 @@
         if removed || self.is_partitioned(&id, self.engine.fence) || self.disconnected.remove(&id) {
             self.engine.end_renewal(key, false);
             self.engine.record_missed_report(key, self.now);
+            self.trace_worker(&id, "report not received".to_owned());
             return;
         }
         let acknowledged = self.engine.workers[key].ack_cursor();
@@ -339,7 +347,10 @@
         self.engine.end_renewal(key, true);
         match report.filter(|_| self.rng.f64() >= self.faults.lost_reports) {
             Some(report) => self.answer(key, AnswerContent::Report { sent: self.now, report }),
-            None => self.engine.record_missed_report(key, self.now),
+            None => {
+                self.engine.record_missed_report(key, self.now);
+                self.trace_worker(&id, "report lost".to_owned());
+            }
         }
     }
 
@@ -360,7 +371,17 @@
         match content {
             AnswerContent::Report { sent, report } => {
                 let timing = ReportTiming { sent, received: self.now };
-                self.engine.apply_report(worker, timing, &report, &mut Vec::new());
+                let applied = self.engine.apply_report(worker, timing, &report, &mut Vec::new());
+                let id = self.engine.workers[worker].entry.id.clone();
+                let age_ms = self.now.saturating_duration_since(sent).as_millis();
+                self.trace_worker(
+                    &id,
+                    format!(
+                        "report of incarnation {} with {} runs, requested {age_ms} ms before, applied: {applied}",
+                        report.incarnation,
+                        report.running.len()
+                    ),
+                );
             }
             AnswerContent::Start { task, attempt, outcome } => {
                 self.resolve_start(worker, task, attempt, outcome);
@@ -387,6 +408,23 @@
         self.trace.entry(task.clone()).or_default().push(format!("{at_ms} ms: {event}"));
     }
 
+    fn trace_worker(&mut self, worker: &InstanceId, event: String) {
+        let at_ms = self.now.saturating_duration_since(self.origin).as_millis();
+        let account = self.engine.worker_key(worker).map(|key| {
+            let worker = &self.engine.workers[key];
+            format!("{}, {}", worker.describe_load(), self.engine.is_usable(worker, self.now))
+        });
+        let account = account.unwrap_or_default();
+        let events = self.worker_trace.entry(worker.clone()).or_default();
+        events.push(format!("{at_ms} ms: {event}; account: {account}"));
+    }
+
+    /// Returns the last events of a worker.
+    fn recent_worker_events(&self, worker: &InstanceId) -> &[String] {
+        let events = self.worker_trace.get(worker).map_or(&[][..], Vec::as_slice);
+        &events[events.len().saturating_sub(WORKER_EVENTS_MAX)..]
+    }
+
     /// Records the tasks whose successful ends have numbers up to `acknowledged`.
     fn record_acknowledged(&mut self, id: &InstanceId, acknowledged: u64) {
         let ends = self.workers[id].ends.iter();
@@ -562,6 +600,9 @@
             Order::Stop { worker, name, attempt } if reached => {
                 let fake = self.workers.get_mut(&delivery.worker).expect("the worker exists");
                 let done = fake.stop(&name, attempt, delivery.fence, self.now);
+                let TaskName { job, index, .. } = &name;
+                let event = format!("stop of {job}.{index} attempt {attempt}, taken: {done}");
+                self.trace_worker(&delivery.worker, event);
                 if done && delivery.answered && current {
                     let sent = delivery.sent;
                     self.answer(worker, AnswerContent::Stop { name, attempt, sent });
@@ -601,6 +642,10 @@
                 format!("attempt {attempt} of fence {fence} starts at {id}"),
             );
             self.starts.push((self.now, id.clone(), start.task.clone(), start.attempt));
+            let TaskName { job, index, .. } = &start.task;
+            let event =
+                format!("{job}.{index} attempt {attempt} of fence {fence} starts, late: {late}");
+            self.trace_worker(id, event);
             let key = self.engine.worker_key(id).expect("engines know all workers");
             if late && self.engine.workers[key].incarnation != self.workers[id].entry.incarnation {
                 self.exempt_starts.insert((start.task.clone(), start.attempt));
@@ -634,7 +679,9 @@
         let on_worker: u64 = self.workers[id].runs.iter().map(|run| amount_milli(&run.task)).sum();
         let capacity = self.workers[id].entry.capacity.cpu_milli;
         if on_worker > capacity {
-            self.violations.push(format!("{id} runs {on_worker} millicores of {capacity}"));
+            let history = self.recent_worker_events(id);
+            self.violations
+                .push(format!("{id} runs {on_worker} millicores of {capacity}: {history:#?}"));
         }
         let used: u64 = running.map(|run| amount_milli(&run.task)).sum();
         let cap = self.config.teams["t"].1.cpu_milli;
