Bind the tasks of a term to its fence

Cause: the loops and orders of a term looked up the daemon's current term when an answer arrived, and took the fence of their orders from it when they ran. A term joins its tasks for a second at its end, but a stop or a start with the report that follows takes up to 1.8 s. If the same daemon owned the fleet again by then, a report was applied to the worker that has the key in the new engine, and with another incarnation dropped all runs of that worker; an order of the old term went out with the new fence.

Now each loop and order has the fence of its term, and term::with_term finds no other term. The test swaps in the engine of a next term under reports in flight: a worker had the report of another one before, none has now.

--- a/crates/plugins/src/fleet/directory.rs
+++ b/crates/plugins/src/fleet/directory.rs
@@ -10,22 +10,23 @@
 use wasabiswitch_kernel::tasks::TaskTree;
 use wasabiswitch_policy::ids::InstanceId;
 
+use super::term::with_term;
 use super::{port, workers};
 
 /// Delay before the directory is read again after a failure.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
-/// Applies the directory's changes after `cursor` until the term ends.
-pub(crate) async fn follow(kernel: Arc<Kernel>, mut cursor: Cursor, tasks: TaskTree) {
+/// Applies the directory's changes after `cursor` until the term with `fence` ends.
+pub(crate) async fn follow(kernel: Arc<Kernel>, fence: u64, mut cursor: Cursor, tasks: TaskTree) {
     loop {
         match (port(&kernel).watch_directory)(cursor).await {
             Ok(WatchResult::Changes(items, next)) => {
                 cursor = cursor.max(next);
-                apply_items(&kernel, &tasks, items);
+                apply_items(&kernel, fence, &tasks, items);
             }
             Ok(WatchResult::HistoryGone) => {
                 log::info!("directory feed lost its history cursor={cursor}, reading again");
-                cursor = reload(&kernel, &tasks, cursor).await;
+                cursor = reload(&kernel, fence, &tasks, cursor).await;
             }
             Err(error) => {
                 log::warn!("directory feed failed cursor={cursor} reason={error}");
@@ -35,11 +36,11 @@
     }
 }
 
-async fn reload(kernel: &Arc<Kernel>, tasks: &TaskTree, cursor: Cursor) -> Cursor {
+async fn reload(kernel: &Arc<Kernel>, fence: u64, tasks: &TaskTree, cursor: Cursor) -> Cursor {
     match (port(kernel).read_directory)(()).await {
         Ok((items, next)) => {
-            mark_missing_unlisted(kernel, &items);
-            apply_items(kernel, tasks, items);
+            mark_missing_unlisted(kernel, fence, &items);
+            apply_items(kernel, fence, tasks, items);
             next
         }
         Err(error) => {
@@ -50,7 +51,7 @@
     }
 }
 
-fn mark_missing_unlisted(kernel: &Kernel, items: &[DirectoryItem]) {
+fn mark_missing_unlisted(kernel: &Kernel, fence: u64, items: &[DirectoryItem]) {
     let listed: BTreeSet<&InstanceId> = items
         .iter()
         .filter_map(|item| match item {
@@ -58,38 +59,35 @@
             DirectoryItem::Unlisted(_) => None,
         })
         .collect();
-    let mut guard = kernel.tables.term.lock();
-    let Some(term) = guard.as_mut() else { return };
-    for worker in term.engine.workers.values_mut() {
-        if !listed.contains(&worker.entry.id) {
-            worker.listed = false;
+    with_term(kernel, fence, |term| {
+        for worker in term.engine.workers.values_mut() {
+            if !listed.contains(&worker.entry.id) {
+                worker.listed = false;
+            }
         }
-    }
+    });
 }
 
-fn apply_items(kernel: &Arc<Kernel>, tasks: &TaskTree, items: Vec<DirectoryItem>) {
+fn apply_items(kernel: &Arc<Kernel>, fence: u64, tasks: &TaskTree, items: Vec<DirectoryItem>) {
     let now = kernel.clock.now();
     for item in items {
-        let mut guard = kernel.tables.term.lock();
-        let Some(term) = guard.as_mut() else { return };
         match item {
             DirectoryItem::Listed(entry) => {
-                let known = term.engine.worker_key(&entry.id).is_some();
-                log::info!(
-                    "worker listed worker={} pool={} draining={} known={known}",
-                    entry.id,
-                    entry.pool,
-                    entry.draining
-                );
-                let key = term.engine.upsert_worker(entry, now);
-                drop(guard);
+                let worker =
+                    format!("worker={} pool={} draining={}", entry.id, entry.pool, entry.draining);
+                let upserted = with_term(kernel, fence, |term| {
+                    let known = term.engine.worker_key(&entry.id).is_some();
+                    (known, term.engine.upsert_worker(entry, now))
+                });
+                let Some((known, key)) = upserted else { return };
+                log::info!("worker listed {worker} known={known}");
                 if !known {
-                    workers::poll_worker(kernel, tasks, key);
+                    workers::poll_worker(kernel, fence, tasks, key);
                 }
             }
             DirectoryItem::Unlisted(id) => {
                 log::info!("worker unlisted worker={id}");
-                term.engine.mark_worker_unlisted(&id);
+                with_term(kernel, fence, |term| term.engine.mark_worker_unlisted(&id));
             }
         }
     }
--- a/crates/plugins/src/fleet/term.rs
+++ b/crates/plugins/src/fleet/term.rs
@@ -78,13 +78,13 @@
         hand_over_requested: false,
     });
     let tasks = kernel.tasks.child();
-    tasks.spawn_until_stopped("plan", plan(kernel.clone(), tasks.clone()));
+    tasks.spawn_until_stopped("plan", plan(kernel.clone(), fence, tasks.clone()));
     tasks.spawn_until_stopped(
         "directory",
-        directory::follow(kernel.clone(), rebuilt.directory_cursor, tasks.clone()),
+        directory::follow(kernel.clone(), fence, rebuilt.directory_cursor, tasks.clone()),
     );
-    tasks.spawn_until_stopped("instances", instances::run(kernel.clone(), tasks.clone()));
-    workers::poll_all_workers(kernel, &tasks);
+    tasks.spawn_until_stopped("instances", instances::run(kernel.clone(), fence, tasks.clone()));
+    workers::poll_all_workers(kernel, fence, &tasks);
     let reason = Writer::new(kernel.clone(), row, version, sent).run().await;
     let joined = tasks.join(JOIN_TIMEOUT).await;
     // Dropping the term closes the channels of all waiting callers, whose outcome is then in doubt.
@@ -92,24 +92,36 @@
     log::info!("term ended fence={fence} reason={reason} joined={joined}");
 }
 
+/// Runs `action` on the term with `fence`; returns `None` if this daemon's term is another one or none.
+///
+/// An answer may arrive after the term in which the order was sent has ended. In a later term of the same daemon the
+/// order's keys name other workers and tasks.
+pub(crate) fn with_term<R>(
+    kernel: &Kernel,
+    fence: u64,
+    action: impl FnOnce(&mut Term) -> R,
+) -> Option<R> {
+    let mut guard = kernel.tables.term.lock();
+    guard.as_mut().filter(|term| term.engine.fence == fence).map(action)
+}
+
 /// Plans after each event and at regular intervals, and sends the orders.
-async fn plan(kernel: Arc<Kernel>, tasks: TaskTree) {
+async fn plan(kernel: Arc<Kernel>, fence: u64, tasks: TaskTree) {
     loop {
         let now = kernel.clock.now();
-        let (orders, events) = {
-            let mut guard = kernel.tables.term.lock();
-            let Some(term) = guard.as_mut() else { return };
-            let mut events = Vec::new();
+        let mut events = Vec::new();
+        let orders = with_term(&kernel, fence, |term| {
             let can_act = !term.superseded && may_act(term.confirmed_sent, now);
             let orders = if can_act { term.engine.plan(now, &mut events) } else { Vec::new() };
             if term.engine.has_changes() {
                 kernel.wake_signals.write.notify_one();
             }
-            (orders, events)
-        };
+            orders
+        });
+        let Some(orders) = orders else { return };
         log_job_events(&events);
         for order in orders {
-            workers::spawn_order(&kernel, &tasks, order);
+            workers::spawn_order(&kernel, fence, &tasks, order);
         }
         sleep(PLAN_INTERVAL_MIN).await;
         tokio::select! {
@@ -119,12 +131,11 @@
     }
 }
 
-/// Ends the term as superseded, because `source` has shown that the fleet has a newer owner.
-pub(crate) fn end_term(kernel: &Kernel, source: &str) {
-    let mut guard = kernel.tables.term.lock();
-    if let Some(term) = guard.as_mut().filter(|term| !term.superseded) {
-        term.superseded = true;
-        log::warn!("term superseded by a newer owner fence={} by={source}", term.engine.fence);
+/// Ends the term with `fence` as superseded, because `source` has shown that the fleet has a newer owner.
+pub(crate) fn end_term(kernel: &Kernel, fence: u64, source: &str) {
+    let ended = with_term(kernel, fence, |term| !std::mem::replace(&mut term.superseded, true));
+    if ended == Some(true) {
+        log::warn!("term superseded by a newer owner fence={fence} by={source}");
         kernel.wake_signals.write.notify_one();
     }
 }
--- a/crates/plugins/src/fleet/workers.rs
+++ b/crates/plugins/src/fleet/workers.rs
@@ -19,6 +19,7 @@
 use wasabiswitch_policy::fleet::reports::{JobEvent, ReportTiming, WorkerReport};
 use wasabiswitch_policy::fleet::state::{TaskName, TaskRef, Worker, WorkerKey};
 
+use super::term::with_term;
 use super::{log_job_events, port, term};
 
 /// Time that a worker with tasks waits for the end of one before it reports.
@@ -36,33 +37,29 @@
     Never,
 }
 
-/// Starts to poll every worker of the engine.
-pub(crate) fn poll_all_workers(kernel: &Arc<Kernel>, tasks: &TaskTree) {
-    let keys: Vec<WorkerKey> = {
-        let guard = kernel.tables.term.lock();
-        guard.as_ref().map_or(Vec::new(), |term| term.engine.workers.keys().collect())
-    };
-    for key in keys {
-        poll_worker(kernel, tasks, key);
+/// Starts to poll every worker of the engine of the term with `fence`.
+pub(crate) fn poll_all_workers(kernel: &Arc<Kernel>, fence: u64, tasks: &TaskTree) {
+    let keys: Option<Vec<WorkerKey>> =
+        with_term(kernel, fence, |term| term.engine.workers.keys().collect());
+    for key in keys.unwrap_or_default() {
+        poll_worker(kernel, fence, tasks, key);
     }
 }
 
-/// Starts to poll a worker for reports until the engine has removed it.
-pub(crate) fn poll_worker(kernel: &Arc<Kernel>, tasks: &TaskTree, key: WorkerKey) {
+/// Starts to poll a worker for reports until the engine has removed it or the term with `fence` has ended.
+pub(crate) fn poll_worker(kernel: &Arc<Kernel>, fence: u64, tasks: &TaskTree, key: WorkerKey) {
     let kernel = kernel.clone();
     tasks.spawn_until_stopped("worker reports", async move {
-        while let NextPoll::After(pause) = poll_once(&kernel, key).await {
+        while let NextPoll::After(pause) = poll_once(&kernel, fence, key).await {
             sleep(pause).await;
         }
     });
 }
 
-async fn poll_once(kernel: &Arc<Kernel>, key: WorkerKey) -> NextPoll {
+async fn poll_once(kernel: &Arc<Kernel>, fence: u64, key: WorkerKey) -> NextPoll {
     let now = kernel.clock.now();
-    let order = {
-        let mut guard = kernel.tables.term.lock();
-        let Some(term) = guard.as_mut() else { return NextPoll::Never };
-        let Some(worker) = term.engine.workers.get(key) else { return NextPoll::Never };
+    let order = with_term(kernel, fence, |term| {
+        let worker = term.engine.workers.get(key)?;
         let busy = !worker.runs.is_empty();
         let wait = match (worker.clock, busy) {
             // No task can start on a worker before its clock is known.
@@ -72,29 +69,27 @@
         };
         let can_act = !term.superseded && may_act(term.confirmed_sent, now);
         let until_ms = if can_act { term.engine.begin_renewal(key, now) } else { None };
-        let worker = &term.engine.workers[key];
-        hold_order(worker, term.engine.fence, until_ms, wait)
-    };
+        Some(hold_order(&term.engine.workers[key], fence, until_ms, wait))
+    });
+    let Some(order) = order.flatten() else { return NextPoll::Never };
     let Some(order) = order else { return NextPoll::After(REPORT_RETRY_DELAY) };
     let reply = (port(kernel).hold)(order).await;
-    let received = kernel.clock.now();
+    let timing = ReportTiming { sent: now, received: kernel.clock.now() };
     let mut events = Vec::new();
-    let pause = {
-        let mut guard = kernel.tables.term.lock();
-        let Some(term) = guard.as_mut() else { return NextPoll::Never };
+    let applied = with_term(kernel, fence, |term| {
         let may_be_applied =
             reply.as_ref().err().is_none_or(|error| error.verdict != Verdict::NotRun);
         term.engine.end_renewal(key, may_be_applied);
-        let timing = ReportTiming { sent: now, received };
-        match apply_reply(&mut term.engine, key, timing, reply, &mut events) {
-            AppliedReply::Report => REPORT_INTERVAL_MIN,
-            AppliedReply::NoReport => REPORT_RETRY_DELAY,
-            AppliedReply::Fenced => {
-                drop(guard);
-                term::end_term(kernel, "a worker's report");
-                return NextPoll::Never;
-            }
+        apply_reply(&mut term.engine, key, timing, reply, &mut events)
+    });
+    let pause = match applied {
+        Some(AppliedReply::Report) => REPORT_INTERVAL_MIN,
+        Some(AppliedReply::NoReport) => REPORT_RETRY_DELAY,
+        Some(AppliedReply::Fenced) => {
+            term::end_term(kernel, fence, "a worker's report");
+            return NextPoll::Never;
         }
+        None => return NextPoll::Never,
     };
     log_job_events(&events);
     kernel.wake_signals.plan.notify_one();
@@ -104,14 +99,11 @@
 /// Requests a report at once, in addition to the regular request, which waits for the next end of a task.
 ///
 /// Only a report that is requested after an unanswered order shows whether the order took effect.
-async fn poll_now(kernel: &Arc<Kernel>, key: WorkerKey) {
-    let order = {
-        let guard = kernel.tables.term.lock();
-        let engine = guard.as_ref().map(|term| &term.engine);
-        let worker = engine.and_then(|engine| Some((engine.workers.get(key)?, engine.fence)));
-        worker.and_then(|(worker, fence)| hold_order(worker, fence, None, Duration::ZERO))
-    };
-    let Some(order) = order else { return };
+async fn poll_now(kernel: &Arc<Kernel>, fence: u64, key: WorkerKey) {
+    let order = with_term(kernel, fence, |term| {
+        hold_order(term.engine.workers.get(key)?, fence, None, Duration::ZERO)
+    });
+    let Some(order) = order.flatten() else { return };
     let sent = kernel.clock.now();
     let reply = (port(kernel).hold)(order).await;
     let timing = ReportTiming { sent, received: kernel.clock.now() };
@@ -120,14 +112,12 @@
         return;
     }
     let mut events = Vec::new();
-    let applied = {
-        let mut guard = kernel.tables.term.lock();
-        let Some(term) = guard.as_mut() else { return };
+    let applied = with_term(kernel, fence, |term| {
         apply_reply(&mut term.engine, key, timing, reply, &mut events)
-    };
+    });
     log_job_events(&events);
-    if matches!(applied, AppliedReply::Fenced) {
-        term::end_term(kernel, "a worker's report");
+    if matches!(applied, Some(AppliedReply::Fenced)) {
+        term::end_term(kernel, fence, "a worker's report");
     }
     kernel.wake_signals.plan.notify_one();
 }
@@ -202,25 +192,25 @@
     Some(WorkerTarget { id: worker.entry.id.clone(), address })
 }
 
-/// Sends an order in a separate task, which is joined at the end of the term.
-pub(crate) fn spawn_order(kernel: &Arc<Kernel>, tasks: &TaskTree, order: Order) {
+/// Sends an order of the term with `fence` in a separate task, which is joined at the end of the term.
+pub(crate) fn spawn_order(kernel: &Arc<Kernel>, fence: u64, tasks: &TaskTree, order: Order) {
     let kernel = kernel.clone();
-    tasks.spawn("order", async move { execute(&kernel, order).await });
+    tasks.spawn("order", async move { execute(&kernel, fence, order).await });
 }
 
-fn order_target(kernel: &Kernel, key: WorkerKey) -> Option<(WorkerTarget, u64)> {
-    let guard = kernel.tables.term.lock();
-    let engine = &guard.as_ref()?.engine;
-    Some((target(engine.workers.get(key)?)?, engine.fence))
+fn order_target(kernel: &Kernel, fence: u64, key: WorkerKey) -> Option<WorkerTarget> {
+    with_term(kernel, fence, |term| target(term.engine.workers.get(key)?)).flatten()
 }
 
-async fn execute(kernel: &Arc<Kernel>, order: Order) {
+async fn execute(kernel: &Arc<Kernel>, fence: u64, order: Order) {
     match order {
-        Order::Advise { step, name, workers } => request_advice(kernel, step, name, workers).await,
+        Order::Advise { step, name, workers } => {
+            request_advice(kernel, fence, step, name, workers).await;
+        }
         Order::Start { worker, task, name, attempt, submission, until_ms, checkpoint, ticket } => {
-            let outcome = match order_target(kernel, worker) {
+            let outcome = match order_target(kernel, fence, worker) {
                 None => StartOutcome::NotSent,
-                Some((target, fence)) => {
+                Some(target) => {
                     let spec = submission.spec.clone();
                     let start = StartOrder {
                         target,
@@ -240,40 +230,41 @@
             metrics::counter!(metric::STARTS, "outcome" => label).increment(1);
             let now = kernel.clock.now();
             let mut events = Vec::new();
-            if let Some(term) = kernel.tables.term.lock().as_mut() {
+            with_term(kernel, fence, |term| {
                 term.engine.apply_start_outcome(worker, task, attempt, outcome, now, &mut events);
-            }
+            });
             log_job_events(&events);
             match outcome {
                 StartOutcome::Started => {}
-                StartOutcome::Fenced => term::end_term(kernel, "a worker's answer to a start"),
-                StartOutcome::Unknown => poll_now(kernel, worker).await,
+                StartOutcome::Fenced => {
+                    term::end_term(kernel, fence, "a worker's answer to a start");
+                }
+                StartOutcome::Unknown => poll_now(kernel, fence, worker).await,
                 _ => kernel.wake_signals.plan.notify_one(),
             }
         }
         Order::Stop { worker, name, attempt } => {
-            let Some((target, fence)) = order_target(kernel, worker) else { return };
+            let Some(target) = order_target(kernel, fence, worker) else { return };
             let run = RunOrder { target, task: name.clone(), attempt, fence };
             let sent = kernel.clock.now();
             let reply = (port(kernel).stop)(run).await;
-            let done = handle_order_reply(kernel, "stop", &name.job, reply);
+            let done = handle_order_reply(kernel, fence, "stop", &name.job, reply);
             let now = kernel.clock.now();
-            let needs_report = match kernel.tables.term.lock().as_mut().filter(|_| done) {
-                Some(term) => {
+            let needs_report = with_term(kernel, fence, |term| {
+                if done {
                     term.engine.record_stop_acknowledgement(worker, &name, attempt, sent, now);
-                    term.engine.waits_for_report(worker, &name, attempt)
                 }
-                None => false,
-            };
-            if needs_report {
-                poll_now(kernel, worker).await;
+                done && term.engine.waits_for_report(worker, &name, attempt)
+            });
+            if needs_report == Some(true) {
+                poll_now(kernel, fence, worker).await;
             }
         }
         Order::Pace { worker, name, attempt, percent } => {
-            let Some((target, fence)) = order_target(kernel, worker) else { return };
+            let Some(target) = order_target(kernel, fence, worker) else { return };
             let run = RunOrder { target, task: name.clone(), attempt, fence };
             let reply = (port(kernel).pace)((run, percent)).await;
-            handle_order_reply(kernel, "pace", &name.job, reply);
+            handle_order_reply(kernel, fence, "pace", &name.job, reply);
         }
     }
 }
@@ -281,16 +272,16 @@
 /// Requests from the advice service which of `workers` may run a step.
 async fn request_advice(
     kernel: &Arc<Kernel>,
+    fence: u64,
     step: TaskRef,
     name: TaskName,
     workers: Vec<WorkerKey>,
 ) {
-    let ids = {
-        let guard = kernel.tables.term.lock();
-        let Some(term) = guard.as_ref() else { return };
+    let ids = with_term(kernel, fence, |term| {
         let found = workers.iter().filter_map(|key| term.engine.workers.get(*key));
         found.map(|worker| worker.entry.id.clone()).collect()
-    };
+    });
+    let Some(ids) = ids else { return };
     let sent = kernel.clock.now();
     let request = AdviceRequest { step: name.clone(), workers: ids };
     let answer = match (port(kernel).advise)(request).await {
@@ -308,22 +299,23 @@
             None
         }
     };
-    if let Some(term) = kernel.tables.term.lock().as_mut() {
-        term.engine.apply_advice(&step, &workers, answer, sent);
-    }
+    with_term(kernel, fence, |term| term.engine.apply_advice(&step, &workers, answer, sent));
     kernel.wake_signals.plan.notify_one();
 }
 
 /// Handles the reply to an order; returns whether the worker has carried the order out.
 fn handle_order_reply(
     kernel: &Kernel,
+    fence: u64,
     order: &str,
     job: &str,
     reply: PlatformResult<WorkerReply<()>>,
 ) -> bool {
     match reply {
         Ok(WorkerReply::Done(())) => return true,
-        Ok(WorkerReply::Fenced) => term::end_term(kernel, "a worker's answer to an order"),
+        Ok(WorkerReply::Fenced) => {
+            term::end_term(kernel, fence, "a worker's answer to an order");
+        }
         Ok(WorkerReply::OtherLife) => log::info!("{order} reached another incarnation job={job}"),
         Ok(WorkerReply::Refused(reason)) => log::warn!("{order} refused job={job} reason={reason}"),
         Err(error) => log::warn!("{order} not answered job={job} reason={error}"),
--- /dev/null
+++ b/crates/plugins/tests/fleet_terms.rs
@@ -0,0 +1,55 @@
+//! Terms of one daemon on the users' platform: what belongs to an ended term must not reach a later one.
+
+use std::time::Duration;
+
+use wasabiswitch_plugins as _;
+use wasabiswitch_policy::fleet::Engine;
+use wasabiswitch_standin::fleet::{FleetStandIn, single_queue_config};
+use wasabiswitch_standin::{Fault, Operation};
+
+const fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+/// Number of instances in the pool.
+const POOL_INSTANCES: usize = 4;
+
+// A report that was requested in an ended term was applied to the engine of the daemon's next term, where the key of its
+// worker names another worker.
+#[tokio::test(start_paused = true)]
+async fn reports_of_an_ended_term_do_not_reach_the_next_one() {
+    fastrand::seed(31);
+    let platform = FleetStandIn::new(&[("p", POOL_INSTANCES), ("standby", 0)], 100_000);
+    platform.put_config(single_queue_config("standby", 100_000));
+    let owner = platform.start(1).await;
+    tokio::time::sleep(ms(1_500)).await;
+    platform.faults().inject(Operation::Hold, Fault::SlowResponse(ms(600)), u32::MAX);
+    tokio::time::sleep(ms(1_500)).await;
+    // The next term's engine lists the workers in another order, and has no loops of its own in this test.
+    let replaced = {
+        let mut guard = owner.tables.term.lock();
+        let term = guard.as_mut().expect("the daemon owns the fleet");
+        let mut engine = Engine::new(term.engine.limits.clone(), term.engine.fence + 1);
+        let entries: Vec<_> = term.engine.workers.values().map(|w| w.entry.clone()).collect();
+        for entry in entries.into_iter().rev() {
+            engine.upsert_worker(entry, owner.clock.now());
+        }
+        std::mem::replace(&mut term.engine, engine)
+    };
+    assert!(replaced.workers.values().all(|worker| worker.last_contact.is_some()));
+    tokio::time::sleep(ms(3_000)).await;
+    {
+        let guard = owner.tables.term.lock();
+        let engine = &guard.as_ref().expect("the term lasts as long as its writer").engine;
+        assert!(engine.workers.len() == replaced.workers.len() && engine.workers.len() > 1);
+        for worker in engine.workers.values() {
+            assert_eq!(
+                worker.last_contact, None,
+                "{} has a report of the ended term",
+                worker.entry.id
+            );
+        }
+    }
+    platform.faults().clear();
+    owner.stop().await;
+}
