Let reports and plans follow the load of the owner's processor

Now the time between two reports of a worker grows with the delay of the owner's own timers (25 to 250 ms), and a plan is followed by four times its duration (4 to 60 ms). A later report lists all ends since the last one, so nothing is lost by waiting.

The test has a processor that reports alone would saturate: orders wait less than half as long as with the constant interval, under load and after it.

--- a/crates/kernel/src/tables/fleet.rs
+++ b/crates/kernel/src/tables/fleet.rs
@@ -11,6 +11,7 @@
 use wasabiswitch_policy::fleet::config::FleetConfig;
 use wasabiswitch_policy::fleet::maintenance::WaveNumber;
 use wasabiswitch_policy::fleet::ownership::OwnerHeartbeat;
+use wasabiswitch_policy::fleet::pressure::Pressure;
 use wasabiswitch_policy::fleet::progress::JobRow;
 use wasabiswitch_policy::ids::{DaemonId, JobId};
 
@@ -69,6 +70,8 @@
 pub struct Term {
     /// State machine of jobs, tasks and workers.
     pub engine: Engine,
+    /// Load of the owner's processor, which sets the intervals of reports.
+    pub pressure: Pressure,
     /// Time at which the last confirmed write of the owner's row was sent.
     pub confirmed_sent: Instant,
     /// Number of confirmed writes of the term.
--- a/crates/plugins/src/fleet/term.rs
+++ b/crates/plugins/src/fleet/term.rs
@@ -11,16 +11,15 @@
 use wasabiswitch_kernel::{Kernel, metric};
 use wasabiswitch_policy::fleet::Limits;
 use wasabiswitch_policy::fleet::ownership::{OWNER_LEASE, OwnerRow, may_act};
+use wasabiswitch_policy::fleet::pressure::{Pressure, pause_after_plan};
 
 use super::writer::Writer;
 use super::{directory, instances, log_job_events, takeover, workers};
 
 /// Time limit for the tasks of a term to end; orders in flight end by their own timeouts.
 const JOIN_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Minimum interval between two plans, so that one plan covers events that occur together.
-const PLAN_INTERVAL_MIN: Duration = Duration::from_millis(4);
 /// Maximum interval between two plans when no event occurs.
-const PLAN_INTERVAL_MAX: Duration = Duration::from_millis(100);
+const PLAN_INTERVAL_IDLE: Duration = Duration::from_millis(100);
 /// Delay before a failed rebuild is tried again.
 const REBUILD_RETRY_DELAY: Duration = Duration::from_millis(100);
 
@@ -65,6 +64,7 @@
     metrics::counter!(metric::OWNER_TERMS).increment(1);
     *kernel.tables.term.lock() = Some(Term {
         engine: rebuilt.engine,
+        pressure: Pressure::default(),
         confirmed_sent: sent,
         writes: row.writes,
         write_failing_since: None,
@@ -119,13 +119,17 @@
             orders
         });
         let Some(orders) = orders else { return };
+        let pause = pause_after_plan(kernel.clock.now().saturating_duration_since(now));
         log_job_events(&events);
         for order in orders {
             workers::spawn_order(&kernel, fence, &tasks, order);
         }
-        sleep(PLAN_INTERVAL_MIN).await;
+        let paused_at = kernel.clock.now();
+        sleep(pause).await;
+        let paused = kernel.clock.now().saturating_duration_since(paused_at);
+        with_term(&kernel, fence, |term| term.pressure.record_timer(pause, paused));
         tokio::select! {
-            () = sleep(PLAN_INTERVAL_MAX) => {}
+            () = sleep(PLAN_INTERVAL_IDLE) => {}
             () = kernel.wake_signals.plan.notified() => {}
         }
     }
--- a/crates/plugins/src/fleet/workers.rs
+++ b/crates/plugins/src/fleet/workers.rs
@@ -26,8 +26,6 @@
 const BUSY_WAIT: Duration = Duration::from_millis(500);
 /// Time that a worker without tasks waits before it reports.
 const IDLE_WAIT: Duration = Duration::from_millis(1_000);
-/// Minimum time between two reports of a worker, so that tasks that end together need only one report.
-const REPORT_INTERVAL_MIN: Duration = Duration::from_millis(25);
 /// Delay before the next request after a failed report.
 const REPORT_RETRY_DELAY: Duration = Duration::from_millis(200);
 
@@ -80,12 +78,13 @@
         let may_be_applied =
             reply.as_ref().err().is_none_or(|error| error.verdict != Verdict::NotRun);
         term.engine.end_renewal(key, may_be_applied);
-        apply_reply(&mut term.engine, key, timing, reply, &mut events)
+        let applied = apply_reply(&mut term.engine, key, timing, reply, &mut events);
+        (applied, term.pressure.report_interval())
     });
     let pause = match applied {
-        Some(AppliedReply::Report) => REPORT_INTERVAL_MIN,
-        Some(AppliedReply::NoReport) => REPORT_RETRY_DELAY,
-        Some(AppliedReply::Fenced) => {
+        Some((AppliedReply::Report, interval)) => interval,
+        Some((AppliedReply::NoReport, _)) => REPORT_RETRY_DELAY,
+        Some((AppliedReply::Fenced, _)) => {
             term::end_term(kernel, fence, "a worker's report");
             return NextPoll::Never;
         }
--- a/crates/policy/src/fleet/mod.rs
+++ b/crates/policy/src/fleet/mod.rs
@@ -17,6 +17,7 @@
 //! | [`outcomes`] | processing of the outcomes of starts and stops |
 //! | [`placement`] | choice of a worker for a task |
 //! | [`plan`] | choice of the tasks to start and to stop |
+//! | [`pressure`] | intervals of reports and plans, which follow the load of the owner's processor |
 //! | [`progress`] | progress of jobs in the store, and its recovery by a new owner |
 //! | [`advice`] | workers that the advice service allows for a step |
 //! | [`admission`] | refusal of jobs at submission |
@@ -44,6 +45,7 @@
 pub mod pace;
 pub mod placement;
 pub mod plan;
+pub mod pressure;
 pub mod progress;
 pub mod reports;
 pub mod settings;
