Bound the starts that are under way by the time that their answers take

Cause: the plan sends every start that fits at once. On a link of 2 Mbit/s their answers come after the timeout of 0.3 s; each such start is fenced by a stop, looked for by a report, and sent again, which adds to the queue that delayed it.

Now a window bounds the starts under way (32 to 256). It grows while answers take less than 150 ms, and shrinks otherwise; starts without any answer do not shrink it, since workers may leave orders unanswered. What is held back is planned at the next answer, so that the most urgent task is chosen when it can be sent.

--- a/crates/plugins/src/fleet/workers.rs
+++ b/crates/plugins/src/fleet/workers.rs
@@ -229,11 +229,15 @@
             metrics::counter!(metric::STARTS, "outcome" => label).increment(1);
             let now = kernel.clock.now();
             let mut events = Vec::new();
-            with_term(kernel, fence, |term| {
+            let holds_back = with_term(kernel, fence, |term| {
                 term.engine.apply_start_outcome(worker, task, attempt, outcome, now, &mut events);
+                term.engine.holds_starts_back()
             });
             log_job_events(&events);
             match outcome {
+                StartOutcome::Started if holds_back == Some(true) => {
+                    kernel.wake_signals.plan.notify_one();
+                }
                 StartOutcome::Started => {}
                 StartOutcome::Fenced => {
                     term::end_term(kernel, fence, "a worker's answer to a start");
--- a/crates/policy/src/fleet/outcomes.rs
+++ b/crates/policy/src/fleet/outcomes.rs
@@ -54,6 +54,11 @@
         if outcome != StartOutcome::Unknown {
             self.settle_start(key, &task, attempt);
         }
+        if outcome == StartOutcome::Started
+            && let Some(sent) = self.run(key, &task, attempt).map(|run| run.sent)
+        {
+            self.start_window.record_answer(now.saturating_duration_since(sent), now);
+        }
         match outcome {
             StartOutcome::Started => self.confirm_start(key, task, attempt, now),
             StartOutcome::Unknown => {
@@ -79,6 +84,11 @@
         }
     }
 
+    /// Returns whether the last plan held back tasks that an answer to a start lets go on.
+    pub fn holds_starts_back(&self) -> bool {
+        self.starts_held_back
+    }
+
     /// Records a start as in doubt when it is sent; its run can leave the account before it is answered.
     pub(super) fn record_start_in_doubt(
         &mut self,
--- a/crates/policy/src/fleet/plan.rs
+++ b/crates/policy/src/fleet/plan.rs
@@ -15,6 +15,8 @@
 
 /// Delay before a stop that was not acknowledged is sent again.
 const STOP_RETRY_DELAY: Duration = Duration::from_millis(400);
+/// Time after which a start without an answer no longer counts as under way; its timeout has passed by then.
+const START_ANSWER_OVERDUE: Duration = Duration::from_millis(600);
 /// Time without progress after which a task at full pace is stopped, so that it starts on another worker.
 ///
 /// Tasks report progress in whole percent, and each worker is polled at least once per second. A long-running
@@ -100,7 +102,9 @@
         self.open_due_occurrences(now);
         let mut orders = Vec::new();
         self.plan_stops(now, &mut orders, events);
-        self.plan_starts(now, &mut orders, events);
+        let mut budget = self.start_window.limit().saturating_sub(self.count_starts_under_way(now));
+        self.plan_starts(&mut budget, now, &mut orders, events);
+        self.starts_held_back = budget == 0;
         self.plan_paces(&mut orders);
         self.drop_ended_jobs();
         orders
@@ -174,7 +178,26 @@
         }
     }
 
-    fn plan_starts(&mut self, now: Instant, orders: &mut Vec<Order>, events: &mut Vec<JobEvent>) {
+    /// Counts the starts whose answer has not arrived and is not overdue.
+    fn count_starts_under_way(&self, now: Instant) -> usize {
+        let runs = self.workers.iter().flat_map(|(key, worker)| {
+            worker.runs.iter().filter_map(move |(task, attempt)| self.run(key, task, *attempt))
+        });
+        let under_way = |run: &&Run| {
+            run.state == RunState::Starting
+                && now.saturating_duration_since(run.sent) < START_ANSWER_OVERDUE
+        };
+        runs.filter(under_way).count()
+    }
+
+    /// Starts waiting tasks in order of their urgency, at most `budget` of them; a gang may exceed it.
+    fn plan_starts(
+        &mut self,
+        budget: &mut usize,
+        now: Instant,
+        orders: &mut Vec<Order>,
+        events: &mut Vec<JobEvent>,
+    ) {
         let mut candidates: BTreeMap<PoolId, Vec<WorkerKey>> = BTreeMap::new();
         for (key, worker) in &self.workers {
             if self.is_usable(worker, now) {
@@ -199,7 +222,10 @@
         for (_, key) in jobs {
             let pool = &self.queue_settings(&self.jobs[key]).pool;
             let Some(workers) = candidates.get(pool) else { continue };
-            self.start_job(key, workers, now, orders, events);
+            if *budget == 0 {
+                return;
+            }
+            self.start_job(key, workers, budget, now, orders, events);
         }
     }
 
@@ -224,11 +250,15 @@
         &mut self,
         key: JobKey,
         workers: &[WorkerKey],
+        budget: &mut usize,
         now: Instant,
         orders: &mut Vec<Order>,
         events: &mut Vec<JobEvent>,
     ) {
         for task in self.ready_steps(key) {
+            if *budget == 0 {
+                return;
+            }
             let requires_advice = self.queue_settings(&self.jobs[key]).requires_advice;
             let gang = self.jobs[key].submission.steps[task.step as usize].gang;
             let waiting = self.waiting_tasks(&task, now);
@@ -239,10 +269,15 @@
                 true => self.workers_with_tickets(&task, workers, now, orders),
                 false => workers.to_vec(),
             };
+            let orders_before = orders.len();
             match gang {
                 true => self.start_gang(&waiting, &allowed, now, orders, events),
-                false => self.start_tasks(&waiting, &allowed, now, orders, events),
+                false => {
+                    let tasks = &waiting[..waiting.len().min(*budget)];
+                    self.start_tasks(tasks, &allowed, now, orders, events);
+                }
             }
+            *budget = budget.saturating_sub(orders.len() - orders_before);
         }
     }
 
--- a/crates/policy/src/fleet/pressure.rs
+++ b/crates/policy/src/fleet/pressure.rs
@@ -6,7 +6,7 @@
 //! lists all ends since the last one. So their intervals follow the delay with which the owner's own timers fire, which
 //! is the time that every task of the process waits for the processor. See docs/PLATFORM.md, "Load of the owner".
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use wasabiswitch_derive::derives;
 
@@ -27,6 +27,58 @@
 /// Minimum pause after a plan, as a multiple of its duration, so that planning leaves most of the processor to calls.
 const PLAN_PAUSE_FACTOR: u32 = 4;
 
+/// Number of starts without an answer that a new owner may have.
+const START_WINDOW_INITIAL: f64 = 64.0;
+/// Minimum of the window of starts: on the slowest links, the time to send so many is below the timeout of a start.
+const START_WINDOW_MIN: f64 = 32.0;
+/// Maximum of the window of starts, above the number that the fastest instances have under way.
+const START_WINDOW_MAX: f64 = 256.0;
+/// Time to the answer of a start above which the window shrinks: above the pauses of an instance that has used up its
+/// share of the processor, and below the timeout of a start.
+const START_ANSWER_TIME_MAX: Duration = Duration::from_millis(150);
+/// Factor by which the window shrinks, at most once in [`START_ANSWER_TIME_MAX`].
+const START_WINDOW_DECREASE: f64 = 0.7;
+/// Number of starts by which the window grows while one window of starts is answered in time.
+const START_WINDOW_INCREASE: f64 = 8.0;
+
+/// Bound on the number of starts that are under way at once.
+///
+/// Starts that queue on the owner's link or for its processor are answered after their timeouts. Each is then fenced by a
+/// stop and started again, which adds to the queue that has delayed it. So the window follows the time that answers take.
+/// Starts without any answer do not shrink it: a worker that leaves orders unanswered is no sign of load.
+#[derives(record)]
+pub struct StartWindow {
+    limit: f64,
+    reduced: Option<Instant>,
+}
+
+impl Default for StartWindow {
+    fn default() -> StartWindow {
+        StartWindow { limit: START_WINDOW_INITIAL, reduced: None }
+    }
+}
+
+impl StartWindow {
+    /// Returns the number of starts that may be under way at once.
+    pub fn limit(&self) -> usize {
+        self.limit as usize
+    }
+
+    /// Records that a start was answered `took` after it was planned.
+    pub fn record_answer(&mut self, took: Duration, now: Instant) {
+        if took <= START_ANSWER_TIME_MAX {
+            let grown = self.limit + START_WINDOW_INCREASE / self.limit;
+            self.limit = grown.min(START_WINDOW_MAX);
+            return;
+        }
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < START_ANSWER_TIME_MAX;
+        if !self.reduced.is_some_and(is_recent) {
+            self.reduced = Some(now);
+            self.limit = (self.limit * START_WINDOW_DECREASE).max(START_WINDOW_MIN);
+        }
+    }
+}
+
 /// Smoothed delay of the owner's timers.
 #[derives(record)]
 #[derive(Default)]
--- a/crates/policy/src/fleet/state.rs
+++ b/crates/policy/src/fleet/state.rs
@@ -11,6 +11,7 @@
 pub use super::job::{Job, Occurrence, Phase, Run, RunState, StepState, Task, TaskName, TaskRef};
 use super::maintenance::{Instance, Wave, WaveNumber};
 use super::offered_load::OfferedLoad;
+use super::pressure::StartWindow;
 use super::progress::UnconfirmedCharge;
 pub use super::settings::{Limits, PoolSettings, QueueSettings, Team};
 use super::sizing::PendingMove;
@@ -106,6 +107,10 @@
     pub(super) targets: BTreeMap<PoolId, usize>,
     /// Time since which a pool has had more instances than its target.
     pub(super) surplus_since: BTreeMap<PoolId, Instant>,
+    /// Bound on the starts that are under way.
+    pub(super) start_window: StartWindow,
+    /// Whether the last plan held back tasks until starts under way are answered.
+    pub(super) starts_held_back: bool,
 }
 
 impl Engine {
@@ -136,6 +141,8 @@
             offered_loads: BTreeMap::new(),
             targets: BTreeMap::new(),
             surplus_since: BTreeMap::new(),
+            start_window: StartWindow::default(),
+            starts_held_back: false,
         }
     }
 
@@ -356,6 +363,12 @@
         }
     }
 
+    /// Returns a run of a task on a worker.
+    pub(super) fn run(&self, key: WorkerKey, task: &TaskRef, attempt: u32) -> Option<&Run> {
+        let entry = self.jobs.get(task.job)?.task(task)?;
+        entry.runs.iter().find(|run| run.attempt == attempt && run.worker == key)
+    }
+
     /// Removes a run from its task, and releases its resources.
     pub(super) fn remove_run(
         &mut self,
