Ignore a delayed report of an incarnation that the owner never knew

Cause: a report counted as outdated only if its incarnation was among those that this owner had seen replaced. A new owner's first report of a worker may come from the restarted one; the answer to a request from before the restart then looked like a newer incarnation. All further reports of the worker were refused, and the old ack cursor made it drop ends that nobody had read.

Now a report of another incarnation counts only if it was requested after a report of the current one had arrived; then the worker must have restarted in between. The list of past incarnations is not needed any more and goes.

--- a/crates/kernel/src/tables/fleet.rs
+++ b/crates/kernel/src/tables/fleet.rs
@@ -70,7 +70,7 @@
 pub struct Term {
     /// State machine of jobs, tasks and workers.
     pub engine: Engine,
-    /// Load of the owner's processor, which sets the intervals of reports.
+    /// Load of the owner's processor and link, which sets the interval of reports.
     pub pressure: Pressure,
     /// Time at which the last confirmed write of the owner's row was sent.
     pub confirmed_sent: Instant,
--- a/crates/policy/src/fleet/mod.rs
+++ b/crates/policy/src/fleet/mod.rs
@@ -17,7 +17,7 @@
 //! | [`outcomes`] | processing of the outcomes of starts and stops |
 //! | [`placement`] | choice of a worker for a task |
 //! | [`plan`] | choice of the tasks to start and to stop |
-//! | [`pressure`] | intervals of reports and plans, which follow the load of the owner's processor |
+//! | [`pressure`] | bounds on reports, plans and starts, which follow the load of the owner's processor and link |
 //! | [`progress`] | progress of jobs in the store, and its recovery by a new owner |
 //! | [`advice`] | workers that the advice service allows for a step |
 //! | [`admission`] | refusal of jobs at submission |
--- a/crates/policy/src/fleet/pressure.rs
+++ b/crates/policy/src/fleet/pressure.rs
@@ -1,10 +1,12 @@
-//! Back-pressure of the owner on itself: how often it plans and requests reports while its processor is busy.
+//! Back-pressure of the owner on itself: how often it plans and requests reports, and how many starts it sends, while its
+//! processor or its link is busy.
 //!
 //! Every end of a task leads to a report, and every report to a plan. With hundreds of workers, both at their shortest
 //! intervals take more processor time than an entry instance has. The owner then answers nobody in time, other daemons
 //! replace it, and each takeover adds work. Reports and plans can be combined instead: a report that is requested later
 //! lists all ends since the last one. So their intervals follow the delay with which the owner's own timers fire, which
-//! is the time that every task of the process waits for the processor. See docs/PLATFORM.md, "Load of the owner".
+//! is the time that every task of the process waits for the processor, and the time that starts take to be answered, which
+//! also shows the wait for the link. See docs/PLATFORM.md, "Load of the owner".
 
 use std::time::{Duration, Instant};
 
@@ -20,10 +22,14 @@
 pub const PLAN_INTERVAL_MAX: Duration = Duration::from_millis(60);
 /// Delay of timers on an idle instance, which is no sign of load.
 const TIMER_DELAY_IDLE: Duration = Duration::from_millis(3);
-/// Part of a new delay in the smoothed delay; the last ten timers determine it.
+/// Time to the answer of a start on an instance without load.
+const ANSWER_TIME_IDLE: Duration = Duration::from_millis(40);
+/// Part of a new delay in the smoothed delay; the last ten delays determine it.
 const DELAY_WEIGHT: f64 = 0.2;
-/// Additional time between two reports for each unit of delay.
-const REPORT_INTERVAL_PER_DELAY: f64 = 8.0;
+/// Additional time between two reports for each unit of delay of the timers.
+const REPORT_INTERVAL_PER_TIMER_DELAY: f64 = 8.0;
+/// Additional time between two reports for each unit of time that answers take beyond [`ANSWER_TIME_IDLE`].
+const REPORT_INTERVAL_PER_ANSWER_DELAY: f64 = 4.0;
 /// Minimum pause after a plan, as a multiple of its duration, so that planning leaves most of the processor to calls.
 const PLAN_PAUSE_FACTOR: u32 = 4;
 
@@ -76,16 +82,11 @@
     }
 }
 
-/// Time to the answer of a start on an instance without load.
-const ANSWER_TIME_IDLE: Duration = Duration::from_millis(40);
-/// Additional time between two reports for each unit of time that answers take beyond [`ANSWER_TIME_IDLE`].
-const REPORT_INTERVAL_PER_ANSWER_TIME: f64 = 4.0;
-
 /// Load of the owner's processor and link: smoothed delays of its timers and of the answers to starts.
 #[derives(record)]
 #[derive(Default)]
 pub struct Pressure {
-    delay_ms: f64,
+    timer_delay_ms: f64,
     answer_delay_ms: f64,
 }
 
@@ -94,7 +95,7 @@
     pub fn record_timer(&mut self, asked: Duration, took: Duration) {
         let delay = took.saturating_sub(asked).saturating_sub(TIMER_DELAY_IDLE);
         let delay_ms = delay.as_secs_f64() * 1_000.0;
-        self.delay_ms += (delay_ms - self.delay_ms) * DELAY_WEIGHT;
+        self.timer_delay_ms += (delay_ms - self.timer_delay_ms) * DELAY_WEIGHT;
     }
 
     /// Records that a start was answered after `took`, which shows how long messages wait for the link.
@@ -105,8 +106,8 @@
 
     /// Returns the minimum time between two reports of a worker.
     pub fn report_interval(&self) -> Duration {
-        let additional_ms = self.delay_ms * REPORT_INTERVAL_PER_DELAY
-            + self.answer_delay_ms * REPORT_INTERVAL_PER_ANSWER_TIME;
+        let additional_ms = self.timer_delay_ms * REPORT_INTERVAL_PER_TIMER_DELAY
+            + self.answer_delay_ms * REPORT_INTERVAL_PER_ANSWER_DELAY;
         let interval = REPORT_INTERVAL_MIN + Duration::from_secs_f64(additional_ms / 1_000.0);
         interval.min(REPORT_INTERVAL_MAX)
     }
--- a/crates/policy/src/fleet/reports.rs
+++ b/crates/policy/src/fleet/reports.rs
@@ -124,15 +124,12 @@
         events: &mut Vec<JobEvent>,
     ) -> bool {
         let Some(worker) = self.workers.get_mut(key) else { return false };
-        if worker.is_overtaken(report) {
+        if worker.is_overtaken(timing.sent, report) {
             return false;
         }
         if worker.incarnation != report.incarnation {
             let known = worker.incarnation != 0;
             let barriers = barrier_stops(&worker.starts_in_doubt, timing.received);
-            if known {
-                worker.past_incarnations.push(worker.incarnation);
-            }
             worker.incarnation = report.incarnation;
             worker.incarnation_known_since = Some(timing.received);
             worker.reset_ends();
--- a/crates/policy/src/fleet/state.rs
+++ b/crates/policy/src/fleet/state.rs
@@ -314,7 +314,6 @@
         let key = self.workers.insert(Worker {
             listed: true,
             incarnation: 0,
-            past_incarnations: Vec::new(),
             incarnation_known_since: None,
             clock: None,
             leases_expire_at: now,
--- a/crates/policy/src/fleet/worker.rs
+++ b/crates/policy/src/fleet/worker.rs
@@ -92,8 +92,6 @@
     pub listed: bool,
     /// Incarnation that sent the last report; zero before the first report.
     pub incarnation: BootId,
-    /// Incarnations that the current one has replaced; their reports are outdated.
-    pub past_incarnations: Vec<BootId>,
     /// Time at which the first report of the current incarnation arrived; `None` before the first report.
     pub incarnation_known_since: Option<Instant>,
     /// Last sample of the worker's clock.
@@ -135,10 +133,14 @@
 impl Worker {
     /// Returns whether a report that was applied before is newer: responses on different connections may overtake each
     /// other, and an outdated report would undo what the newer one has shown.
-    pub fn is_overtaken(&self, report: &WorkerReport) -> bool {
-        let is_older = self.clock.is_some_and(|clock| report.clock_ms < clock.clock_ms);
-        self.past_incarnations.contains(&report.incarnation)
-            || (self.incarnation == report.incarnation && is_older)
+    ///
+    /// A report of another incarnation may be that of an earlier one, unless it was requested after a report of the
+    /// current incarnation had arrived.
+    pub fn is_overtaken(&self, requested: Instant, report: &WorkerReport) -> bool {
+        if self.incarnation != report.incarnation {
+            return self.incarnation_known_since.is_some_and(|since| requested < since);
+        }
+        self.clock.is_some_and(|clock| report.clock_ms < clock.clock_ms)
     }
 
     /// Returns whether all runs on the worker are known: the worker has reported, and has no orphans.
--- a/crates/policy/tests/fleet_engine/random_faults.rs
+++ b/crates/policy/tests/fleet_engine/random_faults.rs
@@ -97,6 +97,8 @@
 /// Seeds of histories of full workers on which a worker got more tasks than it has capacity for.
 const FULL_WORKER_REGRESSION_SEEDS: [u64; 10] =
     [10_022, 10_038, 10_151, 10_011, 10_094, 10_292, 10_461, 10_560, 11_102, 20_596];
+/// Seeds of histories on which a delayed report of an incarnation that the owner had never known replaced the current one.
+const DELAYED_REPORT_REGRESSION_SEEDS: [u64; 2] = [40_251, 41_203];
 /// Seeds of the further histories of full workers.
 const FULL_WORKER_SEEDS: Range<u64> = 2_000..2_040;
 /// Number of workers that are kept full.
@@ -140,7 +142,9 @@
 
 #[test]
 fn full_workers_never_exceed_their_capacity() {
-    let seeds = seeds(&FULL_WORKER_REGRESSION_SEEDS, FULL_WORKER_SEEDS);
+    let regressions =
+        [&FULL_WORKER_REGRESSION_SEEDS[..], &DELAYED_REPORT_REGRESSION_SEEDS].concat();
+    let seeds = seeds(&regressions, FULL_WORKER_SEEDS);
     check_histories(&seeds, run_history_of_full_workers, Phase::is_ended);
 }
 
--- a/crates/policy/tests/fleet_engine/worker_capacity.rs
+++ b/crates/policy/tests/fleet_engine/worker_capacity.rs
@@ -260,3 +260,27 @@
     apply(&mut sim, "w0", sent, &first);
     assert!(!is_usable(&sim, "w0"), "the next one may");
 }
+
+// A delayed report of an incarnation that a new owner had never known was taken for that of a newer incarnation: the owner
+// refused all further reports of the worker, and acknowledged ends that it had not read.
+#[test]
+fn delayed_report_of_an_incarnation_that_the_owner_never_knew_changes_nothing() {
+    let mut sim = Simulation::new(1, 0, Faults::default(), 1);
+    let sent = sim.now;
+    let delayed = report(&mut sim, "w0");
+    sim.crash("w0");
+    sim.now += SECOND / 10;
+    sim.take_over();
+    sim.run(SECOND);
+    let incarnation = |sim: &Simulation| {
+        let key = sim.engine.worker_key("w0").expect("the engine knows the worker");
+        sim.engine.workers[key].incarnation
+    };
+    let current = incarnation(&sim);
+    assert_ne!(current, delayed.incarnation);
+    apply(&mut sim, "w0", sent, &delayed);
+    assert_eq!(incarnation(&sim), current);
+    sim.submit(submission("a", vec![step(4, 500)]));
+    sim.run(2 * SECOND);
+    assert_eq!(sim.starts.len(), 4, "the worker's reports still count");
+}
