--- a/crates/kernel/src/http/entry.rs
+++ b/crates/kernel/src/http/entry.rs
@@ -148,6 +148,7 @@
 /// Passes a request to its route and returns the response; tests call this without a socket.
 pub async fn handle(kernel: Arc<Kernel>, request: Request<Body>) -> Response<Body> {
     let request_id = fastrand::u64(..);
+    let _in_flight = kernel.count_request();
     let path = request.uri().path();
     let route = kernel.entry_routes().iter().find(|route| route.matches(request.method(), path));
     let mut response = match route {
--- a/crates/kernel/src/kernel.rs
+++ b/crates/kernel/src/kernel.rs
@@ -1,7 +1,7 @@
 //! The kernel: state that all plug-ins share, and the order of start and stop.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
@@ -79,6 +79,19 @@
     ready: AtomicBool,
     stopping: AtomicBool,
     entry_closing: AtomicBool,
+    requests_in_flight: AtomicUsize,
+}
+
+/// Count of a request on the entry listener, which ends when the value is dropped.
+#[derive(Debug)]
+pub(crate) struct RequestInFlight<'a> {
+    count: &'a AtomicUsize,
+}
+
+impl Drop for RequestInFlight<'_> {
+    fn drop(&mut self) {
+        self.count.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 impl std::fmt::Debug for Kernel {
@@ -127,6 +140,7 @@
             ready: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             entry_closing: AtomicBool::new(false),
+            requests_in_flight: AtomicUsize::new(0),
             settings,
             clock,
             tables,
@@ -177,6 +191,17 @@
         self.entry_closing.load(Ordering::Acquire)
     }
 
+    /// Counts a request on the entry listener as in flight until the returned value is dropped.
+    pub(crate) fn count_request(&self) -> RequestInFlight<'_> {
+        self.requests_in_flight.fetch_add(1, Ordering::Relaxed);
+        RequestInFlight { count: &self.requests_in_flight }
+    }
+
+    /// Returns the number of requests on the entry listener that have no response yet.
+    pub fn requests_in_flight(&self) -> usize {
+        self.requests_in_flight.load(Ordering::Relaxed)
+    }
+
     /// Returns this daemon's id and the epoch of its current session.
     pub fn session(&self) -> (DaemonId, Epoch) {
         let members = self.tables.members.lock();
@@ -269,7 +294,17 @@
         log::info!("the daemon is stopping");
         tokio::time::sleep(self.settings.drain_notice).await;
         self.entry_closing.store(true, Ordering::Release);
+        log::info!(
+            "the entry listener is closing requests_in_flight={}",
+            self.requests_in_flight()
+        );
         let finished = self.request_tasks.join(self.settings.stop_timeout).await;
+        if !finished {
+            log::warn!(
+                "connections are closed before their requests have ended requests_in_flight={}",
+                self.requests_in_flight()
+            );
+        }
         for plugin in self.plugins.iter().rev() {
             (plugin.stop)(self.clone()).await;
         }
--- a/crates/plugins/src/fleet/queue_calls.rs
+++ b/crates/plugins/src/fleet/queue_calls.rs
@@ -65,6 +65,7 @@
 ) -> Reply {
     let mut in_doubt = false;
     loop {
+        let was_in_doubt = in_doubt;
         let reply = match attempt(kernel, &call, deadline).await {
             Ok(Reply::NotOwner) => None,
             Ok(Reply::InDoubt) => {
@@ -82,6 +83,9 @@
         if let Some(reply) = reply {
             return reply;
         }
+        if in_doubt && !was_in_doubt {
+            log_doubt(kernel, &call, started);
+        }
         kernel.wake_signals.owner.notify_one();
         let now = kernel.clock.now();
         let wait_until = match (&call.operation, in_doubt) {
@@ -91,18 +95,44 @@
             _ => deadline,
         };
         if now + RETRY_DELAY >= wait_until.min(deadline) {
-            return no_owner_reply(&call, in_doubt, now.saturating_duration_since(started));
+            return no_owner_reply(kernel, &call, in_doubt, started);
         }
         tokio::time::sleep(RETRY_DELAY).await;
     }
 }
 
-fn no_owner_reply(call: &Call, in_doubt: bool, waited: Duration) -> Reply {
+/// Logs that an attempt may have taken effect without an answer; once per call, so that the lines stay bounded.
+fn log_doubt(kernel: &Kernel, call: &Call, started: Instant) {
+    log::info!(
+        "call in doubt request={:016x} queue={} operation={} held_ms={} {}",
+        call.request_id,
+        call.queue,
+        call.operation.as_str(),
+        held_ms(kernel, started),
+        known_owner(kernel)
+    );
+}
+
+fn held_ms(kernel: &Kernel, started: Instant) -> u128 {
+    kernel.clock.now().saturating_duration_since(started).as_millis()
+}
+
+/// Describes the owner to which this daemon forwards calls.
+fn known_owner(kernel: &Kernel) -> String {
+    let owner = kernel.tables.fleet.lock().owner.clone();
+    owner.map_or_else(
+        || "owner=unknown".to_owned(),
+        |owner| format!("owner={} fence={}", owner.daemon, owner.fence),
+    )
+}
+
+fn no_owner_reply(kernel: &Kernel, call: &Call, in_doubt: bool, started: Instant) -> Reply {
     log::warn!(
-        "no owner found for a call request={:016x} queue={} held_ms={} in_doubt={in_doubt}",
+        "no owner found for a call request={:016x} queue={} held_ms={} in_doubt={in_doubt} {}",
         call.request_id,
         call.queue,
-        waited.as_millis()
+        held_ms(kernel, started),
+        known_owner(kernel)
     );
     match in_doubt {
         true => Reply::InDoubt,
