Let a stopping daemon follow the ownership of the fleet

What callers saw: calls over a connection to a stopping daemon were held to their deadline or refused, and some were still open when the process ended.

Cause: the periodic check of the ownership returned as soon as a stop had begun. A daemon that was stopping while the owner changed, and a former owner for its whole stop, since it releases the fleet at once, knew no owner and forwarded calls to nobody or to the former owner.

Change: the check runs on during a stop, and only records the owner that the row names. A stopping daemon neither takes the fleet over, which it would hand over again at once, nor asks the owner to step down.

--- a/crates/plugins/src/fleet/owner_calls.rs
+++ b/crates/plugins/src/fleet/owner_calls.rs
@@ -199,13 +199,16 @@
     }
 }
 
-/// Asks an owner that has lost the store to step down, if this daemon reaches the store; returns the
-/// owner's confirmation.
+/// Asks an owner that has lost the store to step down, if this daemon reaches the store and is not stopping;
+/// returns the owner's confirmation.
 pub(super) async fn request_step_down(
     kernel: &Arc<Kernel>,
     owner: &KnownOwner,
     owner_milli: u32,
 ) -> Option<SteppedDown> {
+    if kernel.is_stopping() {
+        return None;
+    }
     let delay = takeover_delay(processor_milli(kernel), Some(owner_milli));
     if !delay.is_zero() {
         // A daemon on a larger instance may have taken the fleet over during the delay.
--- a/crates/plugins/src/fleet/ownership.rs
+++ b/crates/plugins/src/fleet/ownership.rs
@@ -2,7 +2,7 @@
 //!
 //! A daemon requests the owner's status, which puts no load on the store. It reads the owner's row only
 //! while the owner does not confirm that it acts, and takes over once the rules of
-//! `wasabiswitch_policy::fleet::ownership` allow it.
+//! `wasabiswitch_policy::fleet::ownership` allow it. See docs/PLATFORM.md.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -78,10 +78,9 @@
 }
 
 /// Probes the owner, and takes the fleet over if the owner has failed.
+///
+/// A stopping daemon still follows the ownership, since it forwards the calls that it receives until its end.
 async fn watch(kernel: &Arc<Kernel>) {
-    if kernel.is_stopping() {
-        return;
-    }
     let mut suspicion = Suspicion::default();
     let sent = kernel.clock.now();
     let probe = probe_owner(kernel).await;
@@ -96,7 +95,7 @@
         }
         OwnerProbe::Unresponsive(_) | OwnerProbe::NotActing => {}
     }
-    while !kernel.is_stopping() {
+    loop {
         match read_owner_row(kernel).await {
             Ok(found) => {
                 if evaluate_owner_row(kernel, found, &mut suspicion).await {
@@ -127,11 +126,20 @@
 }
 
 /// Takes the fleet over if the owner's row allows it, and runs the term; returns whether there was a term.
+///
+/// A stopping daemon only records the owner that the row names.
 async fn evaluate_owner_row(
     kernel: &Arc<Kernel>,
     found: Option<(OwnerRow, Version)>,
     suspicion: &mut Suspicion,
 ) -> bool {
+    if kernel.is_stopping() {
+        // This daemon would hand the fleet over again at once.
+        if let Some((row, _)) = &found {
+            set_known_owner(kernel, &owner_hint(row));
+        }
+        return false;
+    }
     let own = &kernel.settings.daemon;
     let now = kernel.clock.now();
     let heartbeat = {
