Answer every request before a stop ends its connection

What callers saw: a daemon that had read a whole request closed the connection without an answer, 4.2 s after its SIGTERM.

Cause: the stop had two limits, the drain notice of 2.2 s and the stop timeout of 2 s, that know neither the time limit of a call (3 s) nor the time after which the platform kills the process (6 s). A call that began during the notice could outlive them, and what was in flight at their end was dropped with the process.

Change: policy::stop makes one schedule of a stop from its settings and the platform's grace period, which the template passes on (termination_grace_s). A call that begins as the entry listener closes can now use its time limit. What has not ended by then, for whatever reason, is answered with 504, code stopped and verdict may-have-run, which is true of any request: an early refusal as 'not run' would be a guess. The flag is polled with the request, so that the live path takes no further lock.

--- a/crates/kernel/src/http/entry.rs
+++ b/crates/kernel/src/http/entry.rs
@@ -2,12 +2,14 @@
 //!
 //! Each connection is a task that a stop joins. During a stop, each response carries `connection: close`;
 //! after a grace period the listener and the idle connections are closed, and requests in flight are
-//! finished.
+//! finished. Those that do not end in time are answered as in doubt, since a connection that closes without a
+//! response tells the caller nothing. See docs/DESIGN.md, "A stop".
 
 use std::convert::Infallible;
-use std::future::{Future as _, poll_fn};
+use std::future::{Future, poll_fn};
 use std::sync::Arc;
-use std::time::Duration;
+use std::task::Poll;
+use std::time::{Duration, Instant};
 
 use futures_util::future::BoxFuture;
 use http::header::CONNECTION;
@@ -19,10 +21,11 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
+use wasabiswitch_policy::Verdict;
 use wasabiswitch_policy::ids::RequestId;
 
 use super::Body;
-use super::problem::{NOT_FOUND, Problem, REQUEST_ID_HEADER};
+use super::problem::{NOT_FOUND, Problem, REQUEST_ID_HEADER, STOPPED};
 use crate::kernel::Kernel;
 use crate::network::Stream;
 
@@ -114,15 +117,18 @@
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let mut stopped = std::pin::pin!(stop.cancelled());
+    let responses_due_token = kernel.responses_due_token();
+    let mut responses_due = std::pin::pin!(responses_due_token.cancelled());
     let mut grace = std::pin::pin!(None::<tokio::time::Sleep>);
-    let (mut waker_registered, mut closing) = (false, false);
+    let (mut wakers_registered, mut closing) = (false, false);
     // Errors of the connection are ignored; the counters of the request cover a caller that disconnects.
     let _ = poll_fn(|context| {
-        // Polling the token takes a lock that all connections share. It is polled only once, to register
-        // the waker for a stop; later polls read an atomic flag instead.
-        if !waker_registered {
-            waker_registered = true;
+        // Polling a token takes a lock that all connections share. Each is polled only once, to register
+        // the waker for a stop; later polls read atomic flags instead.
+        if !wakers_registered {
+            wakers_registered = true;
             let _ = stopped.as_mut().poll(context);
+            let _ = responses_due.as_mut().poll(context);
         }
         if !closing && kernel.is_entry_closing() {
             if grace.is_none() {
@@ -155,7 +161,9 @@
         Some(route) => {
             let rest = path[route.prefix.len()..].to_owned();
             let handler = route.handler.clone();
-            handler(kernel.clone(), EntryRequest { http: request, request_id, rest }).await
+            let response =
+                handler(kernel.clone(), EntryRequest { http: request, request_id, rest });
+            respond_before_stop_ends(&kernel, request_id, response).await
         }
         None => {
             let detail = format!("nothing answers {} {path}", request.method());
@@ -170,6 +178,35 @@
     response
 }
 
+/// Returns the response of a handler, or a problem once a stop no longer waits for the request.
+///
+/// The connection's task is woken when responses become due, and polls the request again.
+async fn respond_before_stop_ends(
+    kernel: &Kernel,
+    request_id: RequestId,
+    response: impl Future<Output = Response<Body>>,
+) -> Response<Body> {
+    let received = kernel.clock.now();
+    let mut response = std::pin::pin!(response);
+    poll_fn(|context| match response.as_mut().poll(context) {
+        Poll::Pending if kernel.are_responses_due() => {
+            Poll::Ready(stopped_response(kernel, request_id, received))
+        }
+        polled => polled,
+    })
+    .await
+}
+
+fn stopped_response(kernel: &Kernel, request_id: RequestId, received: Instant) -> Response<Body> {
+    let held = kernel.clock.now().saturating_duration_since(received);
+    log::warn!(
+        "request answered at the end of the stop request={request_id:016x} held_ms={}",
+        held.as_millis()
+    );
+    let detail = "the daemon stopped before the request ended";
+    Problem::with_verdict(STOPPED, Verdict::MayHaveRun, detail).into_response()
+}
+
 /// Returns the header value of a request id, in hexadecimal.
 pub fn request_id_value(request_id: RequestId) -> HeaderValue {
     HeaderValue::from_str(&format!("{request_id:016x}")).expect("hexadecimal is a valid header")
--- a/crates/kernel/src/http/problem.rs
+++ b/crates/kernel/src/http/problem.rs
@@ -65,6 +65,7 @@
     NOT_IN_FORCE = "not-in-force", 503,
         "The configuration was stored, but a majority of daemons has not confirmed it in time.";
     DEADLINE = "deadline", 504, "The deadline has passed.";
+    STOPPED = "stopped", 504, "The daemon stopped before the request ended; it may have run.";
     ANSWER_NOT_KEPT = "answer-not-kept", 410,
         "The request has run, and its answer is no longer kept.";
     INTERNAL = "internal", 500, "The daemon has failed.";
--- a/crates/kernel/src/kernel.rs
+++ b/crates/kernel/src/kernel.rs
@@ -7,8 +7,10 @@
 
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
 use wasabiswitch_policy::config::Principal;
 use wasabiswitch_policy::ids::{DaemonId, Epoch, KeyId};
+use wasabiswitch_policy::stop::schedule;
 
 use crate::clock::Clock;
 use crate::error::{Error, ErrorKind};
@@ -27,6 +29,8 @@
 
 /// Time after which a stop no longer waits for the tasks of the kernel.
 const TASKS_STOP_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time in which a stop sends the responses to the requests that have not ended.
+const LAST_RESPONSES_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Notifications that start a periodic task of a plug-in before its interval has passed.
 #[derive(Debug, Default)]
@@ -79,6 +83,8 @@
     ready: AtomicBool,
     stopping: AtomicBool,
     entry_closing: AtomicBool,
+    responses_due: AtomicBool,
+    responses_due_token: CancellationToken,
     requests_in_flight: AtomicUsize,
 }
 
@@ -140,6 +146,8 @@
             ready: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             entry_closing: AtomicBool::new(false),
+            responses_due: AtomicBool::new(false),
+            responses_due_token: CancellationToken::new(),
             requests_in_flight: AtomicUsize::new(0),
             settings,
             clock,
@@ -191,6 +199,16 @@
         self.entry_closing.load(Ordering::Acquire)
     }
 
+    /// Returns whether a stop no longer waits for requests to end, so that each is to be answered now.
+    pub fn are_responses_due(&self) -> bool {
+        self.responses_due.load(Ordering::Acquire)
+    }
+
+    /// Returns a token that is cancelled when [`Kernel::are_responses_due`] becomes true.
+    pub(crate) fn responses_due_token(&self) -> CancellationToken {
+        self.responses_due_token.clone()
+    }
+
     /// Counts a request on the entry listener as in flight until the returned value is dropped.
     pub(crate) fn count_request(&self) -> RequestInFlight<'_> {
         self.requests_in_flight.fetch_add(1, Ordering::Relaxed);
@@ -283,27 +301,26 @@
         Ok(addresses)
     }
 
-    /// Stops gracefully; returns whether all requests in flight have finished.
+    /// Stops gracefully; returns whether all requests in flight have ended by themselves.
     ///
     /// The daemon first becomes unready, so that the load balancer uses other daemons, and then finishes the
-    /// requests in flight. It then stops the plug-ins, which return their slots and end the session, and joins
-    /// its tasks.
+    /// requests in flight; those that have not ended in time are answered as in doubt. It then stops the
+    /// plug-ins, which return their slots and end the session, and joins its tasks. See docs/DESIGN.md, "A stop".
     pub async fn stop(self: &Arc<Kernel>) -> bool {
+        let Settings { drain_notice, stop_timeout, termination_grace, .. } = self.settings;
+        let times = schedule(drain_notice, stop_timeout, termination_grace);
         self.stopping.store(true, Ordering::Release);
         self.ready.store(false, Ordering::Release);
         log::info!("the daemon is stopping");
-        tokio::time::sleep(self.settings.drain_notice).await;
+        tokio::time::sleep(times.close_after).await;
         self.entry_closing.store(true, Ordering::Release);
         log::info!(
             "the entry listener is closing requests_in_flight={}",
             self.requests_in_flight()
         );
-        let finished = self.request_tasks.join(self.settings.stop_timeout).await;
+        let finished = self.request_tasks.join(times.respond_after - times.close_after).await;
         if !finished {
-            log::warn!(
-                "connections are closed before their requests have ended requests_in_flight={}",
-                self.requests_in_flight()
-            );
+            self.answer_remaining_requests().await;
         }
         for plugin in self.plugins.iter().rev() {
             (plugin.stop)(self.clone()).await;
@@ -312,6 +329,22 @@
         log::info!("the daemon has stopped, requests finished: {finished}, tasks joined: {joined}");
         finished
     }
+
+    /// Has each request that has not ended answered as in doubt, so that no connection closes without a response.
+    async fn answer_remaining_requests(&self) {
+        log::warn!(
+            "requests are answered before they have ended requests_in_flight={}",
+            self.requests_in_flight()
+        );
+        self.responses_due.store(true, Ordering::Release);
+        self.responses_due_token.cancel();
+        if !self.request_tasks.join(LAST_RESPONSES_TIMEOUT).await {
+            log::warn!(
+                "connections are closed before their requests have ended requests_in_flight={}",
+                self.requests_in_flight()
+            );
+        }
+    }
 }
 
 async fn run_periodically(kernel: Arc<Kernel>, task: PeriodicTask) {
--- a/crates/kernel/src/settings.rs
+++ b/crates/kernel/src/settings.rs
@@ -74,8 +74,10 @@
     pub once_answer_max_bytes: usize,
     /// Time from the moment at which a stopping daemon becomes unready to the closing of the entry listener.
     pub drain_notice: Duration,
-    /// Time after which a stop no longer waits for requests in flight.
+    /// Time from the closing of the entry listener after which a stop no longer waits for requests in flight.
     pub stop_timeout: Duration,
+    /// Time from the signal of a stop after which the platform kills the daemon, if it does.
+    pub termination_grace: Option<Duration>,
     /// Level of the least severe messages that are logged.
     pub log_level: String,
     /// Number of worker threads; zero for one per core.
@@ -109,6 +111,7 @@
     SettingsField { name: "once_answer_max_bytes", default: "65536" },
     SettingsField { name: "drain_notice_ms", default: "1000" },
     SettingsField { name: "stop_timeout_ms", default: "30000" },
+    SettingsField { name: "termination_grace_s", default: "none" },
     SettingsField { name: "log_level", default: "info" },
     SettingsField { name: "worker_threads", default: "0" },
 ];
@@ -189,6 +192,7 @@
         once_answer_max_bytes: size(fields, "once_answer_max_bytes", 64 << 10),
         drain_notice: millis(fields, "drain_notice_ms", 1_000),
         stop_timeout: millis(fields, "stop_timeout_ms", 30_000),
+        termination_grace: fields.decimal_seconds("termination_grace_s"),
         log_level: log_level(fields),
         worker_threads: size(fields, "worker_threads", 0),
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -59,6 +59,7 @@
 pub mod routing;
 pub mod session;
 pub mod shares;
+pub mod stop;
 mod verdict;
 pub mod waves;
 
