Read what has arrived before a stop closes an idle connection

What callers saw: a request sent over a kept connection around the end of the grace period of a stop was reset, when the daemon was busy at that moment.

Cause: the connection's task called the server's graceful shutdown before it polled the connection. That shutdown closes an idle connection without reading its socket, so a request that had become readable in the same turn as the timer was dropped.

Change: the connection is polled first, and shut down only if nothing is left to do. request_that_arrives_while_a_busy_daemon_closes_idle_connections_is_ answered failed before (an empty response) and passes.

The same class in the listener: connections that wait in its backlog at that moment are closed.

--- a/crates/kernel/src/http/entry.rs
+++ b/crates/kernel/src/http/entry.rs
@@ -130,7 +130,9 @@
             let _ = stopped.as_mut().poll(context);
             let _ = responses_due.as_mut().poll(context);
         }
-        if !closing && kernel.is_entry_closing() {
+        // What has arrived is read before the connection can be closed as idle.
+        let polled = connection.as_mut().poll(context);
+        if polled.is_pending() && !closing && kernel.is_entry_closing() {
             if grace.is_none() {
                 grace.set(Some(tokio::time::sleep(CLOSE_GRACE_PERIOD)));
             }
@@ -139,9 +141,10 @@
             {
                 closing = true;
                 connection.as_mut().graceful_shutdown();
+                return connection.as_mut().poll(context);
             }
         }
-        connection.as_mut().poll(context)
+        polled
     })
     .await;
 }
--- a/crates/plugins/tests/stops.rs
+++ b/crates/plugins/tests/stops.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
 use wasabiswitch_kernel::http::entry;
 use wasabiswitch_kernel::network::Stream;
 use wasabiswitch_plugins as _;
@@ -58,6 +59,25 @@
     String::from_utf8_lossy(&response[..length]).into_owned()
 }
 
+fn spawn_stop(daemon: &Daemon) -> JoinHandle<bool> {
+    let kernel = daemon.kernel.clone();
+    tokio::spawn(async move { kernel.stop().await })
+}
+
+/// Waits until the entry listener and the connections have started their grace period.
+async fn wait_until_entry_closes(daemon: &Daemon) {
+    while !daemon.kernel.is_entry_closing() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    tokio::time::sleep(Duration::from_millis(50)).await;
+}
+
+/// Keeps the only thread of the runtime busy until the grace period of 300 ms is over, so that its end and everything that
+/// arrives meanwhile become ready together.
+fn block_past_the_grace_period() {
+    std::thread::sleep(Duration::from_millis(600));
+}
+
 // A busy daemon closed an idle connection at the end of the stop's grace period although a request had arrived on it.
 #[tokio::test]
 async fn request_that_arrives_while_a_busy_daemon_closes_idle_connections_is_answered() {
@@ -79,19 +99,43 @@
     entry::accept(&daemon.kernel, Stream::Tcp(stream));
     let first = first_served.await.expect("the caller does not panic");
     assert!(first.starts_with("HTTP/1.1 200"), "{first:?}");
-    let stop = tokio::spawn({
-        let kernel = daemon.kernel.clone();
-        async move { kernel.stop().await }
-    });
-    while !daemon.kernel.is_entry_closing() {
-        tokio::time::sleep(Duration::from_millis(5)).await;
-    }
-    // The connection's task sees the closing and starts its grace period, which ends while the only thread is busy.
-    tokio::time::sleep(Duration::from_millis(50)).await;
+    let stop = spawn_stop(&daemon);
+    wait_until_entry_closes(&daemon).await;
     send_again.send(()).expect("the caller waits for the signal");
-    std::thread::sleep(Duration::from_millis(600));
+    block_past_the_grace_period();
     assert!(stop.await.expect("the stop does not panic"));
     let second = caller.join().expect("the caller does not panic");
     assert!(second.starts_with("HTTP/1.1 200"), "{second:?}");
     assert!(second.contains("connection: close"), "{second:?}");
 }
+
+// The entry listener closed at the end of the stop's grace period with connections in its backlog, whose requests were lost.
+#[tokio::test]
+async fn connections_that_wait_while_a_busy_daemon_closes_its_listener_are_served() {
+    const CALLER_COUNT: usize = 8;
+    fastrand::seed(31);
+    let cluster = TestCluster::new(ClusterSpec::default());
+    let daemon = cluster.start_daemons(1).await.remove(0);
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback can be bound");
+    let address = listener.local_addr().expect("the listener has an address");
+    daemon
+        .kernel
+        .request_tasks
+        .spawn("entry listener", entry::serve(daemon.kernel.clone(), listener));
+    let stop = spawn_stop(&daemon);
+    wait_until_entry_closes(&daemon).await;
+    let callers: Vec<_> = (0..CALLER_COUNT)
+        .map(|_| {
+            std::thread::spawn(move || {
+                let mut stream = TcpStream::connect(address).expect("the listener is open");
+                send_over(&mut stream)
+            })
+        })
+        .collect();
+    block_past_the_grace_period();
+    assert!(stop.await.expect("the stop does not panic"));
+    for caller in callers {
+        let response = caller.join().expect("the caller does not panic");
+        assert!(response.starts_with("HTTP/1.1 200"), "{response:?}");
+    }
+}
