Accept waiting connections before a stop closes the entry listener

What callers saw: connections that the platform had opened just before the entry listener closed were reset, and their requests with them.

Cause: the accept loop chose at random between the end of the grace period and a waiting connection, and closing a listener resets all that wait in its backlog.

Change: accepting goes first; a listener that cannot accept still ends with the grace period. connections_that_wait_while_a_busy_daemon_closes_its_listener_ are_served failed before (an empty response) and passes.

--- a/crates/kernel/src/http/entry.rs
+++ b/crates/kernel/src/http/entry.rs
@@ -84,16 +84,21 @@
     };
     let mut grace_end = std::pin::pin!(grace_end);
     loop {
+        // Waiting connections are accepted first, since closing the listener resets them.
         let accepted = tokio::select! {
-            () = &mut grace_end => return,
+            biased;
             accepted = listener.accept() => accepted,
+            () = &mut grace_end => return,
         };
         match accepted {
             Ok((stream, _)) => {
                 let _ = stream.set_nodelay(true);
                 accept(&kernel, Stream::Tcp(stream));
             }
-            Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
+            Err(_) => tokio::select! {
+                () = &mut grace_end => return,
+                () = tokio::time::sleep(ACCEPT_RETRY_DELAY) => {}
+            },
         }
     }
 }
