Finish a takeover that a stop overlaps, so that the fleet is released

For 1 s longer than needed no daemon owned the fleet, and calls were refused or held.

Cause: a daemon that had written itself into the owner's row and began to stop gave up after the first failed rebuild, without releasing the row. The others then wait for its lease, since a row with one write does not count as unresponsive.

Run: fleet_stops.

--- a/crates/plugins/src/fleet/term.rs
+++ b/crates/plugins/src/fleet/term.rs
@@ -54,7 +54,7 @@
             Ok(rebuilt) => break rebuilt,
             Err(error) => log::warn!("fleet not rebuilt fence={} reason={error}", row.fence),
         }
-        if !may_act(sent, kernel.clock.now()) || kernel.is_stopping() {
+        if !may_act(sent, kernel.clock.now()) {
             log::warn!("term ended before the fleet was rebuilt fence={}", row.fence);
             return;
         }
--- a/crates/plugins/tests/fleet_stops.rs
+++ b/crates/plugins/tests/fleet_stops.rs
@@ -9,6 +9,7 @@
 use wasabiswitch_policy::fleet::calls::{Call, QueueOperation, Reply};
 use wasabiswitch_policy::fleet::spec::{Step, Submission};
 use wasabiswitch_standin::fleet::{FleetStandIn, TASK_RESOURCES, single_queue_config};
+use wasabiswitch_standin::{Fault, Operation};
 
 const fn ms(count: u64) -> Duration {
     Duration::from_millis(count)
@@ -18,6 +19,8 @@
 const POOL_INSTANCES: usize = 4;
 /// Time limit of a call, as clients state it.
 const CALL_TIME_LIMIT: Duration = ms(3_000);
+/// Time after which a call to the platform without an answer fails.
+const CALL_TIMEOUT: Duration = ms(900);
 /// Time after which a submission that reaches no owner is refused.
 const OWNER_WAIT_MAX: Duration = ms(140);
 /// Time from the release of the fleet to a successor that every daemon has found.
@@ -117,3 +120,34 @@
     join_stops(stops).await;
     successor.stop().await;
 }
+
+// Guards against a fleet without an owner for the rest of a lease, after a daemon that is stopping failed to rebuild it.
+#[tokio::test(start_paused = true)]
+async fn daemon_that_stops_while_it_takes_over_releases_the_fleet() {
+    let (platform, [owner, stopping, successor]) = start_three_daemons().await;
+    // The first read of a rebuild gets no answer, and fails after the timeout of the call.
+    platform.faults().inject(Operation::ReadDirectory, Fault::LostResponse, 1);
+    let released = owner.clock.now();
+    let stop_owner = spawn_stop(&owner);
+    let took_over = async {
+        loop {
+            for kernel in [&stopping, &successor] {
+                let known = kernel.tables.fleet.lock().owner.clone();
+                if known.is_some_and(|known| known.daemon == kernel.settings.daemon) {
+                    return kernel.clone();
+                }
+            }
+            tokio::time::sleep(ms(5)).await;
+        }
+    };
+    let new_owner = tokio::time::timeout(ms(1_500), took_over).await.expect("a takeover begins");
+    let other = if Arc::ptr_eq(&new_owner, &stopping) { &successor } else { &stopping };
+    let stop_new_owner = spawn_stop(&new_owner);
+    while submit(other, 1, "a").await != Reply::Accepted {
+        let waited = other.clock.now().saturating_duration_since(released);
+        assert!(waited < TAKEOVER_TIME * 2 + CALL_TIMEOUT, "no owner after {waited:?}");
+        tokio::time::sleep(ms(20)).await;
+    }
+    join_stops([stop_owner, stop_new_owner]).await;
+    other.stop().await;
+}
