Soak planned stops of daemons while calls are in flight

Callers saw this in a planned stop: SIGTERM at 56.630 s, a request sent at 58.400 s over a connection to the stopping daemon, the connection closed at 60.837 s without an answer. The stop's limits ended 4.2 s after SIGTERM, and a call may take 3 s.

The soak has a second test, calls_are_answered_during_planned_stops. Five daemons get SIGTERM at random intervals, one after the other and overlapping, the owner among them, while the store hangs, refuses calls or loses its responses at one daemon or all; they start again once they have exited, and a process that is still there after the grace of 6 s is killed. Twelve callers send POST, GET and DELETE over kept-alive connections. Each call must get a complete answer within 4 s (its deadline is 3 s), unless it was not written completely or its connection ended less than 200 ms after it was sent. All accepted jobs must be known and complete, and no task may start twice. Drain notice 600 ms, stop timeout 2,000 ms.

--- a/crates/daemon/tests/soak/daemons.rs
+++ b/crates/daemon/tests/soak/daemons.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use fastrand::Rng;
 use http::Method;
+use serde_json::Value;
 use tokio::sync::watch;
 use wasabiswitch_kernel::http::client::{ClientRequest, HttpClient};
 use wasabiswitch_kernel::network::Network;
@@ -19,12 +20,15 @@
 
 /// Time after which a call without a response fails.
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time after which the query of a daemon for the owner fails.
+const OWNER_QUERY_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time to wait until started daemons serve calls.
-const START_TIME: Duration = Duration::from_millis(700);
+pub const START_TIME: Duration = Duration::from_millis(700);
 
 struct Daemon {
     settings: PathBuf,
     entry: SocketAddr,
+    control: SocketAddr,
     proxy: Proxy,
     store_mode: watch::Sender<StoreMode>,
     child: Option<Child>,
@@ -50,7 +54,7 @@
 }
 
 impl Daemon {
-    async fn new(number: usize, platform: &Platform) -> Daemon {
+    async fn new(number: usize, platform: &Platform, stop_settings: &str) -> Daemon {
         let (entry, control, ready) = (free_address(), free_address(), free_address());
         let (store_mode, receiver) = watch::channel(StoreMode::Normal);
         let proxy = Proxy::start(platform.serve_with_store_mode(receiver).await).await;
@@ -58,17 +62,21 @@
         let text = format!(
             r#"{{"daemon": "d{number}", "data_centre": "dc", "entry_listen": "{entry}",
                 "control_listen": "{control}", "peer_key": "peer-key-of-the-soak",
-                "drain_notice_ms": 200, "stop_timeout_ms": 1000, "platform": {{"fleet": {{
+                {stop_settings}, "platform": {{"fleet": {{
                 "store": "{store}", "instances": "{store}", "readiness_listen": "{ready}"}}}}}}"#
         );
         let name = format!("wasabiswitch-soak-{}-{}.json", std::process::id(), entry.port());
         let settings = std::env::temp_dir().join(name);
         std::fs::write(&settings, text).expect("files can be written");
-        Daemon { settings, entry, proxy, store_mode, child: None }
+        Daemon { settings, entry, control, proxy, store_mode, child: None }
+    }
+
+    fn is_running(&mut self) -> bool {
+        self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
     }
 
     fn start(&mut self) {
-        if self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None))) {
+        if self.is_running() {
             return;
         }
         let mut command = Command::new(env!("CARGO_BIN_EXE_wasabiswitchd"));
@@ -93,11 +101,12 @@
 }
 
 impl DaemonGroup {
-    /// Starts `count` daemons, each with its own proxy.
-    pub async fn start(count: usize, platform: &Platform) -> DaemonGroup {
+    /// Starts `count` daemons, each with its own proxy; `stop_settings` are the fields of the settings that govern a
+    /// stop.
+    pub async fn start(count: usize, platform: &Platform, stop_settings: &str) -> DaemonGroup {
         let mut daemons = Vec::new();
         for number in 0..count {
-            let mut daemon = Daemon::new(number, platform).await;
+            let mut daemon = Daemon::new(number, platform, stop_settings).await;
             daemon.start();
             daemons.push(daemon);
         }
@@ -144,6 +153,59 @@
         self.platform.add_odd_entry(deep);
     }
 
+    /// Returns the addresses at which the daemons serve callers.
+    pub fn entries(&self) -> Vec<SocketAddr> {
+        self.daemons.iter().map(|daemon| daemon.entry).collect()
+    }
+
+    /// Returns whether the daemon's process has not ended.
+    pub fn is_running(&mut self, daemon: usize) -> bool {
+        self.daemons[daemon].is_running()
+    }
+
+    /// Starts the daemon's process if it is not running.
+    pub fn start_process(&mut self, daemon: usize) {
+        self.daemons[daemon].start();
+    }
+
+    /// Requests a planned stop of the daemon's process.
+    pub fn terminate_process(&self, daemon: usize) {
+        self.daemons[daemon].signal("-TERM");
+    }
+
+    /// Kills the daemon's process and waits for its end.
+    pub fn kill_process(&mut self, daemon: usize) {
+        self.daemons[daemon].kill();
+    }
+
+    /// Sets how the store treats the calls of a daemon.
+    pub fn set_store_mode(&self, daemon: usize, mode: StoreMode) {
+        self.daemons[daemon].store_mode.send_replace(mode);
+    }
+
+    /// Returns the owner of the fleet, as the first daemon that answers reports it.
+    pub async fn owner(&self) -> Option<usize> {
+        for daemon in &self.daemons {
+            let request = ClientRequest {
+                method: Method::GET,
+                path: "/v1/fleet",
+                authorization: None,
+                headers: &[],
+                body: Bytes::new(),
+            };
+            let response = self.client.send(daemon.control, request);
+            let Ok(Ok(response)) = tokio::time::timeout(OWNER_QUERY_TIMEOUT, response).await else {
+                continue;
+            };
+            let view: Value = serde_json::from_slice(&response.body).unwrap_or_default();
+            let name = view["owner"][0]["daemon"].as_str().and_then(|name| name.strip_prefix('d'));
+            if let Some(number) = name.and_then(|number| number.parse().ok()) {
+                return Some(number);
+            }
+        }
+        None
+    }
+
     /// Ends the faults of all daemons and restarts those that are not running.
     pub async fn end_faults(&mut self) {
         self.daemons.iter_mut().for_each(Daemon::recover);
--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -7,15 +7,19 @@
 //! lists. Every accepted job must complete or be cancelled, no task may run twice at the same time, and no worker may
 //! get more tasks than it has room for.
 //!
+//! The test in `stops` stops daemons in the planned way only, and checks that each call is answered.
+//!
 //! ```text
 //! cargo test -p wasabiswitchd --test soak                        the seeds of CI
 //! SOAK_SEEDS=100..150 cargo test -p wasabiswitchd --test soak    fifty other seeds
 //! ```
 
+mod callers;
 mod daemons;
 mod proxy;
 #[path = "../../../../platform/tests/wire/server.rs"]
 mod server;
+mod stops;
 
 use std::ops::Range;
 use std::time::{Duration, Instant};
@@ -42,6 +46,16 @@
 const ODD_ENTRY_DEPTH: usize = 20_000;
 /// Number of daemons per seed.
 const DAEMON_COUNT: usize = 3;
+/// Fields of the settings that govern a stop.
+const STOP_SETTINGS: &str = r#""drain_notice_ms": 200, "stop_timeout_ms": 1000"#;
+
+/// A job that was accepted.
+struct AcceptedJob {
+    /// Path of calls on the job.
+    path: String,
+    /// Whether a cancellation of the job was sent.
+    is_cancelled: bool,
+}
 
 fn seeds() -> Vec<u64> {
     let requested = std::env::var("SOAK_SEEDS").ok().and_then(|text| {
@@ -65,7 +79,7 @@
     let mut rng = Rng::with_seed(seed);
     let platform = Platform::start(WORKER_COUNT).await;
     platform.put("op", "config", &config(1));
-    let mut daemons = DaemonGroup::start(DAEMON_COUNT, &platform).await;
+    let mut daemons = DaemonGroup::start(DAEMON_COUNT, &platform, STOP_SETTINGS).await;
     let mut accepted = Vec::new();
     let start = Instant::now();
     let mut number = 0u64;
@@ -75,40 +89,54 @@
         }
         number += 1;
         let job = format!("/q/{:016x}", seed << 16 | number);
-        let body = format!(
-            r#"{{"spec":"{}","phases":[{{"count":{},"cpu":{TASK_MILLI},"estMs":200}},
-                {{"count":1,"cpu":{TASK_MILLI},"estMs":100,"after":[0]}}]}}"#,
-            rng.u32(20..600),
-            rng.u32(1..4)
-        );
+        let body = job_body(&mut rng);
         if daemons.call(rng.usize(..), Method::POST, &job, &body).await.0 == 200 {
-            let cancelled = rng.u8(0..CANCELLED_JOB_INTERVAL) == 0;
-            if cancelled {
+            let is_cancelled = rng.u8(0..CANCELLED_JOB_INTERVAL) == 0;
+            if is_cancelled {
                 daemons.call(rng.usize(..), Method::DELETE, &job, "").await;
             }
-            accepted.push((job, cancelled));
+            accepted.push(AcceptedJob { path: job, is_cancelled });
         }
         tokio::time::sleep(Duration::from_millis(rng.u64(20..150))).await;
     }
     daemons.end_faults().await;
+    assert_jobs_complete(seed, &daemons, &accepted).await;
+    assert_starts_are_valid(seed, &platform);
+}
+
+/// Returns the body of a submission of a job with two steps.
+fn job_body(rng: &mut Rng) -> String {
+    format!(
+        r#"{{"spec":"{}","phases":[{{"count":{},"cpu":{TASK_MILLI},"estMs":200}},
+            {{"count":1,"cpu":{TASK_MILLI},"estMs":100,"after":[0]}}]}}"#,
+        rng.u32(20..600),
+        rng.u32(1..4)
+    )
+}
+
+/// Waits until all accepted jobs are done or, if a cancellation was sent, cancelled.
+async fn assert_jobs_complete(seed: u64, daemons: &DaemonGroup, accepted: &[AcceptedJob]) {
     assert!(!accepted.is_empty(), "seed {seed}: no job was accepted");
-    for (job, cancelled) in accepted {
+    for AcceptedJob { path, is_cancelled } in accepted {
         let done = async {
             let mut daemon = 0;
             loop {
                 daemon += 1;
-                let (status, body) = daemons.call(daemon, Method::GET, &job, "").await;
-                assert_ne!(status, 410, "seed {seed}: {job} was accepted and is unknown");
+                let (status, body) = daemons.call(daemon, Method::GET, path, "").await;
+                assert_ne!(status, 410, "seed {seed}: {path} was accepted and is unknown");
                 // A cancellation without an answer may have had no effect.
-                if body.contains("done") || (cancelled && body.contains("cancelled")) {
+                if body.contains("done") || (*is_cancelled && body.contains("cancelled")) {
                     return;
                 }
                 tokio::time::sleep(Duration::from_millis(50)).await;
             }
         };
         let completed = tokio::time::timeout(COMPLETION_TIMEOUT, done).await;
-        assert!(completed.is_ok(), "seed {seed}: {job} was accepted and is not done");
+        assert!(completed.is_ok(), "seed {seed}: {path} was accepted and is not done");
     }
+}
+
+fn assert_starts_are_valid(seed: u64, platform: &Platform) {
     assert_eq!(platform.duplicate_starts(), Vec::<String>::new(), "seed {seed}");
     assert_eq!(platform.starts_beyond_capacity(), Vec::<String>::new(), "seed {seed}");
     // The count includes every start that reached a worker, also refused starts and later attempts.
