--- a/crates/daemon/tests/soak/stops.rs
+++ b/crates/daemon/tests/soak/stops.rs
@@ -21,21 +21,20 @@
 const CALLER_COUNT: u64 = 12;
 /// Time for which stops begin per seed.
 const STOPS_TIME: Duration = Duration::from_secs(8);
-/// Time from the SIGTERM of a daemon after which the platform kills its process.
-const TERMINATION_GRACE: Duration = Duration::from_secs(6);
+/// Times from the SIGTERM of a daemon after which the platform kills its process; the seeds use them in turn. The first
+/// is long enough for each call to end by its deadline, the second is not.
+const TERMINATION_GRACES: [Duration; 2] = [Duration::from_secs(6), Duration::from_millis(2_500)];
 /// Time from the SIGTERM of a daemon to the closing of its entry listener.
 const DRAIN_NOTICE_MS: u64 = 600;
-/// Time after the drain notice at which a stop no longer waits for calls. As in the users' deployment, it is shorter
-/// than the deadline of a call.
-const STOP_TIMEOUT_MS: u64 = 2_000;
 /// Interval at which the processes are checked.
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Returns the fields of the settings that govern a stop.
-fn stop_settings() -> String {
+fn stop_settings(termination_grace: Duration) -> String {
     format!(
         r#""worker_threads": 1, "drain_notice_ms": {DRAIN_NOTICE_MS},
-            "stop_timeout_ms": {STOP_TIMEOUT_MS}"#
+            "termination_grace_s": {}"#,
+        termination_grace.as_secs_f64()
     )
 }
 
@@ -52,9 +51,11 @@
 /// Runs a seed and prints the violations that the callers saw; returns their number.
 async fn soak(seed: u64) -> usize {
     let mut rng = Rng::with_seed(seed);
+    let termination_grace = TERMINATION_GRACES[seed as usize % TERMINATION_GRACES.len()];
     let platform = Platform::start(WORKER_COUNT).await;
     platform.put("op", "config", &config(1));
-    let mut daemons = DaemonGroup::start(DAEMON_COUNT, &platform, &stop_settings()).await;
+    let mut daemons =
+        DaemonGroup::start(DAEMON_COUNT, &platform, &stop_settings(termination_grace)).await;
     let shared = Arc::new(Shared {
         seed,
         entries: daemons.entries(),
@@ -64,7 +65,7 @@
     let callers: Vec<_> = (0..CALLER_COUNT)
         .map(|number| tokio::spawn(callers::run(shared.clone(), number)))
         .collect();
-    let stops = run_stops(&mut daemons, &shared, &mut rng).await;
+    let stops = run_stops(&mut daemons, &shared, termination_grace, &mut rng).await;
     shared.ended.store(true, Ordering::Release);
     let mut record = Record::default();
     for caller in callers {
@@ -122,7 +123,12 @@
 }
 
 /// Stops and restarts daemons for a while, and then waits until all of them serve calls again.
-async fn run_stops(daemons: &mut DaemonGroup, shared: &Shared, rng: &mut Rng) -> StopCounts {
+async fn run_stops(
+    daemons: &mut DaemonGroup,
+    shared: &Shared,
+    termination_grace: Duration,
+    rng: &mut Rng,
+) -> StopCounts {
     let begin = Instant::now();
     let mut counts = StopCounts::default();
     let mut states = [ProcessState::Running { since: begin - START_TIME }; DAEMON_COUNT];
@@ -139,7 +145,7 @@
             if !is_running {
                 daemons.start_process(daemon);
                 *state = ProcessState::Running { since: now };
-            } else if now - since >= TERMINATION_GRACE {
+            } else if now - since >= termination_grace {
                 daemons.kill_process(daemon);
                 counts.killed += 1;
             }
