--- a/crates/kernel/src/kernel.rs
+++ b/crates/kernel/src/kernel.rs
@@ -10,7 +10,7 @@
 use tokio_util::sync::CancellationToken;
 use wasabiswitch_policy::config::Principal;
 use wasabiswitch_policy::ids::{DaemonId, Epoch, KeyId};
-use wasabiswitch_policy::stop::schedule;
+use wasabiswitch_policy::stop;
 
 use crate::clock::Clock;
 use crate::error::{Error, ErrorKind};
@@ -306,7 +306,7 @@
     /// plug-ins, which return their slots and end the session, and joins its tasks. See docs/DESIGN.md, "A stop".
     pub async fn stop(self: &Arc<Kernel>) -> bool {
         let Settings { drain_notice, stop_timeout, termination_grace, .. } = self.settings;
-        let times = schedule(drain_notice, stop_timeout, termination_grace);
+        let times = stop::schedule(drain_notice, stop_timeout, termination_grace);
         self.stopping.store(true, Ordering::Release);
         self.ready.store(false, Ordering::Release);
         log::info!("the daemon is stopping");
--- a/crates/plugins/src/fleet/owner_calls.rs
+++ b/crates/plugins/src/fleet/owner_calls.rs
@@ -206,9 +206,6 @@
     owner: &KnownOwner,
     owner_milli: u32,
 ) -> Option<SteppedDown> {
-    if kernel.is_stopping() {
-        return None;
-    }
     let delay = takeover_delay(processor_milli(kernel), Some(owner_milli));
     if !delay.is_zero() {
         // A daemon on a larger instance may have taken the fleet over during the delay.
--- a/crates/plugins/src/fleet/term.rs
+++ b/crates/plugins/src/fleet/term.rs
@@ -54,6 +54,7 @@
             Ok(rebuilt) => break rebuilt,
             Err(error) => log::warn!("fleet not rebuilt fence={} reason={error}", row.fence),
         }
+        // A stopping daemon rebuilds the fleet too, since its writer then releases it.
         if !may_act(sent, kernel.clock.now()) {
             log::warn!("term ended before the fleet was rebuilt fence={}", row.fence);
             return;
--- a/crates/policy/src/stop.rs
+++ b/crates/policy/src/stop.rs
@@ -10,7 +10,7 @@
 
 /// Time between the moment at which responses are due and the end of the grace period, in which the last responses are
 /// sent, and the daemon releases what it holds and exits.
-pub const EXIT_TIME: Duration = Duration::from_millis(500);
+const EXIT_TIME: Duration = Duration::from_millis(500);
 /// Part of the grace period that [`EXIT_TIME`] takes at most: one in this number.
 const EXIT_TIME_DIVISOR: u32 = 4;
 /// Time for sending the last responses; at most half of the time left for the exit.
