Make the tests of closing connections robust against a stalled machine

The tests blocked the runtime for a fixed time, so a caller's thread that was not scheduled within it failed them without a fault. They now wait for the callers' writes before the grace period may end.

--- a/crates/plugins/tests/stops.rs
+++ b/crates/plugins/tests/stops.rs
@@ -2,6 +2,7 @@
 
 use std::io::{Read as _, Write as _};
 use std::net::TcpStream;
+use std::sync::mpsc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -65,14 +66,19 @@
     );
 }
 
-/// Sends a request over a kept connection and returns the response, which is empty if the connection was closed.
-fn send_over(stream: &mut TcpStream) -> String {
+/// Sends a request over a connection.
+///
+/// A connection that the daemon has closed fails here or when the response is read.
+fn send_over(stream: &mut TcpStream) {
     let head = format!(
         "GET /s/s0/path HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {}\r\n\r\n",
         team_key("t1")
     );
-    // A connection that the daemon has closed fails here or at the read.
     let _ = stream.write_all(head.as_bytes());
+}
+
+/// Reads a response, which is empty if the connection was closed.
+fn read_response(stream: &mut TcpStream) -> String {
     let mut response = [0; 4_096];
     let length = stream.read(&mut response).unwrap_or(0);
     String::from_utf8_lossy(&response[..length]).into_owned()
@@ -86,15 +92,21 @@
 /// Waits until the entry listener and the connections have started their grace period.
 async fn wait_until_entry_closes(daemon: &Daemon) {
     while !daemon.kernel.is_entry_closing() {
-        tokio::time::sleep(Duration::from_millis(5)).await;
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    // The tasks that the stop wakes are polled within these turns of the only thread.
+    for _ in 0..10 {
+        tokio::task::yield_now().await;
     }
-    tokio::time::sleep(Duration::from_millis(50)).await;
 }
 
-/// Keeps the only thread of the runtime busy until the grace period of 300 ms is over, so that its end and everything that
-/// arrives meanwhile become ready together.
-fn block_past_the_grace_period() {
-    std::thread::sleep(Duration::from_millis(600));
+/// Keeps the only thread of the runtime busy until `count` requests have been sent and the grace period of 300 ms is
+/// over, so that its end and the requests become ready together.
+fn block_past_the_grace_period(sent: &mpsc::Receiver<()>, count: usize) {
+    for _ in 0..count {
+        sent.recv().expect("the callers do not panic");
+    }
+    std::thread::sleep(Duration::from_millis(400));
 }
 
 // Guards against a busy daemon that closes a connection as idle at the end of a stop's grace period, unread.
@@ -106,13 +118,16 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback can be bound");
     let address = listener.local_addr().expect("the listener has an address");
     let (served, first_served) = tokio::sync::oneshot::channel();
-    let (send_again, may_send_again) = std::sync::mpsc::channel();
+    let (send_again, may_send_again) = mpsc::channel();
+    let (sender, sent) = mpsc::channel();
     let caller = std::thread::spawn(move || {
         let mut stream = TcpStream::connect(address).expect("the daemon accepts");
-        let first = send_over(&mut stream);
-        served.send(first).expect("the test waits for the first response");
+        send_over(&mut stream);
+        served.send(read_response(&mut stream)).expect("the test waits for the first response");
         may_send_again.recv().expect("the test sends the signal");
-        send_over(&mut stream)
+        send_over(&mut stream);
+        sender.send(()).expect("the test waits for the request");
+        read_response(&mut stream)
     });
     let (stream, _) = listener.accept().await.expect("the caller connects");
     entry::accept(&daemon.kernel, Stream::Tcp(stream));
@@ -121,7 +136,7 @@
     let stop = spawn_stop(&daemon);
     wait_until_entry_closes(&daemon).await;
     send_again.send(()).expect("the caller waits for the signal");
-    block_past_the_grace_period();
+    block_past_the_grace_period(&sent, 1);
     assert!(stop.await.expect("the stop does not panic"));
     let second = caller.join().expect("the caller does not panic");
     assert!(second.starts_with("HTTP/1.1 200"), "{second:?}");
@@ -143,15 +158,19 @@
         .spawn("entry listener", entry::serve(daemon.kernel.clone(), listener));
     let stop = spawn_stop(&daemon);
     wait_until_entry_closes(&daemon).await;
+    let (sender, sent) = mpsc::channel();
     let callers: Vec<_> = (0..CALLER_COUNT)
         .map(|_| {
+            let sender = sender.clone();
             std::thread::spawn(move || {
                 let mut stream = TcpStream::connect(address).expect("the listener is open");
-                send_over(&mut stream)
+                send_over(&mut stream);
+                sender.send(()).expect("the test waits for the request");
+                read_response(&mut stream)
             })
         })
         .collect();
-    block_past_the_grace_period();
+    block_past_the_grace_period(&sent, CALLER_COUNT);
     assert!(stop.await.expect("the stop does not panic"));
     for caller in callers {
         let response = caller.join().expect("the caller does not panic");
