Check in the soak that no call is held during planned stops with a healthy store

A call that is held for half of its time limit and then answered was not a violation, so the soak could not tell the two causes of the incident apart.

--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -57,20 +57,21 @@
     is_cancelled: bool,
 }
 
-fn seeds() -> Vec<u64> {
+/// Returns the seeds that the environment requests, or else those that have failed before and `ci_seeds`.
+fn seeds(ci_seeds: Range<u64>) -> Vec<u64> {
     let requested = std::env::var("SOAK_SEEDS").ok().and_then(|text| {
         let (from, to) = text.split_once("..")?;
         Some(from.parse().ok()?..to.parse().ok()?)
     });
     match requested {
         Some(range) => range.collect(),
-        None => FAILED_SEEDS.into_iter().chain(CI_SEEDS).collect(),
+        None => FAILED_SEEDS.into_iter().chain(ci_seeds).collect(),
     }
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn accepted_jobs_complete_without_duplicate_runs() {
-    for seed in seeds() {
+    for seed in seeds(CI_SEEDS) {
         soak(seed).await;
     }
 }
--- a/crates/daemon/tests/soak/stops.rs
+++ b/crates/daemon/tests/soak/stops.rs
@@ -21,9 +21,23 @@
 const CALLER_COUNT: u64 = 12;
 /// Time for which stops begin per seed.
 const STOPS_TIME: Duration = Duration::from_secs(8);
-/// Times from the SIGTERM of a daemon after which the platform kills its process; the seeds use them in turn. The first
-/// is long enough for each call to end by its deadline, the second is not.
-const TERMINATION_GRACES: [Duration; 2] = [Duration::from_secs(6), Duration::from_millis(2_500)];
+/// Conditions of a seed.
+struct Scenario {
+    /// Time from the SIGTERM of a daemon after which the platform kills its process.
+    termination_grace: Duration,
+    /// Whether the store refuses calls, hangs or loses responses at times.
+    has_store_faults: bool,
+}
+
+/// Scenarios, which the seeds use in turn. The long grace period lets each call end by its deadline, the short one does
+/// not. With a healthy store no call is held.
+const SCENARIOS: [Scenario; 3] = [
+    Scenario { termination_grace: Duration::from_secs(6), has_store_faults: true },
+    Scenario { termination_grace: Duration::from_millis(2_500), has_store_faults: true },
+    Scenario { termination_grace: Duration::from_secs(6), has_store_faults: false },
+];
+/// Seeds that run in CI, one for each scenario.
+const CI_SEEDS: Range<u64> = 0..SCENARIOS.len() as u64;
 /// Time from the SIGTERM of a daemon to the closing of its entry listener.
 const DRAIN_NOTICE_MS: u64 = 600;
 /// Interval at which the processes are checked.
@@ -42,7 +56,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn calls_are_answered_during_planned_stops() {
     let mut violation_count = 0;
-    for seed in seeds() {
+    for seed in seeds(CI_SEEDS) {
         violation_count += soak(seed).await;
     }
     assert_eq!(violation_count, 0, "calls without an answer");
@@ -51,11 +65,12 @@
 /// Runs a seed and prints the violations that the callers saw; returns their number.
 async fn soak(seed: u64) -> usize {
     let mut rng = Rng::with_seed(seed);
-    let termination_grace = TERMINATION_GRACES[seed as usize % TERMINATION_GRACES.len()];
+    let scenario = &SCENARIOS[seed as usize % SCENARIOS.len()];
     let platform = Platform::start(WORKER_COUNT).await;
     platform.put("op", "config", &config(1));
     let mut daemons =
-        DaemonGroup::start(DAEMON_COUNT, &platform, &stop_settings(termination_grace)).await;
+        DaemonGroup::start(DAEMON_COUNT, &platform, &stop_settings(scenario.termination_grace))
+            .await;
     let shared = Arc::new(Shared {
         seed,
         entries: daemons.entries(),
@@ -65,7 +80,7 @@
     let callers: Vec<_> = (0..CALLER_COUNT)
         .map(|number| tokio::spawn(callers::run(shared.clone(), number)))
         .collect();
-    let stops = run_stops(&mut daemons, &shared, termination_grace, &mut rng).await;
+    let stops = run_stops(&mut daemons, &shared, scenario, &mut rng).await;
     shared.ended.store(true, Ordering::Release);
     let mut record = Record::default();
     for caller in callers {
@@ -90,6 +105,12 @@
         println!("seed {seed}: {violation}");
     }
     assert!(record.answered_in_stop > 0, "seed {seed}: no call was answered during a stop");
+    if !scenario.has_store_faults {
+        assert_eq!(
+            record.held_in_stop, 0,
+            "seed {seed}: calls were held although the store is healthy"
+        );
+    }
     assert_jobs_complete(seed, &daemons, &record.accepted).await;
     assert_starts_are_valid(seed, &platform);
     record.violations.len()
@@ -126,7 +147,7 @@
 async fn run_stops(
     daemons: &mut DaemonGroup,
     shared: &Shared,
-    termination_grace: Duration,
+    scenario: &Scenario,
     rng: &mut Rng,
 ) -> StopCounts {
     let begin = Instant::now();
@@ -145,7 +166,7 @@
             if !is_running {
                 daemons.start_process(daemon);
                 *state = ProcessState::Running { since: now };
-            } else if now - since >= termination_grace {
+            } else if now - since >= scenario.termination_grace {
                 daemons.kill_process(daemon);
                 counts.killed += 1;
             }
@@ -159,7 +180,7 @@
             break;
         }
         if !ended && now >= next_action {
-            if store_fault_end.is_none() && rng.bool() {
+            if scenario.has_store_faults && store_fault_end.is_none() && rng.bool() {
                 store_fault_end = Some(now + begin_store_fault(daemons, rng));
                 next_action = now + Duration::from_millis(rng.u64(0..300));
             } else {
