--- a/crates/daemon/tests/soak/stops.rs
+++ b/crates/daemon/tests/soak/stops.rs
@@ -1,7 +1,8 @@
 //! Planned stops of daemons, in series and overlapping, while calls are in flight.
 //!
 //! The daemons get SIGTERM at random intervals and are started again once they have exited, as in a rolling restart.
-//! At times the store refuses calls, hangs or loses its responses when a stop begins, so that calls are held.
+//! At times the store refuses calls, hangs or loses its responses when a stop begins, so that calls are held; in one of
+//! three seeds it is healthy, and no call may be held.
 
 use std::ops::Range;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -21,6 +22,11 @@
 const CALLER_COUNT: u64 = 12;
 /// Time for which stops begin per seed.
 const STOPS_TIME: Duration = Duration::from_secs(8);
+/// Time from the SIGTERM of a daemon to the closing of its entry listener.
+const DRAIN_NOTICE_MS: u64 = 600;
+/// Interval at which the processes are checked.
+const CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Conditions of a seed.
 struct Scenario {
     /// Time from the SIGTERM of a daemon after which the platform kills its process.
@@ -38,10 +44,6 @@
 ];
 /// Seeds that run in CI, one for each scenario.
 const CI_SEEDS: Range<u64> = 0..SCENARIOS.len() as u64;
-/// Time from the SIGTERM of a daemon to the closing of its entry listener.
-const DRAIN_NOTICE_MS: u64 = 600;
-/// Interval at which the processes are checked.
-const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Returns the fields of the settings that govern a stop.
 fn stop_settings(termination_grace: Duration) -> String {
