--- a/review/standin/src/cases.rs
+++ b/review/standin/src/cases.rs
@@ -272,93 +272,138 @@
     Ok(twice(world))
 }
 
-/// A job of many work units that checkpoint, among small jobs.
+/// A job of work units that last and always fail, among sound jobs of another queue and service.
 fn rows(world: &World, folder: &PathBuf, trouble: bool) -> Result<Vec<String>, String> {
-    let routes = [("r-1", "/batch/", "svc-batch"), ("r-2", "/previews/", "svc-previews")];
-    world.put("op", "config", &manifest(3, &routes, &["svc-batch", "svc-previews"]));
+    const UNITS: usize = 150;
+    let routes = [
+        ("r-1", "/plates/", "svc-plates"),
+        ("r-2", "/archive/", "svc-archive"),
+        ("r-3", "/previews/", "svc-archive"),
+    ];
+    world.put("op", "config", &manifest(3, &routes, &["svc-plates", "svc-archive"]));
     for number in 0..4 {
-        world.add_worker(&format!("i-b{number}"), &format!("m-b{number}"), "svc-batch");
-        world.add_worker(&format!("i-p{number}"), &format!("m-p{number}"), "svc-previews");
+        world.add_worker(&format!("i-p{number}"), &format!("m-p{number}"), "svc-plates");
+        world.add_worker(&format!("i-a{number}"), &format!("m-a{number}"), "svc-archive");
     }
     let daemons = start_daemons(world, folder, &["front-a-1", "front-a-2", "front-b-1"])?;
     let entries: Vec<_> = daemons.iter().map(|daemon| daemon.entry).collect();
-    let big = "5c0e7a21d94b36f8";
-    let count = if trouble { 5_000 } else { 50 };
+    let mut sound = Vec::new();
+    for number in 0..4 {
+        let job = format!("a1b2c3d4000000{number:02x}");
+        let body = r#"{"spec":"work=0","phases":[{"count":2,"cpu":1000,"memMb":256,"estMs":700,"longRunning":true}]}"#;
+        if !client_until(
+            world,
+            &entries,
+            "POST",
+            &format!("/archive/{job}"),
+            body,
+            200,
+            Duration::from_secs(8),
+        ) {
+            return Err("a sound job was not accepted".to_owned());
+        }
+        sound.push(job);
+    }
+    let spec = if trouble { "work=0;fail=10" } else { "work=0" };
     let body = format!(
-        "{{\"spec\":\"work=6000;spread=12000;over=8;save=1000\",\"phases\":[{{\"count\":{count},\"cpu\":10,\"memMb\":8,\"estMs\":30000,\"savesProgress\":true}}]}}"
+        "{{\"spec\":\"{spec}\",\"phases\":[{{\"count\":{UNITS},\"cpu\":200,\"memMb\":64,\"estMs\":700,\"longRunning\":true}}]}}"
     );
     if !client_until(
         world,
         &entries,
         "POST",
-        &format!("/batch/{big}"),
+        "/plates/5c0e7a21d94b36f8",
         &body,
         200,
         Duration::from_secs(8),
     ) {
-        return Err("the large job was not accepted".to_owned());
-    }
-    // Small jobs of another queue and another service, two a second.
-    let mut accepted: BTreeMap<String, u64> = BTreeMap::new();
-    let traffic_end = world.now() + 25_000;
-    let mut number = 0u64;
-    while world.now() < traffic_end {
-        let job = format!("a1b2c3d4{number:08x}");
-        let body =
+        return Err("the job that fails was not accepted".to_owned());
+    }
+    // One small job a second, until 25 s after the first refused row or for 75 s.
+    let begin = world.now();
+    let (mut number, mut refused_at) = (0u64, None);
+    let (mut before, mut after) = ((0, 0), (0, 0));
+    while world.now() < begin + 75_000 {
+        let path = format!("/previews/{:016x}", 0xb0b0_0000_0000_0000u64 + number);
+        let small =
             r#"{"spec":"work=600","phases":[{"count":2,"cpu":500,"memMb":256,"estMs":600}]}"#;
-        let path = format!("/previews/{job}");
-        let entry = entries[number as usize % entries.len()];
-        if client(world, entry, "POST", &path, body).0 == 200 {
-            accepted.insert(job, world.now());
+        let status =
+            client(world, entries[number as usize % entries.len()], "POST", &path, small).0;
+        if refused_at.is_none() && world.lock().rows_too_large > 0 {
+            refused_at = Some(world.now());
         }
-        number += 1;
-        sleep_ms(450);
-    }
-    // finishS after the end of the traffic; then for 3 s: is anything of the job at work?
-    sleep_ms(14_000);
-    let mut idle: BTreeMap<String, bool> =
-        accepted.keys().cloned().chain([big.to_owned()]).map(|job| (job, true)).collect();
-    for _ in 0..64 {
-        for (job, idle) in idle.iter_mut() {
-            *idle &= running(world, job).is_empty();
+        let count = if refused_at.is_none() { &mut before } else { &mut after };
+        count.0 += usize::from(status == 200);
+        count.1 += 1;
+        if refused_at.is_some_and(|at| world.now() > at + 25_000) {
+            break;
         }
-        sleep_ms(50);
+        number += 1;
+        sleep_ms(900);
     }
+    // Cancels of the sound jobs, each repeated until it is acknowledged or has waited twice ackMs.
+    let waits: Vec<u64> = sound
+        .iter()
+        .map(|job| {
+            let (world, entries, path) =
+                (world.clone(), entries.clone(), format!("/archive/{job}"));
+            std::thread::spawn(move || {
+                let (begin, mut turn) = (world.now(), 0);
+                while world.now() < begin + 8_000 {
+                    let status =
+                        client(&world, entries[turn % entries.len()], "DELETE", &path, "").0;
+                    if status / 100 == 2 || status == 410 {
+                        return world.now() - begin;
+                    }
+                    turn += 1;
+                    sleep_ms(200);
+                }
+                u64::MAX
+            })
+        })
+        .collect::<Vec<_>>()
+        .into_iter()
+        .map(|cancel| cancel.join().unwrap_or(u64::MAX))
+        .collect();
+    let now = world.now();
     let mut broken = Vec::new();
-    for (job, idle) in idle {
-        let path = if job == big { format!("/batch/{job}") } else { format!("/previews/{job}") };
-        let units = if job == big { count } else { 2 };
-        let done = {
-            let state = world.lock();
-            state
-                .logs
-                .range(format!("{job}.")..format!("{job}/"))
-                .filter(|(_, logs)| logs.iter().any(|l| l.how == "done"))
-                .count()
-        };
-        let (status, text) = client(world, entries[0], "GET", &path, "");
-        let state = parse(text.as_bytes()).get("state").str().to_owned();
-        world.note(&format!("{path}: {done} of {units} work units have ended done, shown as {state}, at work in the last 3 s: {}", !idle));
-        if status == 410 || status == 0 || status >= 500 {
-            broken.push(format!(
-                "LOST: {path} was accepted, and its state is answered with {status}"
-            ));
-        }
-        if idle && done < units {
-            broken.push(format!("LOST: {path} was accepted, {done} of {units} work units have ended done, and nothing of it is at work for 3 s, 14 s after the end of the traffic, on idle workers"));
-        }
+    let unanswered = waits.iter().filter(|wait| **wait > 4_000).count();
+    if unanswered * 10 > sound.len() {
+        broken.push(format!("Acks: {unanswered} of {} cancels of accepted jobs have no 2xx or 410 after ackMs (4 s)", sound.len()));
     }
-    let (ends, open) = {
+    // Work units that last: nothing runs for 3 s, from 6 s after the last run.
+    {
         let state = world.lock();
+        for (task, logs) in state
+            .logs
+            .iter()
+            .filter(|(task, _)| sound.iter().any(|job| task.starts_with(job.as_str())))
+        {
+            let mut ends: Vec<(u64, u64)> =
+                logs.iter().map(|l| (l.start, l.end.unwrap_or(now))).collect();
+            ends.sort_unstable();
+            ends.push((now, now));
+            let gap = ends
+                .windows(2)
+                .map(|w| (w[0].1, w[1].0))
+                .find(|(end, next)| next.saturating_sub(*end) > 9_000);
+            if let Some((end, next)) = gap {
+                broken.push(format!("LOST: the lasting work unit {task} of an accepted job has nothing running from {end} to {next} ms, with idle sound workers"));
+            }
+        }
         let open: usize = state.workers.iter().map(|w| w.ends.len()).sum();
-        (state.workers.iter().map(|w| w.next_end as usize).sum::<usize>(), open)
-    };
-    if open * 5 > ends {
-        broken.push(format!("Acks: {open} of {ends} ends that workers list are not taken note of"));
+        let ends: usize = state.workers.iter().map(|w| w.next_end as usize).sum();
+        if open * 5 > ends {
+            broken.push(format!(
+                "Acks: {open} of {ends} ends that workers list are not taken note of"
+            ));
+        }
     }
     let refused = world.lock().rows_too_large;
-    world.note(&format!("writes that the store refused for the size of a row: {refused}; accepted small jobs: {} of {number}", accepted.len()));
-    broken.truncate(12);
+    world.note(&format!(
+        "writes that the store refused for the size of a row: {refused}, the first at {refused_at:?} ms; small jobs accepted before it {} of {}, after it {} of {}",
+        before.0, before.1, after.0, after.1
+    ));
     Ok(broken)
 }
 
--- a/review/standin/src/world.rs
+++ b/review/standin/src/world.rs
@@ -2,7 +2,7 @@
 //!
 //! Each worker has an address of its own. The spec of a task tells its worker what to do:
 //! `work=MS` (time at work; 0: until it is stopped), `spread=MS` and `over=N` (task I takes I % N times MS longer),
-//! `save=MS` (interval of checkpoints), `gang=N` (members that work only together).
+//! `save=MS` (interval of checkpoints), `gang=N` (members that work only together), `fail=MS` (time until it fails).
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -42,6 +42,7 @@
     pub gang: usize,
     pub saved: String,
     pub stops_at: Option<u64>,
+    pub fail: u64,
 }
 
 pub struct Worker {
@@ -602,6 +603,7 @@
                 let how = match run.stops_at {
                     Some(at) if at <= now => Some("stopped"),
                     _ if lapsed => Some("lapsed"),
+                    None if run.fail > 0 && run.done_ms >= run.fail as f64 => Some("failed"),
                     None if run.work > 0 && run.done_ms >= run.work as f64 => Some("done"),
                     None if run.gang > 0
                         && !together
@@ -684,6 +686,7 @@
             gang: spec_field(spec, "gang") as usize,
             saved: saved.clone(),
             stops_at: None,
+            fail: spec_field(spec, "fail"),
         });
         self.logs.entry(task).or_default().push(RunLog {
             worker: id.to_owned(),
@@ -739,6 +742,7 @@
                 .iter()
                 .map(|run| {
                     let percent = match run.work {
+                        0 if run.fail > 0 => 0,
                         0 => 100,
                         work => (run.done_ms * 100.0 / work as f64).min(100.0) as u64,
                     };
