--- a/review/standin/src/cases.rs
+++ b/review/standin/src/cases.rs
@@ -36,14 +36,25 @@
     {
         let state = world.lock();
         let total: usize = state.logs.values().map(Vec::len).sum();
-        for (task, logs) in state.logs.iter().take(if total > 400 { 20 } else { usize::MAX }) {
-            for log in logs {
+        // Of many runs, the first ones of each work unit are listed, and the others counted.
+        let listed = if total > 400 { 3 } else { usize::MAX };
+        for (task, logs) in &state.logs {
+            for log in logs.iter().take(listed) {
                 let end = log.end.map_or("-".to_owned(), |end| end.to_string());
                 record.push(format!(
                     "  {task} run {} on {}: {} to {end} {} checkpoint {:?}",
                     log.attempt, log.worker, log.start, log.how, log.checkpoint
                 ));
             }
+            if logs.len() > listed {
+                let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+                for log in &logs[listed..] {
+                    *counts
+                        .entry(if log.how.is_empty() { "at work" } else { &log.how })
+                        .or_default() += 1;
+                }
+                record.push(format!("  {task}: {} more runs {counts:?}", logs.len() - listed));
+            }
         }
         record.push(format!("runs in all: {total}"));
     }
@@ -90,16 +101,21 @@
     )
 }
 
+/// Starts daemons, and waits until traffic may start; another process may take a free port first, so that it is tried
+/// three times.
 fn start_daemons(world: &World, folder: &PathBuf, names: &[&str]) -> Result<Vec<Daemon>, String> {
-    let daemons: Vec<Daemon> =
-        names.iter().map(|name| Daemon::start(world, folder, name)).collect();
-    for _ in 0..100 {
-        if daemons.iter().all(Daemon::is_ready) {
-            // Traffic starts some seconds after the machines do.
-            sleep_ms(4_000);
-            return Ok(daemons);
+    for _ in 0..3 {
+        let daemons: Vec<Daemon> =
+            names.iter().map(|name| Daemon::start(world, folder, name)).collect();
+        for _ in 0..50 {
+            if daemons.iter().all(Daemon::is_ready) {
+                // Traffic starts some seconds after the machines do.
+                sleep_ms(4_000);
+                return Ok(daemons);
+            }
+            sleep_ms(100);
         }
-        sleep_ms(100);
+        end_children(|_| true);
     }
     Err("the daemons are not ready".to_owned())
 }
@@ -183,11 +199,12 @@
     false
 }
 
-/// A manifest sends a queue to another service; then a worker of the old service is cut off, and the acting daemon
+/// The manifest sends a queue to another service; then a worker of the old service is cut off, and the acting daemon
 /// is killed. The work unit on the cut worker must not run a second time while the first one runs.
 fn route(world: &World, folder: &PathBuf, trouble: bool) -> Result<Vec<String>, String> {
     let services = ["svc-old", "svc-new"];
-    world.put("op", "config", &manifest(3, &[("r-1", "/plates/", "svc-old")], &services));
+    let other = ("r-2", "/previews/", "svc-new");
+    world.put("op", "config", &manifest(3, &[("r-1", "/plates/", "svc-old"), other], &services));
     for number in 0..6 {
         world.add_worker(&format!("i-old{number}"), &format!("m-old{number}"), "svc-old");
         world.add_worker(&format!("i-new{number}"), &format!("m-new{number}"), "svc-new");
@@ -211,7 +228,10 @@
         return Err("the work units do not run".to_owned());
     }
     sleep_ms(1_500);
-    world.put("op", "config", &manifest(7, &[("r-1", "/plates/", "svc-new")], &services));
+    // One version removes the route, and a later one adds it with another service.
+    world.put("op", "config", &manifest(5, &[other], &services));
+    sleep_ms(3_000);
+    world.put("op", "config", &manifest(8, &[("r-1", "/plates/", "svc-new"), other], &services));
     sleep_ms(4_000);
     let (cut, _) = running(world, job).first().cloned().ok_or("nothing runs")?;
     if trouble {
--- a/review/standin/src/daemons.rs
+++ b/review/standin/src/daemons.rs
@@ -23,15 +23,17 @@
     log: PathBuf,
 }
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback can be bound");
-    listener.local_addr().expect("the listener has an address")
+/// Three free loopback addresses; they are held until all are known, so that they differ.
+fn free_addresses() -> [SocketAddr; 3] {
+    let listeners =
+        [(); 3].map(|()| TcpListener::bind("127.0.0.1:0").expect("loopback can be bound"));
+    listeners.map(|listener| listener.local_addr().expect("the listener has an address"))
 }
 
 impl Daemon {
     /// Writes settings as the platform renders `deploy/settings.template`, and starts the daemon.
     pub fn start(world: &World, folder: &PathBuf, name: &str) -> Daemon {
-        let (entry, control, readiness) = (free_address(), free_address(), free_address());
+        let [entry, control, readiness] = free_addresses();
         let settings = folder.join(format!("{name}.json"));
         let text = format!(
             r#"{{
