Record the pools in which a job's tasks may have been started

Cause: after a takeover the tasks that may run on a worker without an answer wait for its leases. They were found by the pool to which the present configuration sends their queue, not by the pools in which they had been started. Ruled out: a worker that the successor does not know, and a lease counted from a wrong moment (the start follows the rebuild at once).

Change: before the first task of a job starts in a pool other than that of its submission, the store records the pool for the job. The successor holds the tasks of all jobs of which a recorded pool has a silent worker, whatever the routes say by then. This holds for any number of changes, since a pool is on record before the first start there and stays until the job is retired.

The stand-in's faults can now be planned for the calls to one worker.

--- a/crates/plugins/src/fleet/takeover.rs
+++ b/crates/plugins/src/fleet/takeover.rs
@@ -28,6 +28,8 @@
 pub const JOB_TABLE: &str = "jobs";
 /// The table of the jobs' progress.
 pub const PROGRESS_TABLE: &str = "progress";
+/// The table of the pools in which a job's tasks may have been started.
+pub const START_POOL_TABLE: &str = "start_pools";
 /// The table of the waves' progress.
 pub const WAVE_TABLE: &str = "waves";
 /// Time limit for a worker's answer at a takeover. A worker without load answers within milliseconds; a
@@ -56,11 +58,12 @@
     predecessor_deadline: Instant,
 ) -> PlatformResult<RebuiltEngine> {
     let started_at = kernel.clock.now();
-    let (directory, instances, jobs, progress, waves) = tokio::join!(
+    let (directory, instances, jobs, progress, start_pools, waves) = tokio::join!(
         (port(kernel).read_directory)(()),
         (port(kernel).list_instances)(()),
         read_rows(kernel, JOB_TABLE),
         read_rows(kernel, PROGRESS_TABLE),
+        read_rows(kernel, START_POOL_TABLE),
         read_rows(kernel, WAVE_TABLE),
     );
     let (items, directory_cursor) = directory?;
@@ -70,6 +73,7 @@
         engine.apply_config(&config);
     }
     restore_jobs(kernel, &mut engine, &jobs?, &progress?);
+    restore_start_pools(&mut engine, &start_pools?);
     restore_waves(kernel, &mut engine, &waves?);
     for entry in items.into_iter().filter_map(listed_entry) {
         engine.upsert_worker(entry, kernel.clock.now());
@@ -199,6 +203,15 @@
     }
 }
 
+fn restore_start_pools(engine: &mut Engine, rows: &[TableRow]) {
+    for row in rows {
+        let Some(start_pools) = decode_row(START_POOL_TABLE, row) else { continue };
+        if !engine.restore_start_pools(&row.key, &start_pools) {
+            log::warn!("start pools without a job skipped job={}", row.key);
+        }
+    }
+}
+
 fn restore_waves(kernel: &Kernel, engine: &mut Engine, rows: &[TableRow]) {
     let known = kernel.tables.fleet.lock().waves.clone();
     for (number, (request, seen)) in known {
--- a/crates/plugins/src/fleet/writer.rs
+++ b/crates/plugins/src/fleet/writer.rs
@@ -25,7 +25,7 @@
 
 use super::ownership::owner_row_name;
 use super::port;
-use super::takeover::{JOB_TABLE, PROGRESS_TABLE, WAVE_TABLE};
+use super::takeover::{JOB_TABLE, PROGRESS_TABLE, START_POOL_TABLE, WAVE_TABLE};
 use super::term::STORE_OUTAGE_MAX;
 
 /// Time that progress waits for more progress, so that one write contains both.
@@ -59,6 +59,8 @@
     waves: Vec<(WaveNumber, WaveProgress)>,
     /// Ended jobs, of which this write leaves only the progress row.
     retired: Vec<(JobKey, JobId)>,
+    /// Retired jobs whose row of start pools this write removes.
+    unused_start_pools: Vec<JobId>,
     /// Jobs whose status has expired, of which this write removes the last row.
     expired: Vec<JobId>,
     is_release: bool,
@@ -162,11 +164,13 @@
         // The owner's row counts twice, since it is both expected and put.
         let mut rows_left = ROWS_MAX.saturating_sub(2 + waves.len() + accepts.len());
         let changes = term.engine.take_changes(rows_left);
-        rows_left -= changes.jobs.len();
+        rows_left -= changes.jobs.len() + changes.start_pools.len();
         // Flush waiters are notified only by the write that contains the last of the pending progress.
         let is_complete = !term.engine.has_changes();
-        let retired = term.engine.retirable_jobs(rows_left.min(REMOVES_MAX));
-        rows_left -= retired.len();
+        // A retired job has a row of its own, and possibly one of start pools.
+        let retired = term.engine.retirable_jobs((rows_left / 2).min(REMOVES_MAX));
+        let unused_start_pools = term.engine.with_start_pools_row(&retired);
+        rows_left -= retired.len() + unused_start_pools.len();
         Batch {
             accepts,
             changes,
@@ -177,6 +181,7 @@
                 Vec::new()
             },
             retired,
+            unused_start_pools,
             expired: term.engine.remove_expired_jobs(now, rows_left.min(REMOVES_MAX)),
             is_release: is_complete
                 && (self.kernel.is_stopping() || term.hand_over_requested)
@@ -235,11 +240,12 @@
 
     fn log_slow_write(&self, batch: &Batch, took: Duration) {
         log::info!(
-            "owner's write is slow writes={} took_ms={} accepts={} progress={}",
+            "owner's write is slow writes={} took_ms={} accepts={} progress={} start_pools={}",
             self.row.writes,
             took.as_millis(),
             batch.accepts.len(),
-            batch.changes.jobs.len()
+            batch.changes.jobs.len(),
+            batch.changes.start_pools.len()
         );
     }
 
@@ -317,12 +323,17 @@
         for (_, job, progress) in &batch.changes.jobs {
             puts.push((row_name(PROGRESS_TABLE, job.to_string()), Bytes::from(encode(progress))));
         }
+        for (_, job, pools) in &batch.changes.start_pools {
+            puts.push((row_name(START_POOL_TABLE, job.to_string()), Bytes::from(encode(pools))));
+        }
         for (number, progress) in &batch.waves {
             puts.push((row_name(WAVE_TABLE, number.to_string()), Bytes::from(encode(progress))));
         }
         let retired = batch.retired.iter().map(|(_, job)| row_name(JOB_TABLE, job.to_string()));
         let expired = batch.expired.iter().map(|job| row_name(PROGRESS_TABLE, job.to_string()));
-        let removes = retired.chain(expired).collect();
+        let unused = batch.unused_start_pools.iter();
+        let unused = unused.map(|job| row_name(START_POOL_TABLE, job.to_string()));
+        let removes = retired.chain(unused).chain(expired).collect();
         RowTx { expected: vec![(owner, self.version)], puts, removes }
     }
 
--- a/crates/policy/src/fleet/job.rs
+++ b/crates/policy/src/fleet/job.rs
@@ -8,6 +8,7 @@
 
 use super::settings::QueueSettings;
 use super::spec::{Step, Submission};
+use super::start_pools::StartPools;
 use super::state::{JobKey, WorkerKey};
 use crate::ids::JobId;
 
@@ -213,6 +214,8 @@
     pub submission: Arc<Submission>,
     /// Settings of the queue at submission; they set the objective, and the others apply if the queue is removed.
     pub queue_settings: QueueSettings,
+    /// Pools in which tasks may have been started.
+    pub start_pools: StartPools,
     /// Fencing token of the owner that accepted the job.
     pub accepted_fence: u64,
     /// Time at which this owner accepted the job or read it from the store.
--- a/crates/policy/src/fleet/mod.rs
+++ b/crates/policy/src/fleet/mod.rs
@@ -18,6 +18,7 @@
 //! | [`placement`] | choice of a worker for a task |
 //! | [`plan`] | choice of the tasks to start and to stop |
 //! | [`pressure`] | bounds on reports, plans and starts, which follow the load of the owner's processor and link |
+//! | [`start_pools`] | record of the pools in which the tasks of a job may have been started |
 //! | [`progress`] | progress of jobs in the store, and its recovery by a new owner |
 //! | [`advice`] | workers that the advice service allows for a step |
 //! | [`admission`] | refusal of jobs at submission |
@@ -51,6 +52,7 @@
 pub mod settings;
 pub mod sizing;
 pub mod spec;
+pub mod start_pools;
 pub mod state;
 pub mod view;
 pub mod worker;
--- a/crates/policy/src/fleet/plan.rs
+++ b/crates/policy/src/fleet/plan.rs
@@ -258,6 +258,7 @@
         orders: &mut Vec<Order>,
         events: &mut Vec<JobEvent>,
     ) {
+        let pool = self.queue_settings(&self.jobs[key]).pool.clone();
         for task in self.ready_steps(key) {
             if *budget == 0 {
                 return;
@@ -265,7 +266,7 @@
             let requires_advice = self.queue_settings(&self.jobs[key]).requires_advice;
             let gang = self.jobs[key].submission.steps[task.step as usize].gang;
             let waiting = self.waiting_tasks(&task, now);
-            if waiting.is_empty() {
+            if waiting.is_empty() || !self.request_start_pool(key, &pool, events) {
                 continue;
             }
             let allowed = match requires_advice {
--- a/crates/policy/src/fleet/progress.rs
+++ b/crates/policy/src/fleet/progress.rs
@@ -12,6 +12,7 @@
 use super::lease::lease_bound;
 use super::maintenance::{Instance, InstanceState, PREDECESSOR_CALL_TIMEOUT};
 use super::spec::{ResourceVector, Submission};
+use super::start_pools::StartPoolsRow;
 use super::state::{Engine, Job, JobKey, Occurrence, Phase, QueueSettings, WorkerKey};
 use crate::ids::{BootId, InstanceId, JobId, PoolId, TeamId};
 
@@ -75,6 +76,8 @@
 pub struct ProgressChanges {
     /// Jobs with their new rows; callers see the phases once the rows have been written.
     pub jobs: Vec<(JobKey, JobId, ProgressRow)>,
+    /// Jobs with their new rows of start pools; tasks start in these pools once the rows have been written.
+    pub start_pools: Vec<(JobKey, JobId, StartPoolsRow)>,
     /// Last ended run that may be acknowledged after the write, by worker and incarnation.
     pub ends: Vec<(WorkerKey, BootId, u64)>,
 }
@@ -82,21 +85,24 @@
 impl Engine {
     /// Returns whether there is progress to persist.
     pub fn has_changes(&self) -> bool {
-        !self.unpersisted.is_empty()
+        !self.unpersisted.is_empty() || !self.unpersisted_start_pools.is_empty()
     }
 
-    /// Takes the progress of at most `jobs_max` jobs that has not been persisted.
+    /// Takes progress that has not been persisted, for at most `rows_max` rows.
     ///
     /// Ended jobs come first: their callers wait for the phase, which becomes visible once it is persisted. Progress
     /// that was taken before must have been persisted: one write is in flight at a time.
-    pub fn take_changes(&mut self, jobs_max: usize) -> ProgressChanges {
+    pub fn take_changes(&mut self, rows_max: usize) -> ProgressChanges {
+        // After a change of a route many jobs need a row of start pools, which must not delay all progress.
+        let start_pools = self.take_start_pools(rows_max / 2);
+        let jobs_max = rows_max - start_pools.len();
         let mut keys: Vec<JobKey> = self.unpersisted.iter().copied().collect();
         if keys.len() > jobs_max {
             let ended = |key: &JobKey| self.jobs.get(*key).is_some_and(|job| job.phase.is_ended());
             keys.sort_by_key(|key| !ended(key));
             keys.truncate(jobs_max);
         }
-        let mut changes = ProgressChanges::default();
+        let mut changes = ProgressChanges { start_pools, ..ProgressChanges::default() };
         for key in keys {
             self.unpersisted.remove(&key);
             let Some(job) = self.jobs.get_mut(key) else { continue };
@@ -123,6 +129,9 @@
                 }
             }
         }
+        for (key, _, row) in &changes.start_pools {
+            self.confirm_start_pools(*key, row);
+        }
         for (key, incarnation, number) in &changes.ends {
             if let Some(worker) = self.workers.get_mut(*key)
                 && worker.incarnation == *incarnation
@@ -290,7 +299,8 @@
         }
     }
 
-    /// Marks the unfinished tasks in `pools` as unconfirmed, and charges their teams for them.
+    /// Marks as unconfirmed the unfinished tasks of jobs that may have started tasks in `pools`, and charges their
+    /// teams for them.
     ///
     /// An unresponsive worker may run any of these tasks until `until`, so they are not started before; all
     /// other tasks proceed. Each team is charged for its own tasks, but for no more than the `capacity` of the
@@ -307,8 +317,7 @@
             // Runs of a job that was ended early may still be stopping; a completed job has none.
             let open = |job: &&mut Job| job.phase != Phase::Done;
             let Some(job) = self.jobs.get_mut(*key).filter(open) else { continue };
-            let pool = &self.queues.get(&job.submission.queue).unwrap_or(&job.queue_settings).pool;
-            if !pools.contains(pool) {
+            if !job.start_pools.intersects(pools) {
                 continue;
             }
             let submission = job.submission.clone();
--- a/crates/policy/src/fleet/state.rs
+++ b/crates/policy/src/fleet/state.rs
@@ -16,6 +16,7 @@
 pub use super::settings::{Limits, PoolSettings, QueueSettings, Team};
 use super::sizing::PendingMove;
 use super::spec::{ResourceVector, Submission};
+use super::start_pools::StartPools;
 pub use super::worker::{Cordon, Orphan, Worker, WorkerEntry};
 use crate::ids::{InstanceId, JobId, PoolId, QueueId, TeamId};
 
@@ -78,6 +79,8 @@
     pub live: BTreeSet<JobKey>,
     /// Jobs with progress that is not persisted.
     pub(super) unpersisted: BTreeSet<JobKey>,
+    /// Jobs with pools in which tasks wait to start until the store has recorded them.
+    pub(super) unpersisted_start_pools: BTreeSet<JobKey>,
     /// Jobs whose end is persisted but whose submission is still stored.
     pub(super) retiring: BTreeSet<JobKey>,
     pub(super) job_keys: HashMap<JobId, JobKey>,
@@ -126,6 +129,7 @@
             teams: BTreeMap::new(),
             live: BTreeSet::new(),
             unpersisted: BTreeSet::new(),
+            unpersisted_start_pools: BTreeSet::new(),
             retiring: BTreeSet::new(),
             job_keys: HashMap::new(),
             worker_keys: HashMap::new(),
@@ -239,6 +243,7 @@
         let id = submission.job.clone();
         let mut job = Job {
             submission: Arc::new(submission),
+            start_pools: StartPools::new(queue_settings.pool.clone()),
             queue_settings,
             accepted_fence,
             accepted: now,
--- a/crates/policy/tests/fleet_engine/main.rs
+++ b/crates/policy/tests/fleet_engine/main.rs
@@ -14,4 +14,5 @@
 mod sizing;
 mod slow_store;
 mod split_brain;
+mod successor;
 mod worker_capacity;
--- a/crates/policy/tests/fleet_engine/simulation.rs
+++ b/crates/policy/tests/fleet_engine/simulation.rs
@@ -15,6 +15,7 @@
 use wasabiswitch_policy::fleet::progress::{JobRow, ProgressRow};
 use wasabiswitch_policy::fleet::reports::{ReportTiming, RunEnd, WorkerReport};
 use wasabiswitch_policy::fleet::spec::{ResourceVector, Step, Submission};
+use wasabiswitch_policy::fleet::start_pools::StartPoolsRow;
 use wasabiswitch_policy::fleet::state::{QueueSettings, TaskName, TaskRef, WorkerEntry, WorkerKey};
 use wasabiswitch_policy::fleet::{Engine, Limits};
 use wasabiswitch_policy::ids::{InstanceId, JobId};
@@ -162,6 +163,8 @@
     config: FleetConfig,
     /// Rows of the jobs in the store.
     stored_jobs: BTreeMap<JobId, (JobRow, Option<ProgressRow>)>,
+    /// Rows of start pools in the store.
+    stored_start_pools: BTreeMap<JobId, StartPoolsRow>,
     /// Objective of each job, kept here because the engine drops the submission of a finished job.
     objectives: BTreeMap<JobId, Instant>,
     /// Jobs of which the store has only the progress row.
@@ -218,6 +221,7 @@
             starts: Vec::new(),
             config,
             stored_jobs: BTreeMap::new(),
+            stored_start_pools: BTreeMap::new(),
             objectives: BTreeMap::new(),
             retired: BTreeSet::new(),
             deliveries: Vec::new(),
@@ -249,6 +253,12 @@
         self.objectives.insert(job, self.engine.jobs[key].objective());
     }
 
+    /// Puts a configuration into force, for the current owner and all later ones.
+    pub fn apply_config(&mut self, config: FleetConfig) {
+        self.engine.apply_config(&config);
+        self.config = config;
+    }
+
     /// Returns the number of job rows in the store, without the progress rows.
     pub fn job_row_count(&self) -> usize {
         self.stored_jobs.len() - self.retired.len()
@@ -304,6 +314,9 @@
                 _ => engine.restore(row.clone(), progress.clone(), self.now, 0),
             }
         }
+        for (id, row) in &self.stored_start_pools {
+            engine.restore_start_pools(id, row);
+        }
         for worker in self.workers.values() {
             engine.upsert_worker(worker.entry.clone(), self.now);
         }
@@ -506,6 +519,9 @@
         for (_, job, row) in &changes.jobs {
             self.stored_jobs.get_mut(job).expect("the job was accepted").1 = Some(row.clone());
         }
+        for (_, job, row) in &changes.start_pools {
+            self.stored_start_pools.insert(job.clone(), row.clone());
+        }
         self.engine.confirm_changes(&changes);
         let retired = self.engine.retirable_jobs(usize::MAX);
         self.retired.extend(retired.iter().map(|(_, id)| id.clone()));
--- /dev/null
+++ b/crates/policy/tests/fleet_engine/successor.rs
@@ -0,0 +1,76 @@
+//! Decisions of a new owner on what its predecessor did before the state changed from which the new owner decides.
+
+use std::time::Duration;
+
+use wasabiswitch_policy::fleet::config::FleetConfig;
+use wasabiswitch_policy::fleet::spec::Step;
+use wasabiswitch_standin::fleet::single_queue_config;
+
+use crate::simulation::{Faults, Simulation, step, submission, worker_entry};
+
+const SECOND: Duration = Duration::from_secs(1);
+/// Pools of the test fleet, with one worker each, named after the pool.
+const POOLS: [&str; 3] = ["p", "p2", "p3"];
+
+/// Returns a configuration in which the queue `q` leads to `pool`.
+fn config_with_pool(version: u64, pool: &str) -> FleetConfig {
+    let mut config = single_queue_config("spare", 0);
+    config.version = version;
+    config.pools = POOLS.iter().map(|pool| ((*pool).into(), Default::default())).collect();
+    config.routes[0].queue_settings.pool = pool.into();
+    config
+}
+
+/// Creates a fleet with one worker in each pool, and with the queue in the first pool.
+fn one_worker_per_pool() -> Simulation {
+    let entries = POOLS.iter().map(|pool| worker_entry(&format!("w-{pool}"), pool)).collect();
+    Simulation::with_workers(config_with_pool(1, "p"), entries, Faults::default(), 1)
+}
+
+/// Returns a step whose single task runs until it is cancelled.
+fn long_running_step() -> Step {
+    Step { long_running: true, ..step(1, 500) }
+}
+
+/// Makes a worker unreachable for every owner, and starts the term of a new owner.
+fn take_over_without(sim: &mut Simulation, worker: &str) {
+    sim.partitioned.insert(worker.into(), sim.now + 60 * SECOND);
+    sim.take_over();
+}
+
+fn started_on(sim: &Simulation) -> Vec<&str> {
+    sim.starts.iter().map(|(_, worker, _, _)| &**worker).collect()
+}
+
+// Guards against a second run of a task on a worker of its queue's new pool while it still runs in the pool that the
+// queue had when it started.
+#[test]
+fn task_does_not_run_twice_after_its_queue_changed_the_pool_before_a_takeover() {
+    let mut sim = one_worker_per_pool();
+    sim.submit(submission("a", vec![long_running_step()]));
+    sim.run(SECOND);
+    sim.apply_config(config_with_pool(2, "p2"));
+    sim.run(SECOND);
+    take_over_without(&mut sim, "w-p");
+    sim.run(10 * SECOND);
+    assert_eq!(sim.violations, Vec::<String>::new());
+    assert_eq!(started_on(&sim), ["w-p", "w-p2"], "the task does not restart after its lease");
+}
+
+// Guards against a second run of a task that was started neither in the pool of its queue at the submission nor in the
+// present one.
+#[test]
+fn task_does_not_run_twice_after_a_run_in_a_pool_between_the_first_and_the_present_one() {
+    let mut sim = one_worker_per_pool();
+    sim.submit(submission("a", vec![long_running_step()]));
+    sim.run(SECOND);
+    sim.apply_config(config_with_pool(2, "p2"));
+    sim.crash("w-p");
+    sim.run(2 * SECOND);
+    assert_eq!(started_on(&sim), ["w-p", "w-p2"]);
+    sim.apply_config(config_with_pool(3, "p3"));
+    take_over_without(&mut sim, "w-p2");
+    sim.run(10 * SECOND);
+    assert_eq!(sim.violations, Vec::<String>::new());
+    assert_eq!(started_on(&sim), ["w-p", "w-p2", "w-p3"]);
+}
--- a/crates/standin/src/faults.rs
+++ b/crates/standin/src/faults.rs
@@ -87,7 +87,8 @@
 pub struct FaultTarget {
     /// The operation.
     pub operation: Operation,
-    /// Prefix that the first key of a call must have; calls to the users' platform have an empty key.
+    /// Prefix that the first key of a call must have. On the users' platform, the key of a call to a worker is the
+    /// worker's id, and all other calls have an empty key.
     pub prefix: String,
     /// Number of matching calls without the fault before the first call with it.
     pub skip: u32,
--- a/crates/standin/src/fleet/port.rs
+++ b/crates/standin/src/fleet/port.rs
@@ -5,7 +5,7 @@
 
 use futures_util::FutureExt as _;
 use wasabiswitch_kernel::platform::fleet::{
-    Cursor, FleetPort, HoldOrder, StartOrder, WatchResult, WorkerReply,
+    Cursor, FleetPort, HoldOrder, RunOrder, StartOrder, WatchResult, WorkerReply, WorkerTarget,
 };
 use wasabiswitch_kernel::platform::{PlatformError, PlatformFn, PlatformResult};
 use wasabiswitch_policy::Verdict;
@@ -42,8 +42,18 @@
                 Ok(())
             }),
             start: self.start_function(),
-            stop: self.function(Operation::Stop, CALL_TIMEOUT, State::stop),
-            pace: self.function(Operation::Stop, CALL_TIMEOUT, |_, _| Ok(WorkerReply::Done(()))),
+            stop: self.worker_function(
+                Operation::Stop,
+                CALL_TIMEOUT,
+                |order: &RunOrder| &order.target,
+                State::stop,
+            ),
+            pace: self.worker_function(
+                Operation::Stop,
+                CALL_TIMEOUT,
+                |(order, _): &(RunOrder, u32)| &order.target,
+                |_, _| Ok(WorkerReply::Done(())),
+            ),
             hold: self.hold_function(),
             advise: self.function(Operation::Read, CALL_TIMEOUT, |_, _| {
                 Err(PlatformError::not_run("there is no advice here"))
@@ -69,6 +79,35 @@
         timeout: Duration,
         run: impl Fn(&mut State, A) -> PlatformResult<T> + Send + Sync + 'static,
     ) -> PlatformFn<A, T>
+    where
+        A: Clone + Send + 'static,
+        T: Send + 'static,
+    {
+        self.keyed_function(operation, timeout, |_| "", run)
+    }
+
+    /// Returns a function of the port that calls a worker, and takes the next fault for this worker first.
+    fn worker_function<A, T>(
+        &self,
+        operation: Operation,
+        timeout: Duration,
+        target: impl Fn(&A) -> &WorkerTarget + Send + Sync + 'static,
+        run: impl Fn(&mut State, A) -> PlatformResult<T> + Send + Sync + 'static,
+    ) -> PlatformFn<A, T>
+    where
+        A: Clone + Send + 'static,
+        T: Send + 'static,
+    {
+        self.keyed_function(operation, timeout, move |argument| &target(argument).id, run)
+    }
+
+    fn keyed_function<A, T>(
+        &self,
+        operation: Operation,
+        timeout: Duration,
+        key: impl Fn(&A) -> &str + Send + Sync + 'static,
+        run: impl Fn(&mut State, A) -> PlatformResult<T> + Send + Sync + 'static,
+    ) -> PlatformFn<A, T>
     where
         A: Clone + Send + 'static,
         T: Send + 'static,
@@ -76,7 +115,7 @@
         let (standin, run) = (self.clone(), Arc::new(run));
         Arc::new(move |argument: A| {
             let (standin, run) = (standin.clone(), run.clone());
-            let fault = standin.faults.next(operation, "");
+            let fault = standin.faults.next(operation, key(&argument));
             let execute = move || {
                 let mut state = standin.state();
                 state.stale = fault == Some(Fault::StaleRead);
@@ -111,9 +150,12 @@
 
     fn start_function(&self) -> PlatformFn<StartOrder, StartOutcome> {
         let cap_milli = self.cap_milli;
-        let start = self.function(Operation::Start, START_TIMEOUT, move |state, order| {
-            Ok(state.start(&order, cap_milli))
-        });
+        let start = self.worker_function(
+            Operation::Start,
+            START_TIMEOUT,
+            |order: &StartOrder| &order.target,
+            move |state, order| Ok(state.start(&order, cap_milli)),
+        );
         // A failed start is reported as an outcome, not as an error.
         Arc::new(move |order| {
             let started = start(order);
@@ -130,8 +172,12 @@
     /// Returns the function that renews a worker's lease; it waits, up to the order's limit, for a run to end.
     fn hold_function(&self) -> PlatformFn<HoldOrder, WorkerReply<WorkerReport>> {
         let standin = self.clone();
-        let hold = self
-            .function(Operation::Hold, CALL_TIMEOUT, |state, order: HoldOrder| state.hold(&order));
+        let hold = self.worker_function(
+            Operation::Hold,
+            CALL_TIMEOUT,
+            |order: &HoldOrder| &order.target,
+            |state, order| state.hold(&order),
+        );
         Arc::new(move |order: HoldOrder| {
             let (standin, hold) = (standin.clone(), hold.clone());
             async move {
--- a/crates/wire/src/fleet_types.rs
+++ b/crates/wire/src/fleet_types.rs
@@ -11,6 +11,7 @@
 use wasabiswitch_policy::fleet::ownership::{OwnerRow, SteppedDown};
 use wasabiswitch_policy::fleet::progress::{JobRow, OccurrenceProgress, ProgressRow, StepProgress};
 use wasabiswitch_policy::fleet::spec::{ResourceVector, Step, Submission};
+use wasabiswitch_policy::fleet::start_pools::StartPoolsRow;
 use wasabiswitch_policy::fleet::state::{Phase, QueueSettings};
 
 use crate::{wire_enum, wire_struct};
@@ -48,6 +49,7 @@
 wire_struct!(StepProgress { done, failures, checkpoints });
 wire_struct!(OccurrenceProgress { number, steps });
 wire_struct!(ProgressRow { phase, next_occurrence, occurrences });
+wire_struct!(StartPoolsRow { pools });
 wire_struct!(WaveProgress { begun });
 wire_struct!(OwnerRow { daemon, incarnation, address, fence, writes, released, processor_milli });
 
