Give a new owner the configuration and the waves when its term begins

Cause: takeover::rebuild copied the configuration into the new engine before it waited for the workers' answers, up to 0.75 s, and term::run put the engine into the table of the term after that. configuration::adopt applies a new version to the view and to the term in the table; between the two steps there is none. Evidence: the owner's log has 'configuration adopted version=7' 0.2 s after 'took the fleet over' and 0.6 s before 'fleet rebuilt'. Waves had the same gap: a wave read in it was never carried out.

Change: the engine gets both when its term begins, under the lock of the view, which is held until the term is in its table. What was read before is in the view, and what is read later finds the term, so no order of events misses a version. A line of the log says which version a term begins with.

--- a/crates/plugins/src/fleet/configuration.rs
+++ b/crates/plugins/src/fleet/configuration.rs
@@ -3,14 +3,16 @@
 //! A daemon answers no calls until it has a configuration, and never returns to an older version.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures_util::FutureExt as _;
 use wasabiswitch_kernel::Kernel;
 use wasabiswitch_kernel::platform::fleet::{OperatorItem, WatchResult, WaveRequest};
 use wasabiswitch_kernel::plugin::{PeriodicTask, PlatformKind, Plugin, Registration};
+use wasabiswitch_kernel::tables::FleetView;
+use wasabiswitch_policy::fleet::Engine;
 use wasabiswitch_policy::fleet::config::FleetConfig;
-use wasabiswitch_policy::fleet::maintenance::Wave;
+use wasabiswitch_policy::fleet::maintenance::{Wave, WaveNumber};
 
 use super::port;
 
@@ -69,6 +71,30 @@
     }
 }
 
+/// Applies the configuration and the waves of the view to the engine of a new term.
+///
+/// The caller holds the lock of the view until the term is in its table. What this daemon reads before is then in the view,
+/// and what it reads later reaches the term, so that nothing read during a takeover is missed.
+pub(super) fn apply_view(view: &FleetView, engine: &mut Engine) {
+    if let Some(config) = &view.config {
+        engine.apply_config(config);
+    }
+    for (number, (request, seen)) in &view.waves {
+        add_wave_to_engine(engine, *number, request, *seen);
+    }
+}
+
+/// Adds a wave that was first read at `seen`, unless the engine has it.
+fn add_wave_to_engine(
+    engine: &mut Engine,
+    number: WaveNumber,
+    request: &WaveRequest,
+    seen: Instant,
+) {
+    let wave = || Wave::new(request.instances.clone(), request.down_max, seen + request.time_limit);
+    engine.waves.entry(number).or_insert_with(wave);
+}
+
 fn adopt(kernel: &Arc<Kernel>, config: Arc<FleetConfig>) {
     {
         let mut view = kernel.tables.fleet.lock();
@@ -97,9 +123,7 @@
     let known = view.waves.contains_key(&number);
     view.waves.entry(number).or_insert_with(|| (request.clone(), now));
     if let Some(term) = kernel.tables.term.lock().as_mut() {
-        let deadline = now + request.time_limit;
-        let wave = || Wave::new(request.instances.clone(), request.down_max, deadline);
-        term.engine.waves.entry(number).or_insert_with(wave);
+        add_wave_to_engine(&mut term.engine, number, &request, now);
     }
     if !known {
         log::info!(
--- a/crates/plugins/src/fleet/term.rs
+++ b/crates/plugins/src/fleet/term.rs
@@ -9,12 +9,13 @@
 use wasabiswitch_kernel::tables::Term;
 use wasabiswitch_kernel::tasks::TaskTree;
 use wasabiswitch_kernel::{Kernel, metric};
-use wasabiswitch_policy::fleet::Limits;
 use wasabiswitch_policy::fleet::ownership::{OWNER_LEASE, OwnerRow, may_act};
 use wasabiswitch_policy::fleet::pressure::{Pressure, pause_after_plan};
+use wasabiswitch_policy::fleet::{Engine, Limits};
 
+use super::takeover::RebuiltEngine;
 use super::writer::Writer;
-use super::{directory, instances, log_job_events, takeover, workers};
+use super::{configuration, directory, instances, log_job_events, takeover, workers};
 
 /// Time limit for the tasks of a term to end; orders in flight end by their own timeouts.
 const JOIN_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -49,7 +50,7 @@
     sent: Instant,
     predecessor_deadline: Instant,
 ) {
-    let rebuilt = loop {
+    let RebuiltEngine { engine, directory_cursor } = loop {
         match takeover::rebuild(kernel, row.fence, predecessor_deadline).await {
             Ok(rebuilt) => break rebuilt,
             Err(error) => log::warn!("fleet not rebuilt fence={} reason={error}", row.fence),
@@ -63,8 +64,35 @@
     };
     let fence = row.fence;
     metrics::counter!(metric::OWNER_TERMS).increment(1);
+    begin(kernel, engine, &row, sent);
+    let tasks = kernel.tasks.child();
+    tasks.spawn_until_stopped("plan", plan(kernel.clone(), fence, tasks.clone()));
+    tasks.spawn_until_stopped(
+        "directory",
+        directory::follow(kernel.clone(), fence, directory_cursor, tasks.clone()),
+    );
+    tasks.spawn_until_stopped("instances", instances::run(kernel.clone(), fence, tasks.clone()));
+    workers::poll_all_workers(kernel, fence, &tasks);
+    let reason = Writer::new(kernel.clone(), row, version, sent).run().await;
+    let joined = tasks.join(JOIN_TIMEOUT).await;
+    // Dropping the term closes the channels of all waiting callers, whose outcome is then in doubt.
+    drop(kernel.tables.term.lock().take());
+    log::info!("term ended fence={fence} reason={reason} joined={joined}");
+}
+
+/// Puts the term of a rebuilt engine into its table; the term began with the write of `row`, which was sent at `sent`.
+fn begin(kernel: &Kernel, mut engine: Engine, row: &OwnerRow, sent: Instant) {
+    // The view stays locked until the term is in its table, see `apply_view`.
+    let view = kernel.tables.fleet.lock();
+    configuration::apply_view(&view, &mut engine);
+    log::info!(
+        "term begins fence={} config_version={} waves={}",
+        row.fence,
+        view.config.as_ref().map_or(0, |config| config.version),
+        engine.waves.len()
+    );
     *kernel.tables.term.lock() = Some(Term {
-        engine: rebuilt.engine,
+        engine,
         pressure: Pressure::default(),
         confirmed_sent: sent,
         writes: row.writes,
@@ -78,19 +106,6 @@
         superseded: false,
         hand_over_requested: false,
     });
-    let tasks = kernel.tasks.child();
-    tasks.spawn_until_stopped("plan", plan(kernel.clone(), fence, tasks.clone()));
-    tasks.spawn_until_stopped(
-        "directory",
-        directory::follow(kernel.clone(), fence, rebuilt.directory_cursor, tasks.clone()),
-    );
-    tasks.spawn_until_stopped("instances", instances::run(kernel.clone(), fence, tasks.clone()));
-    workers::poll_all_workers(kernel, fence, &tasks);
-    let reason = Writer::new(kernel.clone(), row, version, sent).run().await;
-    let joined = tasks.join(JOIN_TIMEOUT).await;
-    // Dropping the term closes the channels of all waiting callers, whose outcome is then in doubt.
-    drop(kernel.tables.term.lock().take());
-    log::info!("term ended fence={fence} reason={reason} joined={joined}");
 }
 
 /// Runs `action` on the term with `fence`; returns `None` if this daemon's term is another one or none.
--- a/crates/plugins/tests/fleet_takeovers.rs
+++ b/crates/plugins/tests/fleet_takeovers.rs
@@ -92,3 +92,71 @@
     assert_eq!(count_start_pool_rows(&platform).await, 0, "the row outlives its job");
     second.stop().await;
 }
+
+/// Starts two daemons, ends the owner, and returns the second daemon while it waits for the workers' answers to its takeover.
+async fn begin_takeover(platform: &FleetStandIn) -> Arc<Kernel> {
+    let first = platform.start(1).await;
+    tokio::time::sleep(START_TIME).await;
+    let second = platform.start(2).await;
+    tokio::time::sleep(START_TIME).await;
+    platform.faults().inject(Operation::Hold, Fault::Hang, u32::MAX);
+    platform.kill(1, &first);
+    let is_taking_over = || {
+        let owner = second.tables.fleet.lock().owner.clone();
+        owner.is_some_and(|owner| owner.daemon == second.settings.daemon)
+    };
+    while !is_taking_over() {
+        tokio::time::sleep(ms(10)).await;
+    }
+    assert!(second.tables.term.lock().is_none(), "the takeover has ended before its disruption");
+    second
+}
+
+/// Lets the workers answer again, and waits until the daemon has taken the fleet over.
+async fn end_takeover(platform: &FleetStandIn, daemon: &Kernel) {
+    tokio::time::sleep(ms(200)).await;
+    assert!(daemon.tables.term.lock().is_none(), "the takeover has ended before its disruption");
+    platform.faults().clear();
+    while daemon.tables.term.lock().is_none() {
+        tokio::time::sleep(ms(10)).await;
+    }
+}
+
+// Guards against a configuration that a daemon adopts while it takes the fleet over, and that the new owner never puts into
+// force.
+#[tokio::test(start_paused = true)]
+async fn configuration_adopted_during_a_takeover_is_in_force() {
+    const LOWERED_CAP_MILLI: u64 = 2_000;
+    fastrand::seed(31);
+    let platform = FleetStandIn::new(&[("p", 4), ("standby", 0)], LOWERED_CAP_MILLI);
+    platform.put_config(single_queue_config("standby", 8_000));
+    let owner = begin_takeover(&platform).await;
+    let mut lowered = single_queue_config("standby", LOWERED_CAP_MILLI);
+    lowered.version = 2;
+    platform.put_config(lowered);
+    end_takeover(&platform, &owner).await;
+    let step = Step { count: 8, resources: TASK_RESOURCES, estimate_ms: 500, ..Step::default() };
+    let mut job = long_running_job("a");
+    (job.spec, job.steps) = ("500".to_owned(), vec![step]);
+    assert_eq!(call(&owner, QueueOperation::Submit(Box::new(job))).await, Reply::Accepted);
+    tokio::time::sleep(ms(1_500)).await;
+    let history = platform.history();
+    assert!(history.starts.len() > 2, "the job runs");
+    assert_eq!(history.violations, Vec::<String>::new());
+    owner.stop().await;
+}
+
+// Guards against a wave that a daemon reads while it takes the fleet over, and that the new owner never carries out.
+#[tokio::test(start_paused = true)]
+async fn wave_read_during_a_takeover_is_carried_out() {
+    fastrand::seed(31);
+    let platform = FleetStandIn::new(&[("p", 4), ("standby", 0)], 100_000);
+    platform.put_config(single_queue_config("standby", 100_000));
+    let owner = begin_takeover(&platform).await;
+    platform.request_wave(1, &["p-0", "p-1"], 1);
+    end_takeover(&platform, &owner).await;
+    tokio::time::sleep(ms(15_000)).await;
+    assert!(platform.is_wave_done(1), "{:?}", platform.maintenance_counts(1));
+    assert_eq!(platform.history().violations, Vec::<String>::new());
+    owner.stop().await;
+}
