Record an occurrence before its tasks start

Callers could see a task of a scheduled job run again after its end, or beside its first run (TWICE), after a takeover by a daemon whose time of day was behind that of its predecessor.

Cause: the opening of an occurrence was not recorded until its first end. A successor that had not opened the occurrence by its own clock dropped and acknowledged ends in it, stopped its runs, and did not wait for workers that it could not reach. Evidence: the random simulation reads the same time of day at each takeover; in both new tests of fleet_engine/successor.rs the trace shows attempt 1 of fence 1, then a second attempt by the successor, beside the run or after 'end at w-p acknowledged by fence 2'.

Change: the opening is written as progress, and tasks start once it is on record, so a successor restores what its predecessor has opened without a comparison of clocks.

--- a/crates/policy/src/fleet/job.rs
+++ b/crates/policy/src/fleet/job.rs
@@ -232,6 +232,8 @@
     pub occurrences: BTreeMap<u32, Occurrence>,
     /// Number of the next occurrence to open.
     pub next_occurrence: u32,
+    /// Number of occurrences whose opening the store has recorded; without a schedule the job's row records the only one.
+    pub occurrences_persisted: u32,
     /// Time at which the first occurrence is due.
     pub first_due: Instant,
 }
@@ -242,6 +244,14 @@
         self.submission.repeats.max(1)
     }
 
+    /// Returns whether the store has recorded that an occurrence was opened, so that its tasks may start.
+    ///
+    /// Daemons read different times of day. A successor must know the occurrences that its predecessor has opened, since their
+    /// tasks may be running.
+    pub fn is_opening_persisted(&self, occurrence: u32) -> bool {
+        self.submission.repeats == 0 || occurrence < self.occurrences_persisted
+    }
+
     /// Returns the time at which an occurrence is due.
     pub fn due(&self, occurrence: u32) -> Instant {
         let after_ms = self.submission.period_ms.saturating_mul(u64::from(occurrence));
--- a/crates/policy/src/fleet/plan.rs
+++ b/crates/policy/src/fleet/plan.rs
@@ -307,7 +307,10 @@
         let mut ready = Vec::new();
         for (number, occurrence) in &job.occurrences {
             for (step, step_state) in occurrence.steps.iter().enumerate() {
-                if !step_state.is_done() && occurrence.is_step_ready(&job.submission.steps[step]) {
+                if !step_state.is_done()
+                    && job.is_opening_persisted(*number)
+                    && occurrence.is_step_ready(&job.submission.steps[step])
+                {
                     let (occurrence, step) = (*number, step as u32);
                     ready.push(TaskRef { job: key, occurrence, step, index: 0 });
                 }
--- a/crates/policy/src/fleet/progress.rs
+++ b/crates/policy/src/fleet/progress.rs
@@ -124,6 +124,7 @@
         for (key, _, row) in &changes.jobs {
             if let Some(job) = self.jobs.get_mut(*key) {
                 job.visible_phase = row.phase.max(job.visible_phase);
+                job.occurrences_persisted = row.next_occurrence.max(job.occurrences_persisted);
                 if row.phase.is_ended() {
                     self.retiring.insert(*key);
                 }
@@ -198,10 +199,12 @@
         let job = &mut self.jobs[key];
         job.phase = progress.phase;
         job.visible_phase = progress.phase;
+        job.occurrences_persisted = progress.next_occurrence;
         if progress.phase.is_ended() {
             // The tasks stay until the job is retired: runs of theirs that have not stopped count as taken.
             job.ended = Some(now);
             self.live.remove(&key);
+            self.unpersisted.remove(&key);
             self.retiring.insert(key);
             return;
         }
--- a/crates/policy/src/fleet/state.rs
+++ b/crates/policy/src/fleet/state.rs
@@ -253,20 +253,26 @@
             retired: false,
             occurrences: BTreeMap::new(),
             next_occurrence: 0,
+            occurrences_persisted: 0,
             first_due,
         };
-        open_occurrences(&mut job, now);
+        let opens_scheduled = open_occurrences(&mut job, now) && scheduled;
         let key = self.jobs.insert(job);
+        if opens_scheduled {
+            self.unpersisted.insert(key);
+        }
         self.job_keys.insert(id, key);
         self.live.insert(key);
         key
     }
 
-    /// Opens the occurrences of scheduled jobs that have become due.
+    /// Opens the occurrences of scheduled jobs that have become due; their tasks start once the store has recorded this.
     pub fn open_due_occurrences(&mut self, now: Instant) {
         for key in &self.live {
-            if let Some(job) = self.jobs.get_mut(*key) {
-                open_occurrences(job, now);
+            if let Some(job) = self.jobs.get_mut(*key)
+                && open_occurrences(job, now)
+            {
+                self.unpersisted.insert(*key);
             }
         }
     }
@@ -418,7 +424,9 @@
 /// Number of attempt numbers that each owner has for one task.
 const ATTEMPTS_PER_OWNER: u32 = 10_000;
 
-fn open_occurrences(job: &mut Job, now: Instant) {
+/// Opens the occurrences of a job that have become due; returns whether there are any.
+fn open_occurrences(job: &mut Job, now: Instant) -> bool {
+    let opened_before = job.next_occurrence;
     while job.next_occurrence < job.occurrences_total()
         && !job.phase.is_ended()
         && job.due(job.next_occurrence) <= now
@@ -428,4 +436,5 @@
         job.occurrences.insert(job.next_occurrence, occurrence);
         job.next_occurrence += 1;
     }
+    job.next_occurrence > opened_before
 }
--- a/crates/policy/tests/fleet_engine/successor.rs
+++ b/crates/policy/tests/fleet_engine/successor.rs
@@ -3,8 +3,10 @@
 use std::time::Duration;
 
 use wasabiswitch_policy::fleet::config::FleetConfig;
-use wasabiswitch_policy::fleet::spec::Step;
+use wasabiswitch_policy::fleet::spec::{Step, Submission};
+use wasabiswitch_policy::fleet::state::Phase;
 use wasabiswitch_standin::fleet::single_queue_config;
+use wasabiswitch_standin::fleet_worker::FakeWorker;
 
 use crate::simulation::{Faults, Simulation, step, submission, worker_entry};
 
@@ -74,3 +76,48 @@
     assert_eq!(sim.violations, Vec::<String>::new());
     assert_eq!(started_on(&sim), ["w-p", "w-p2", "w-p3"]);
 }
+
+/// Returns a job with a schedule of `repeats` occurrences, each with one task that runs for `estimate_ms`.
+///
+/// The simulation reads the same time of day at a submission and at each takeover, so for a successor every occurrence is due
+/// later than for its predecessor.
+fn scheduled_job(estimate_ms: u64, repeats: u32, period_ms: u64) -> Submission {
+    Submission { repeats, period_ms, ..submission("a", vec![step(1, estimate_ms)]) }
+}
+
+fn started_occurrences(sim: &Simulation) -> Vec<u32> {
+    sim.starts.iter().map(|(_, _, task, _)| task.occurrence).collect()
+}
+
+// Guards against a second run of a task whose occurrence the successor's clock opens later than its predecessor's did, while
+// the first run continues on a worker that the successor cannot reach.
+#[test]
+fn task_of_an_occurrence_that_a_predecessor_opened_waits_for_an_unreachable_worker() {
+    let mut sim = one_worker_per_pool();
+    sim.submit(scheduled_job(4_000, 2, 1_500));
+    sim.run(2 * SECOND);
+    assert_eq!(started_occurrences(&sim), [0, 1]);
+    take_over_without(&mut sim, "w-p");
+    sim.workers.insert("w9".into(), FakeWorker::new(worker_entry("w9", "p"), sim.now, 1.0));
+    sim.take_over();
+    sim.run(10 * SECOND);
+    assert_eq!(sim.violations, Vec::<String>::new());
+}
+
+// Guards against an end that the successor drops, and acknowledges, because its clock has not opened the occurrence yet.
+#[test]
+fn end_in_an_occurrence_that_a_predecessor_opened_is_kept() {
+    let mut sim = one_worker_per_pool();
+    sim.submit(scheduled_job(200, 2, 1_500));
+    sim.run(Duration::from_millis(1_600));
+    assert_eq!(started_occurrences(&sim), [0, 1]);
+    // The end comes after the last report to the predecessor.
+    sim.now += SECOND;
+    sim.workers.get_mut("w-p").expect("the worker exists").advance(sim.now);
+    sim.take_over();
+    sim.run(5 * SECOND);
+    assert_eq!(sim.violations, Vec::<String>::new());
+    assert_eq!(started_occurrences(&sim), [0, 1]);
+    let job = sim.engine.job_key("a").expect("the job is known");
+    assert_eq!(sim.engine.jobs[job].visible_phase, Phase::Done);
+}
