Count the use of teams that the configuration does not have

Callers could see a team run more than its cap (QUOTA) after a takeover under a configuration without the team, once a later configuration had the team again.

Cause: adopted runs and the charge for unconfirmed tasks were counted only for teams with an entry, and a new owner's engine has entries only for the teams of its configuration. An owner that lasts keeps the entry of a removed team, so only a takeover shows the fault.

Change: use is counted for every team, with an entry without a cap if the configuration has none. Shares do not change: such a team had the smallest weight before.

--- a/crates/policy/src/fleet/progress.rs
+++ b/crates/policy/src/fleet/progress.rs
@@ -340,10 +340,8 @@
             }
         }
         for (team, resources) in charges {
-            if let Some(entry) = self.teams.get_mut(&team) {
-                entry.used = entry.used.plus(&resources);
-                self.charges.push(UnconfirmedCharge { team, resources, until });
-            }
+            self.charge(&team, &resources);
+            self.charges.push(UnconfirmedCharge { team, resources, until });
         }
         unconfirmed
     }
--- a/crates/policy/src/fleet/settings.rs
+++ b/crates/policy/src/fleet/settings.rs
@@ -58,6 +58,11 @@
 }
 
 impl Team {
+    /// Creates a team that the configuration does not have: with the smallest weight, without a cap, and without use.
+    pub fn unconfigured() -> Team {
+        Team { weight: 1, cap: ResourceVector::default(), used: ResourceVector::default() }
+    }
+
     /// Returns whether `additional` resources are within the team's cap.
     pub fn admits(&self, additional: &ResourceVector) -> bool {
         let within = |used: u64, more: u64, cap: u64| cap == 0 || used + more <= cap;
--- a/crates/policy/src/fleet/state.rs
+++ b/crates/policy/src/fleet/state.rs
@@ -163,15 +163,10 @@
         self.queues.extend(queues);
         self.pools = pools;
         for team in self.teams.values_mut() {
-            team.cap = ResourceVector::default();
-            team.weight = 1;
+            *team = Team { used: team.used, ..Team::unconfigured() };
         }
         for (id, (weight, cap)) in teams {
-            let entry = self.teams.entry(id).or_insert(Team {
-                weight,
-                cap,
-                used: ResourceVector::default(),
-            });
+            let entry = self.teams.entry(id).or_insert_with(Team::unconfigured);
             entry.weight = weight;
             entry.cap = cap;
         }
@@ -368,9 +363,15 @@
         {
             worker.reserved = worker.reserved.plus(&reserved);
         }
-        if let Some(team) = self.teams.get_mut(&team) {
-            team.used = team.used.plus(&resources);
-        }
+        self.charge(&team, &resources);
+    }
+
+    /// Counts resources as used by a team.
+    ///
+    /// The configuration need not have the team, and may have it later with a cap, so its use is counted in any case.
+    pub(super) fn charge(&mut self, team: &TeamId, resources: &ResourceVector) {
+        let entry = self.teams.entry(team.clone()).or_insert_with(Team::unconfigured);
+        entry.used = entry.used.plus(resources);
     }
 
     /// Returns a run of a task on a worker.
--- a/crates/policy/tests/fleet_engine/successor.rs
+++ b/crates/policy/tests/fleet_engine/successor.rs
@@ -121,3 +121,50 @@
     let job = sim.engine.job_key("a").expect("the job is known");
     assert_eq!(sim.engine.jobs[job].visible_phase, Phase::Done);
 }
+
+/// Returns a configuration in which the team `t` may use two cores, or which does not have the team.
+fn config_with_team(version: u64, has_team: bool) -> FleetConfig {
+    let mut config = single_queue_config("spare", 2_000);
+    config.version = version;
+    if !has_team {
+        config.teams.clear();
+    }
+    config
+}
+
+// Guards against runs that are not charged to their team because the configuration does not have the team at the takeover.
+#[test]
+fn successor_charges_a_team_that_the_configuration_has_only_later() {
+    let entries = vec![worker_entry("w0", "p"), worker_entry("w1", "p")];
+    let mut sim =
+        Simulation::with_workers(config_with_team(1, true), entries, Faults::default(), 1);
+    sim.submit(submission("a", vec![step(2, 20_000)]));
+    sim.run(SECOND);
+    assert_eq!(sim.starts.len(), 2);
+    sim.apply_config(config_with_team(2, false));
+    sim.take_over();
+    sim.run(SECOND);
+    sim.apply_config(config_with_team(3, true));
+    sim.submit(submission("b", vec![step(2, 1_000)]));
+    sim.run(2 * SECOND);
+    assert_eq!(sim.starts.len(), 2, "the team runs more than its cap");
+}
+
+// Guards against a charge for unconfirmed tasks that the configuration of the takeover does not have a team for.
+#[test]
+fn successor_charges_unconfirmed_tasks_to_a_team_that_the_configuration_has_only_later() {
+    let entries = vec![worker_entry("w0", "p"), worker_entry("w1", "p")];
+    let mut sim =
+        Simulation::with_workers(config_with_team(1, true), entries, Faults::default(), 1);
+    sim.submit(submission("a", vec![step(2, 20_000)]));
+    sim.run(SECOND);
+    sim.apply_config(config_with_team(2, false));
+    for worker in ["w0", "w1"] {
+        sim.partitioned.insert(worker.into(), sim.now + SECOND);
+    }
+    sim.take_over();
+    sim.apply_config(config_with_team(3, true));
+    assert_eq!(sim.engine.teams["t"].used.cpu_milli, 2_000);
+    sim.run(10 * SECOND);
+    assert_eq!(sim.engine.teams["t"].used.cpu_milli, 2_000, "the charge outlives the doubt");
+}
