Move the unconfirmed tasks of a takeover into a module of their own

The module progress held both the rows of jobs and what a new owner assumes of workers that it cannot ask. No change of behaviour: the functions are moved as they are.

--- a/crates/policy/src/fleet/mod.rs
+++ b/crates/policy/src/fleet/mod.rs
@@ -20,6 +20,7 @@
 //! | [`pressure`] | bounds on reports, plans and starts, which follow the load of the owner's processor and link |
 //! | [`start_pools`] | record of the pools in which the tasks of a job may have been started |
 //! | [`progress`] | progress of jobs in the store, and its recovery by a new owner |
+//! | [`unconfirmed`] | tasks and workers of which a new owner does not know whether they run |
 //! | [`advice`] | workers that the advice service allows for a step |
 //! | [`admission`] | refusal of jobs at submission |
 //! | [`fairness`] | fair shares of teams in a full pool |
@@ -54,6 +55,7 @@
 pub mod spec;
 pub mod start_pools;
 pub mod state;
+pub mod unconfirmed;
 pub mod view;
 pub mod worker;
 
--- a/crates/policy/src/fleet/state.rs
+++ b/crates/policy/src/fleet/state.rs
@@ -12,11 +12,11 @@
 use super::maintenance::{Instance, Wave, WaveNumber};
 use super::offered_load::OfferedLoad;
 use super::pressure::StartWindow;
-use super::progress::UnconfirmedCharge;
 pub use super::settings::{Limits, PoolSettings, QueueSettings, Team};
 use super::sizing::PendingMove;
 use super::spec::{ResourceVector, Submission};
 use super::start_pools::StartPools;
+use super::unconfirmed::UnconfirmedCharge;
 pub use super::worker::{Cordon, Orphan, Worker, WorkerEntry};
 use crate::ids::{InstanceId, JobId, PoolId, QueueId, TeamId};
 
