Charge teams for every worker that may be unlisted at a takeover

Cause: the charge for unconfirmed tasks counted one worker for each pool with unlisted ones, however many there were. Without a list of instances it took the pools of the present configuration, with one worker each, and left out pools that a configuration had removed.

Change: unlisted workers are counted. If they are not known, any pool may have any number of them: all unfinished tasks wait for the leases, and a team is charged for all of its own.

The simulation now passes the list of instances on as a takeover does, so that the replaced worker of instances_with has moved to another pool, as the test's comment says; with another unlisted worker in the same pool its tasks have to wait.

--- a/crates/plugins/src/fleet/takeover.rs
+++ b/crates/plugins/src/fleet/takeover.rs
@@ -3,7 +3,7 @@
 //! No task starts before every worker has answered a hold under the new fence or counts as unresponsive. A hold
 //! makes the worker reject orders of the old owner, and returns its running and ended tasks.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -18,7 +18,7 @@
 use wasabiswitch_policy::fleet::progress::{JobRow, ProgressRow};
 use wasabiswitch_policy::fleet::reports::{ReportTiming, WorkerReport};
 use wasabiswitch_policy::fleet::state::{WorkerEntry, WorkerKey};
-use wasabiswitch_policy::ids::{InstanceId, PoolId};
+use wasabiswitch_policy::ids::InstanceId;
 use wasabiswitch_wire::codec::WireType;
 use wasabiswitch_wire::decode;
 
@@ -84,22 +84,22 @@
     });
     let instances = instances.ok();
     hold_listed(kernel, &mut engine, instances.as_ref()).await;
-    let (replaced, unseen_pools) = match &instances {
+    let replaced = match &instances {
         Some(instances) => reconcile_unlisted(kernel, &mut engine, instances).await,
-        None => (0, engine.pools.keys().cloned().collect()),
+        None => 0,
     };
-    let unseen_count = unseen_pools.len();
+    let unlisted = engine.count_unlisted_workers(instances.as_ref());
     let unresponsive =
         engine.workers.values().filter(|worker| worker.last_contact.is_none()).count();
     let orphans: usize = engine.workers.values().map(|worker| worker.orphans.len()).sum();
-    let unconfirmed =
-        engine.mark_unconfirmed(unseen_pools, predecessor_deadline, kernel.clock.now());
+    let unconfirmed = engine.mark_unconfirmed(&unlisted, predecessor_deadline, kernel.clock.now());
     log::info!(
         "fleet rebuilt fence={fence} jobs={} live={} workers={} silent={unresponsive} replaced={replaced} \
-         orphans={orphans} unseen_pools={unseen_count} doubted={unconfirmed} rows_ms={} took_ms={}",
+         orphans={orphans} unseen_pools={} doubted={unconfirmed} rows_ms={} took_ms={}",
         engine.jobs.len(),
         engine.live.len(),
         engine.workers.len(),
+        unlisted.describe_pools(),
         read_duration.as_millis(),
         kernel.clock.now().saturating_duration_since(started_at).as_millis()
     );
@@ -120,7 +120,7 @@
     hold_workers(kernel, engine, workers).await;
 }
 
-/// Removes the workers that have been replaced, and returns their number and the pools with an unlisted worker.
+/// Removes the workers that have been replaced, and returns their number.
 ///
 /// An instance may be up before the directory lists its worker. The tasks of a pool with an unlisted worker
 /// wait for seconds, so the directory is read once more to avoid that.
@@ -128,7 +128,7 @@
     kernel: &Arc<Kernel>,
     engine: &mut Engine,
     instances: &BTreeMap<InstanceId, Instance>,
-) -> (usize, BTreeSet<PoolId>) {
+) -> usize {
     let replaced = engine.remove_replaced_workers(instances);
     if !engine.unlisted_workers(instances).is_empty() {
         match (port(kernel).read_directory)(()).await {
@@ -147,7 +147,7 @@
             Err(error) => log::warn!("directory not read again at the takeover reason={error}"),
         }
     }
-    (replaced, engine.unlisted_workers(instances).into_values().cloned().collect())
+    replaced
 }
 
 fn listed_entry(item: DirectoryItem) -> Option<WorkerEntry> {
--- a/crates/policy/src/fleet/unconfirmed.rs
+++ b/crates/policy/src/fleet/unconfirmed.rs
@@ -25,6 +25,54 @@
     pub until: Instant,
 }
 
+/// Workers that the directory does not list at a takeover although they may be running tasks.
+#[derives(record)]
+pub enum UnlistedWorkers {
+    /// Number of unlisted workers by pool, as the list of instances shows them.
+    InPools(BTreeMap<PoolId, u64>),
+    /// There is no list of instances, so any number of workers may be unlisted in any pool.
+    Unknown,
+}
+
+impl UnlistedWorkers {
+    /// Describes for the log the number of pools with unlisted workers.
+    pub fn describe_pools(&self) -> String {
+        match self {
+            UnlistedWorkers::InPools(counts) => counts.len().to_string(),
+            UnlistedWorkers::Unknown => "any".to_owned(),
+        }
+    }
+}
+
+/// Workers on which unconfirmed tasks may be running.
+#[derives(record)]
+struct SilentWorkers {
+    /// Pools of the workers; `None` if any pool may have some.
+    pools: Option<BTreeSet<PoolId>>,
+    /// Sum of their capacities; `None` if it is not known.
+    capacity: Option<ResourceVector>,
+}
+
+impl SilentWorkers {
+    /// Returns whether there are none.
+    fn is_empty(&self) -> bool {
+        self.pools.as_ref().is_some_and(BTreeSet::is_empty)
+    }
+
+    /// Returns whether tasks of a job may be running on one of the workers.
+    fn may_run(&self, job: &Job) -> bool {
+        self.pools.as_ref().is_none_or(|pools| job.start_pools.intersects(pools))
+    }
+
+    /// Returns the part of `resources` that tasks on the workers can use at once.
+    fn limit(&self, resources: ResourceVector) -> ResourceVector {
+        match &self.capacity {
+            Some(capacity) => resources.component_min(capacity),
+            None => resources,
+        }
+    }
+}
+
 impl Engine {
     /// Returns the workers of `instances` that the directory does not list, with their pools.
     ///
@@ -42,6 +90,20 @@
         .collect()
     }
 
+    /// Counts the [unlisted workers](Engine::unlisted_workers) by pool, or returns that they are unknown without a list of
+    /// instances.
+    pub fn count_unlisted_workers(
+        &self,
+        instances: Option<&BTreeMap<InstanceId, Instance>>,
+    ) -> UnlistedWorkers {
+        let Some(instances) = instances else { return UnlistedWorkers::Unknown };
+        let mut counts: BTreeMap<PoolId, u64> = BTreeMap::new();
+        for pool in self.unlisted_workers(instances).into_values() {
+            *counts.entry(pool.clone()).or_default() += 1;
+        }
+        UnlistedWorkers::InPools(counts)
+    }
+
     /// Returns the workers that have not answered and no longer run on any instance.
     ///
     /// The directory lists a worker for some seconds after its instance has moved to another pool. An instance
@@ -72,12 +134,12 @@
     }
 
     /// Marks as unconfirmed the tasks that may be running on workers that have not answered a new owner, or on
-    /// workers of the `unlisted_pools`. Returns the number of these tasks.
+    /// `unlisted` workers. Returns the number of these tasks.
     ///
     /// The predecessor sends its last order at `predecessor_deadline` at the latest.
     pub fn mark_unconfirmed(
         &mut self,
-        unlisted_pools: BTreeSet<PoolId>,
+        unlisted: &UnlistedWorkers,
         predecessor_deadline: Instant,
         now: Instant,
     ) -> usize {
@@ -86,15 +148,32 @@
                 Some(now.max(predecessor_deadline) + PREDECESSOR_CALL_TIMEOUT);
         }
         let until = predecessor_deadline + lease_bound();
-        let mut capacity =
-            self.largest_worker().unwrap_or_default().times(unlisted_pools.len() as u64);
-        let mut pools = unlisted_pools;
+        let silent = self.silent_workers(unlisted);
         for worker in self.workers.values_mut().filter(|worker| worker.last_contact.is_none()) {
             worker.leases_expire_at = until;
-            capacity = capacity.plus(&worker.entry.capacity);
+        }
+        if silent.is_empty() { 0 } else { self.mark_tasks_unconfirmed(until, &silent) }
+    }
+
+    /// Returns the workers that have not answered together with the `unlisted` ones.
+    fn silent_workers(&self, unlisted: &UnlistedWorkers) -> SilentWorkers {
+        let UnlistedWorkers::InPools(unlisted) = unlisted else {
+            return SilentWorkers { pools: None, capacity: None };
+        };
+        let unresponsive = self.workers.values().filter(|worker| worker.last_contact.is_none());
+        let mut pools: BTreeSet<PoolId> = unlisted.keys().cloned().collect();
+        let mut capacity = ResourceVector::default();
+        for worker in unresponsive {
             pools.insert(worker.entry.pool.clone());
+            capacity = capacity.plus(&worker.entry.capacity);
         }
-        if pools.is_empty() { 0 } else { self.mark_pools_unconfirmed(until, &pools, &capacity) }
+        // The capacity of an unlisted worker is not known; without any listed worker there is nothing to compare it with.
+        let capacity = match (self.largest_worker(), unlisted.values().sum()) {
+            (_, 0) => Some(capacity),
+            (Some(largest), count) => Some(capacity.plus(&largest.times(count))),
+            (None, _) => None,
+        };
+        SilentWorkers { pools: Some(pools), capacity }
     }
 
     /// Ends the charges for unconfirmed tasks whose leases have all expired.
@@ -109,25 +188,19 @@
         }
     }
 
-    /// Marks as unconfirmed the unfinished tasks of jobs that may have started tasks in `pools`, and charges their
-    /// teams for them.
+    /// Marks as unconfirmed the unfinished tasks that may be running on `silent` workers, and charges their teams for
+    /// them.
     ///
-    /// An unresponsive worker may run any of these tasks until `until`, so they are not started before; all
-    /// other tasks proceed. Each team is charged for its own tasks, but for no more than the `capacity` of the
-    /// unresponsive workers.
-    fn mark_pools_unconfirmed(
-        &mut self,
-        until: Instant,
-        pools: &BTreeSet<PoolId>,
-        capacity: &ResourceVector,
-    ) -> usize {
+    /// Such a worker may run any of these tasks until `until`, so they are not started before; all other tasks proceed.
+    /// Each team is charged for its own tasks, but for no more than the capacity of the workers.
+    fn mark_tasks_unconfirmed(&mut self, until: Instant, silent: &SilentWorkers) -> usize {
         let mut unconfirmed = 0;
         let mut charges: BTreeMap<TeamId, ResourceVector> = BTreeMap::new();
         for key in self.live.union(&self.retiring) {
             // Runs of a job that was ended early may still be stopping; a completed job has none.
             let open = |job: &&mut Job| job.phase != Phase::Done;
             let Some(job) = self.jobs.get_mut(*key).filter(open) else { continue };
-            if !job.start_pools.intersects(pools) {
+            if !silent.may_run(job) {
                 continue;
             }
             let submission = job.submission.clone();
@@ -142,7 +215,7 @@
                 {
                     task.unconfirmed_until = Some(until);
                     unconfirmed += 1;
-                    *charge = charge.plus(&step.resources).component_min(capacity);
+                    *charge = silent.limit(charge.plus(&step.resources));
                 }
             }
         }
--- a/crates/policy/tests/end_model/world.rs
+++ b/crates/policy/tests/end_model/world.rs
@@ -1,7 +1,7 @@
 //! The state of the model and its steps.
 
+use std::collections::BTreeMap;
 use std::collections::hash_map::DefaultHasher;
-use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{Hash, Hasher};
 use std::time::{Duration, Instant};
 
@@ -14,6 +14,7 @@
 use wasabiswitch_policy::fleet::reports::{ReportTiming, RunEnd, WorkerReport};
 use wasabiswitch_policy::fleet::spec::{ResourceVector, Step, Submission};
 use wasabiswitch_policy::fleet::state::{WorkerEntry, WorkerKey};
+use wasabiswitch_policy::fleet::unconfirmed::UnlistedWorkers;
 use wasabiswitch_policy::fleet::{Engine, Limits};
 use wasabiswitch_policy::ids::InstanceId;
 use wasabiswitch_standin::fleet::single_queue_config;
@@ -506,7 +507,8 @@
         engine.remove_replaced_workers(&self.instances);
         // The predecessor may act for all of the time that the model covers.
         let predecessor_deadline = self.now + TICK * TICKS_MAX;
-        engine.mark_unconfirmed(BTreeSet::new(), predecessor_deadline, self.now);
+        let unlisted = UnlistedWorkers::InPools(BTreeMap::new());
+        engine.mark_unconfirmed(&unlisted, predecessor_deadline, self.now);
         engine.apply_instance_list(self.instances.clone(), self.now, self.now, &mut Vec::new());
     }
 
--- a/crates/policy/tests/fleet_engine/ends_on_record.rs
+++ b/crates/policy/tests/fleet_engine/ends_on_record.rs
@@ -35,7 +35,7 @@
     sim.run_without_writes(4 * SECOND);
     assert_eq!(sim.instance_service.moves, moves, "the ends are not persisted");
     let instances = sim.instance_service.instances().clone();
-    sim.take_over_with_instances(&instances);
+    sim.take_over_with(Some(&instances));
     sim.run(4 * SECOND);
     assert_eq!(sim.starts.len(), 17, "a task was started again although its run had ended");
     assert!(
--- a/crates/policy/tests/fleet_engine/regressions.rs
+++ b/crates/policy/tests/fleet_engine/regressions.rs
@@ -11,7 +11,7 @@
 use wasabiswitch_policy::fleet::state::{Phase, RunTimes};
 use wasabiswitch_policy::ids::InstanceId;
 
-use crate::simulation::{Faults, Simulation, queue_settings, step, submission};
+use crate::simulation::{Faults, Simulation, instance, queue_settings, step, submission};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -28,15 +28,6 @@
     step
 }
 
-fn instance(worker: &str, pool: &str) -> Instance {
-    Instance {
-        pool: pool.into(),
-        state: InstanceState::Up,
-        worker: Some(worker.into()),
-        labels: Vec::new(),
-    }
-}
-
 #[test]
 fn takeover_adopts_the_runs_in_progress() {
     let mut sim = fault_free(2);
@@ -147,8 +138,8 @@
     let unknown = BTreeMap::from([("m9".into(), instance("w9", "p"))]);
     let unlisted = sim.engine.unlisted_workers(&unknown);
     assert_eq!(unlisted, BTreeMap::from([(&"w9".into(), &"p".into())]));
-    let unseen: BTreeSet<_> = unlisted.into_values().cloned().collect();
-    assert_eq!(sim.engine.mark_unconfirmed(unseen, sim.now, sim.now), 2);
+    let counted = sim.engine.count_unlisted_workers(Some(&unknown));
+    assert_eq!(sim.engine.mark_unconfirmed(&counted, sim.now, sim.now), 2);
 }
 
 #[test]
@@ -361,11 +352,12 @@
     assert_eq!(maintenance_calls(&mut sim, &instances, SECOND).len(), 2);
 }
 
-/// Returns one instance for each worker; the instance of the worker `replaced` has another worker instead.
+/// Returns one instance for each worker; the instance of the worker `replaced` has moved to another pool and has another worker
+/// instead.
 fn instances_with(sim: &Simulation, replaced: &InstanceId) -> BTreeMap<InstanceId, Instance> {
     let list = sim.workers.keys().enumerate().map(|(number, id)| {
-        let worker = if id == replaced { "another" } else { &**id };
-        (format!("m{number}").into(), instance(worker, "p"))
+        let (worker, pool) = if id == replaced { ("another", "p2") } else { (&**id, "p") };
+        (format!("m{number}").into(), instance(worker, pool))
     });
     list.collect()
 }
@@ -380,7 +372,7 @@
         let instances = instances_with(&sim, &old);
         sim.partitioned.insert(unreachable, sim.now + 60 * SECOND);
         sim.submit(submission("a", vec![step(3, 100)]));
-        sim.take_over_with_instances(&instances);
+        sim.take_over_with(Some(&instances));
         sim.run(SECOND);
         assert_eq!(sim.starts.len(), if replaced { 3 } else { 0 }, "replaced: {replaced}");
         sim.run(5 * SECOND);
--- a/crates/policy/tests/fleet_engine/simulation.rs
+++ b/crates/policy/tests/fleet_engine/simulation.rs
@@ -9,7 +9,7 @@
 use crate::instance_service::InstanceService;
 use fastrand::Rng;
 use wasabiswitch_policy::fleet::config::FleetConfig;
-use wasabiswitch_policy::fleet::maintenance::Instance;
+use wasabiswitch_policy::fleet::maintenance::{Instance, InstanceState};
 use wasabiswitch_policy::fleet::outcomes::StartOutcome;
 use wasabiswitch_policy::fleet::plan::Order;
 use wasabiswitch_policy::fleet::progress::{JobRow, ProgressRow};
@@ -81,6 +81,16 @@
     }
 }
 
+/// Returns an instance that is up and runs a worker.
+pub fn instance(worker: &str, pool: &str) -> Instance {
+    Instance {
+        pool: pool.into(),
+        state: InstanceState::Up,
+        worker: Some(worker.into()),
+        labels: Vec::new(),
+    }
+}
+
 /// An order in flight to a worker.
 struct Delivery {
     sent: Instant,
@@ -279,11 +289,11 @@
 
     /// Starts the term of a new owner; orders of the old one remain in flight.
     pub fn take_over(&mut self) {
-        self.take_over_with_instances(&BTreeMap::new());
+        self.take_over_with(Some(&BTreeMap::new()));
     }
 
-    /// Starts the term of a new owner that reads the given instances; an empty list means that the read failed.
-    pub fn take_over_with_instances(&mut self, instances: &BTreeMap<InstanceId, Instance>) {
+    /// Starts the term of a new owner that reads the given list of instances; `None` means that the read failed.
+    pub fn take_over_with(&mut self, instances: Option<&BTreeMap<InstanceId, Instance>>) {
         self.stale_owner = None;
         self.begin_term(instances, self.now);
     }
@@ -296,12 +306,12 @@
         self.engine.fence = engine.fence;
         let next_report = std::mem::take(&mut self.next_report);
         self.stale_owner = Some(StaleOwner { engine, next_report, until: self.now + overlap });
-        self.begin_term(&BTreeMap::new(), predecessor_deadline);
+        self.begin_term(Some(&BTreeMap::new()), predecessor_deadline);
     }
 
     fn begin_term(
         &mut self,
-        instances: &BTreeMap<InstanceId, Instance>,
+        instances: Option<&BTreeMap<InstanceId, Instance>>,
         predecessor_deadline: Instant,
     ) {
         let mut engine = Engine::new(limits(), self.engine.fence + 1);
@@ -327,10 +337,11 @@
         for key in keys {
             self.poll_worker(key, false);
         }
-        if !instances.is_empty() {
+        if let Some(instances) = instances {
             self.engine.remove_replaced_workers(instances);
         }
-        self.engine.mark_unconfirmed(BTreeSet::new(), predecessor_deadline, self.now);
+        let unlisted = self.engine.count_unlisted_workers(instances);
+        self.engine.mark_unconfirmed(&unlisted, predecessor_deadline, self.now);
     }
 
     /// Returns whether the owner with this fence cannot reach a worker.
--- a/crates/policy/tests/fleet_engine/successor.rs
+++ b/crates/policy/tests/fleet_engine/successor.rs
@@ -8,7 +8,7 @@
 use wasabiswitch_standin::fleet::single_queue_config;
 use wasabiswitch_standin::fleet_worker::FakeWorker;
 
-use crate::simulation::{Faults, Simulation, step, submission, worker_entry};
+use crate::simulation::{Faults, Simulation, instance, step, submission, worker_entry};
 
 const SECOND: Duration = Duration::from_secs(1);
 /// Pools of the test fleet, with one worker each, named after the pool.
@@ -168,3 +168,53 @@
     sim.run(10 * SECOND);
     assert_eq!(sim.engine.teams["t"].used.cpu_milli, 2_000, "the charge outlives the doubt");
 }
+
+/// Takes the fleet over while some of the workers are neither listed nor reachable; returns the use of the team, in
+/// thousandths of a core.
+fn use_after_takeover_with_unlisted_workers(is_instance_list_known: bool) -> u64 {
+    let entries = (0..4).map(|n| worker_entry(&format!("w{n}"), "p")).collect();
+    let config = single_queue_config("spare", 100_000);
+    let mut sim = Simulation::with_workers(config, entries, Faults::default(), 1);
+    sim.submit(submission("a", vec![step(14, 20_000)]));
+    sim.run(SECOND);
+    assert_eq!(sim.starts.len(), 14);
+    let instances = sim.workers.keys().map(|id| (id.clone(), instance(id, "p"))).collect();
+    for worker in ["w1", "w2", "w3"] {
+        sim.workers.remove(worker);
+    }
+    sim.take_over_with(is_instance_list_known.then_some(&instances));
+    sim.engine.teams["t"].used.cpu_milli
+}
+
+// Guards against a charge that is limited to one worker per pool, although several may be running tasks.
+#[test]
+fn successor_charges_a_team_for_each_unlisted_worker() {
+    assert_eq!(use_after_takeover_with_unlisted_workers(true), 14_000);
+}
+
+// Guards against a charge that is limited to one worker per pool, although nothing shows how many workers there are.
+#[test]
+fn successor_without_a_list_of_instances_charges_a_team_for_all_its_tasks() {
+    assert_eq!(use_after_takeover_with_unlisted_workers(false), 14_000);
+}
+
+// Guards against a second run of a task in a pool that the configuration no longer has, whose worker is not listed.
+#[test]
+fn successor_without_a_list_of_instances_waits_for_pools_that_were_removed() {
+    let mut sim = one_worker_per_pool();
+    sim.submit(submission("a", vec![long_running_step()]));
+    sim.run(SECOND);
+    let mut config = config_with_pool(2, "p2");
+    config.pools.remove("p");
+    sim.apply_config(config);
+    sim.workers.remove("w-p");
+    sim.take_over_with(None);
+    sim.run(2 * SECOND);
+    assert_eq!(
+        started_on(&sim),
+        ["w-p"],
+        "the task starts while it may run on a worker that is not listed"
+    );
+    sim.run(5 * SECOND);
+    assert_eq!(started_on(&sim), ["w-p", "w-p2"]);
+}
