Read the operator's rows at a takeover

Callers could see a cap exceeded, or calls refused by an owner with an older configuration than the daemon that they had reached, and a wave stand still, after a takeover by a daemon whose feed of the operator's rows was late.

Cause: the new owner's engine got the configuration and the waves that the daemon's own feed had delivered so far. The predecessor may have acted by newer rows.

Change: the takeover reads the operator's rows with all others, after the write that fences the predecessor, so the new owner knows at least what the predecessor acted by. A failed read fails the attempt, as for the other rows of the same store.

The stand-in's feed of the operator's rows can now fail.

--- a/crates/plugins/src/fleet/configuration.rs
+++ b/crates/plugins/src/fleet/configuration.rs
@@ -62,7 +62,8 @@
     }
 }
 
-fn apply_items(kernel: &Arc<Kernel>, items: Vec<OperatorItem>) {
+/// Applies rows of the operator to the view, and to the term if there is one; older ones than known change nothing.
+pub(super) fn apply_items(kernel: &Arc<Kernel>, items: Vec<OperatorItem>) {
     for item in items {
         match item {
             OperatorItem::Config(config) => adopt(kernel, config),
--- a/crates/plugins/src/fleet/takeover.rs
+++ b/crates/plugins/src/fleet/takeover.rs
@@ -22,7 +22,7 @@
 use wasabiswitch_wire::codec::WireType;
 use wasabiswitch_wire::decode;
 
-use super::{port, workers};
+use super::{configuration, port, workers};
 
 /// The table of accepted jobs, whose rows are written once.
 pub const JOB_TABLE: &str = "jobs";
@@ -58,7 +58,8 @@
     predecessor_deadline: Instant,
 ) -> PlatformResult<RebuiltEngine> {
     let started_at = kernel.clock.now();
-    let (directory, instances, jobs, progress, start_pools, waves) = tokio::join!(
+    let (operator, directory, instances, jobs, progress, start_pools, waves) = tokio::join!(
+        (port(kernel).read_operator)(()),
         (port(kernel).read_directory)(()),
         (port(kernel).list_instances)(()),
         read_rows(kernel, JOB_TABLE),
@@ -66,6 +67,9 @@
         read_rows(kernel, START_POOL_TABLE),
         read_rows(kernel, WAVE_TABLE),
     );
+    // This daemon's feed may be late. The predecessor has acted by the rows that the store had at the takeover.
+    let (operator_items, _) = operator?;
+    configuration::apply_items(kernel, operator_items);
     let (items, directory_cursor) = directory?;
     let limits = super::term::limits(kernel);
     let mut engine = Engine::new(limits, fence);
--- a/crates/plugins/tests/fleet_takeovers.rs
+++ b/crates/plugins/tests/fleet_takeovers.rs
@@ -160,3 +160,64 @@
     assert_eq!(platform.history().violations, Vec::<String>::new());
     owner.stop().await;
 }
+
+/// Starts two daemons whose feeds of the operator's rows deliver nothing, lets the operator write, and ends the owner; returns the
+/// second daemon once it has taken the fleet over, with the writes not yet delivered by its feed.
+async fn take_over_with_late_feed(
+    platform: &FleetStandIn,
+    write: impl FnOnce(&FleetStandIn),
+) -> Arc<Kernel> {
+    let first = platform.start(1).await;
+    tokio::time::sleep(START_TIME).await;
+    platform.faults().inject(Operation::WatchOperator, Fault::Hang, u32::MAX);
+    let second = platform.start(2).await;
+    tokio::time::sleep(START_TIME).await;
+    write(platform);
+    platform.kill(1, &first);
+    while second.tables.term.lock().is_none() {
+        tokio::time::sleep(ms(10)).await;
+    }
+    second
+}
+
+// Guards against a new owner that acts by an older configuration than its predecessor, since its own feed is late.
+#[tokio::test(start_paused = true)]
+async fn successor_acts_by_the_configuration_that_the_store_has_at_the_takeover() {
+    fastrand::seed(31);
+    let platform = FleetStandIn::new(&[("p", 4), ("standby", 0)], 100_000);
+    platform.put_config(single_queue_config("standby", 8_000));
+    let owner = take_over_with_late_feed(&platform, |platform| {
+        let mut lowered = single_queue_config("standby", 2_000);
+        lowered.version = 2;
+        platform.put_config(lowered);
+    })
+    .await;
+    let cap_milli = {
+        let term = owner.tables.term.lock();
+        term.as_ref().expect("the daemon owns the fleet").engine.teams["t"].cap.cpu_milli
+    };
+    assert_eq!(cap_milli, 2_000);
+    owner.stop().await;
+}
+
+// Guards against a new owner that does not have a wave which its predecessor may have begun, since its own feed is late.
+#[tokio::test(start_paused = true)]
+async fn successor_restores_a_wave_that_its_feed_has_not_delivered() {
+    fastrand::seed(31);
+    let platform = FleetStandIn::new(&[("p", 4), ("standby", 0)], 100_000);
+    platform.put_config(single_queue_config("standby", 100_000));
+    let owner = take_over_with_late_feed(&platform, |platform| {
+        platform.request_wave(1, &["p-0", "p-1"], 1);
+    })
+    .await;
+    {
+        let term = owner.tables.term.lock();
+        let engine = &term.as_ref().expect("the daemon owns the fleet").engine;
+        assert!(engine.waves.contains_key(&1));
+    }
+    platform.faults().clear();
+    tokio::time::sleep(ms(15_000)).await;
+    assert!(platform.is_wave_done(1), "{:?}", platform.maintenance_counts(1));
+    assert_eq!(platform.history().violations, Vec::<String>::new());
+    owner.stop().await;
+}
--- a/crates/standin/src/faults.rs
+++ b/crates/standin/src/faults.rs
@@ -38,10 +38,12 @@
     Maintenance,
     /// Reporting the progress of a wave.
     ReportWave,
+    /// Waiting for changes of the operator's rows.
+    WatchOperator,
 }
 
 impl Operation {
-    /// All operations, which an outage affects.
+    /// All operations that an outage affects; a feed that is open waits through it.
     pub const ALL: [Operation; 15] = [
         Operation::Read,
         Operation::Scan,
--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! Each start is checked against the runs on all workers, and each maintenance call and wave report against the
 //! instances; violations are recorded in a [`History`]. The checks do not use leases, fences or attempts, so that they
-//! detect the violations that these mechanisms fail to prevent. Every call except the feeds first takes the next fault
-//! from [`Faults`].
+//! detect the violations that these mechanisms fail to prevent. Every call first takes the next fault from
+//! [`Faults`], except the feed of the directory.
 
 mod port;
 mod state;
--- a/crates/standin/src/fleet/port.rs
+++ b/crates/standin/src/fleet/port.rs
@@ -21,6 +21,8 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
 /// Time after which a start without a response fails.
 const START_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time after which a feed without a response fails.
+const FEED_TIMEOUT: Duration = Duration::from_millis(5_000);
 /// Interval at which a waiting call checks the state.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -33,10 +35,10 @@
             read_operator: self.function(Operation::Read, CALL_TIMEOUT, |s, ()| {
                 Ok((s.operator.clone(), s.operator.len() as Cursor))
             }),
-            watch_operator: self.watch(|s| s.operator.clone()),
+            watch_operator: self.watch(Some(Operation::WatchOperator), |s| s.operator.clone()),
             read_directory: self
                 .function(Operation::ReadDirectory, CALL_TIMEOUT, |s, ()| Ok(s.read_directory())),
-            watch_directory: self.watch(|s| s.directory.clone()),
+            watch_directory: self.watch(None, |s| s.directory.clone()),
             report_wave: self.function(Operation::ReportWave, CALL_TIMEOUT, |s, (wave, done)| {
                 s.report_wave(wave, done);
                 Ok(())
@@ -125,15 +127,20 @@
         })
     }
 
-    /// Returns a feed of the items that are appended to a list.
+    /// Returns a feed of the items that are appended to a list, which takes the next fault of `operation` first.
     fn watch<T: Send + 'static>(
         &self,
+        operation: Option<Operation>,
         items: impl Fn(&State) -> Vec<T> + Send + Sync + 'static,
     ) -> PlatformFn<Cursor, WatchResult<T>> {
         let (standin, items) = (self.clone(), Arc::new(items));
         Arc::new(move |from: Cursor| {
             let (standin, items) = (standin.clone(), items.clone());
+            let fault = operation.and_then(|operation| standin.faults.next(operation, ""));
             async move {
+                if let Some(fault) = fault {
+                    return serve(Some(fault), FEED_TIMEOUT, || Err(feed_failed())).await;
+                }
                 loop {
                     let all = items(&standin.state());
                     let end = all.len() as Cursor;
@@ -192,6 +199,10 @@
     }
 }
 
+fn feed_failed() -> PlatformError {
+    PlatformError::not_run("the feed failed")
+}
+
 /// Executes a call, and injects the fault if there is one.
 async fn serve<T: Send + 'static>(
     fault: Option<Fault>,
