--- a/crates/policy/tests/fleet_engine/random_faults.rs
+++ b/crates/policy/tests/fleet_engine/random_faults.rs
@@ -7,9 +7,11 @@
 use std::time::Duration;
 
 use fastrand::Rng;
-use wasabiswitch_policy::fleet::state::Phase;
+use wasabiswitch_policy::fleet::config::FleetConfig;
+use wasabiswitch_policy::fleet::state::{Phase, PoolSettings};
+use wasabiswitch_standin::fleet::single_queue_config;
 
-use crate::simulation::{Faults, Simulation, step, submission};
+use crate::simulation::{Faults, Simulation, step, submission, worker_entry};
 
 /// Seeds of faults that were fixed: an end was acknowledged to a worker incarnation that had not reported yet
 /// (1); a start was delivered late to a new incarnation (471), and to the one after it (680).
@@ -148,6 +150,75 @@
     check_histories(&seeds, run_history_of_full_workers, Phase::is_ended);
 }
 
+/// Seeds of the histories with changes of the configuration.
+const CONFIG_CHANGE_SEEDS: Range<u64> = 3_000..3_040;
+/// Pools of these histories, with [`WORKERS_PER_POOL`] workers each.
+const POOLS: [&str; 2] = ["p", "p2"];
+/// Number of workers in each of [`POOLS`].
+const WORKERS_PER_POOL: usize = 3;
+
+/// Returns a configuration with a random pool for the queue, and with a random cap for the team or without the team.
+fn random_config(version: u64, choices: &mut Rng) -> FleetConfig {
+    let cap_milli = [0, 6_000, 9_000][choices.usize(0..3)];
+    let mut config = single_queue_config("spare", cap_milli);
+    config.version = version;
+    config.pools.extend(POOLS.map(|pool| (pool.into(), PoolSettings::default())));
+    config.routes[0].queue_settings.pool = POOLS[choices.usize(0..POOLS.len())].into();
+    if choices.u8(0..6) == 0 {
+        config.teams.clear();
+    }
+    config
+}
+
+/// Runs a history in which routes, caps and teams change around takeovers, and jobs have schedules.
+fn run_history_of_config_changes(seed: u64) -> Simulation {
+    let mut choices = Rng::with_seed(seed ^ 0xc0f1);
+    let faults = Faults {
+        lost_acks: choices.f64() * 0.1,
+        late_orders: 0.0,
+        lost_reports: choices.f64() * 0.2,
+        failed_tasks: 0.0,
+        late_answers: choices.f64() * 0.2,
+    };
+    let entries = (0..POOLS.len() * WORKERS_PER_POOL)
+        .map(|number| worker_entry(&format!("w{number}"), POOLS[number % POOLS.len()]))
+        .collect();
+    let config = random_config(1, &mut choices);
+    let mut sim = Simulation::with_workers(config, entries, faults, seed);
+    for round in 0..30 {
+        let mut job = submission(
+            &format!("job-{round}"),
+            vec![step(choices.u32(1..6), choices.u64(50..3_000))],
+        );
+        if choices.u8(0..4) == 0 {
+            (job.repeats, job.period_ms) = (choices.u32(1..4), choices.u64(200..2_000));
+        }
+        sim.submit(job);
+        let worker = format!("w{}", choices.usize(0..POOLS.len() * WORKERS_PER_POOL));
+        match choices.u8(0..8) {
+            0 | 1 => sim.take_over(),
+            2 => {
+                let until = sim.now + Duration::from_millis(choices.u64(100..9_000));
+                sim.partitioned.insert(worker.as_str().into(), until);
+            }
+            3 => sim.crash(&worker),
+            4 | 5 => sim.apply_config(random_config(2 + round, &mut choices)),
+            _ => {}
+        }
+        sim.run(Duration::from_millis(choices.u64(50..900)));
+    }
+    sim.faults = Faults::default();
+    sim.run(Duration::from_secs(60));
+    sim
+}
+
+// Guards against a successor that takes the present configuration, or its own time of day, for what its predecessor acted by.
+#[test]
+fn changes_of_the_configuration_around_takeovers_break_no_rule_and_lose_no_job() {
+    let seeds = seeds(&[], CONFIG_CHANGE_SEEDS);
+    check_histories(&seeds, run_history_of_config_changes, |phase| phase == Phase::Done);
+}
+
 #[test]
 fn checker_detects_duplicate_starts_of_a_new_owner() {
     let mut sim = Simulation::new(2, 0, Faults::default(), 7);
