Charge fillers in full for unreachable workers after a takeover

Callers could see a team with fillers run more than its cap (QUOTA) after a takeover with unreachable workers.

Cause: the charge for unconfirmed tasks was limited to the capacity of these workers. Fillers count against the cap of their team but reserve no processors, so more of them run on a worker than its capacity suggests.

Change: the limit applies to what tasks reserve; what fillers use beyond that is added.

Test: the new one of fleet_engine/successor.rs failed before (4,000 of 8,000 thousandths of a core); all of fleet_engine pass.

A test over daemons writes a configuration and a wave at 50 moments of a takeover, 50 ms apart; all are in force.

--- a/crates/plugins/tests/fleet_takeovers.rs
+++ b/crates/plugins/tests/fleet_takeovers.rs
@@ -221,3 +221,39 @@
     assert_eq!(platform.history().violations, Vec::<String>::new());
     owner.stop().await;
 }
+
+/// Time from the end of an owner within which changes of the operator are tried: longer than a takeover takes.
+const TAKEOVER_TIME_MAX: Duration = ms(2_500);
+/// Interval between the moments at which changes are tried.
+const MOMENT_INTERVAL: Duration = ms(50);
+
+// Guards against a step of a takeover after which a configuration or a wave that the operator writes is lost.
+#[tokio::test(start_paused = true)]
+async fn changes_at_any_moment_of_a_takeover_are_in_force() {
+    let mut offset = Duration::ZERO;
+    while offset < TAKEOVER_TIME_MAX {
+        fastrand::seed(31);
+        let platform = FleetStandIn::new(&[("p", 4), ("standby", 0)], 100_000);
+        platform.put_config(single_queue_config("standby", 8_000));
+        let first = platform.start(1).await;
+        tokio::time::sleep(START_TIME).await;
+        let second = platform.start(2).await;
+        tokio::time::sleep(START_TIME).await;
+        cut_off(&platform, "w0");
+        platform.kill(1, &first);
+        tokio::time::sleep(offset).await;
+        let mut lowered = single_queue_config("standby", 2_000);
+        lowered.version = 2;
+        platform.put_config(lowered);
+        platform.request_wave(1, &["p-1", "p-2"], 1);
+        tokio::time::sleep(TAKEOVER_TIME_MAX).await;
+        {
+            let term = second.tables.term.lock();
+            let engine = &term.as_ref().expect("the takeover has ended").engine;
+            assert_eq!(engine.teams["t"].cap.cpu_milli, 2_000, "changed after {offset:?}");
+            assert!(engine.waves.contains_key(&1), "requested after {offset:?}");
+        }
+        second.stop().await;
+        offset += MOMENT_INTERVAL;
+    }
+}
--- a/crates/policy/src/fleet/unconfirmed.rs
+++ b/crates/policy/src/fleet/unconfirmed.rs
@@ -10,7 +10,7 @@
 
 use super::lease::lease_bound;
 use super::maintenance::{Instance, InstanceState, PREDECESSOR_CALL_TIMEOUT};
-use super::spec::ResourceVector;
+use super::spec::{ResourceVector, Step};
 use super::state::{Engine, Job, Phase, WorkerKey};
 use crate::ids::{InstanceId, PoolId, TeamId};
 
@@ -44,6 +44,25 @@
     }
 }
 
+/// Resources of unconfirmed tasks.
+#[derives(record)]
+#[derive(Default)]
+struct TaskSum {
+    /// Resources that the tasks reserve on workers, and that the workers' capacity therefore bounds.
+    reserved: ResourceVector,
+    /// Resources that count against the team's cap and are not reserved: those of fillers.
+    unreserved: ResourceVector,
+}
+
+impl TaskSum {
+    /// Adds a task of a step.
+    fn add(&mut self, step: &Step) {
+        let reserved = step.reserved();
+        self.reserved = self.reserved.plus(&reserved);
+        self.unreserved = self.unreserved.plus(&step.resources.saturating_sub(&reserved));
+    }
+}
+
 /// Workers on which unconfirmed tasks may be running.
 #[derives(record)]
 struct SilentWorkers {
@@ -64,12 +83,13 @@
         self.pools.as_ref().is_none_or(|pools| job.start_pools.intersects(pools))
     }
 
-    /// Returns the part of `resources` that tasks on the workers can use at once.
-    fn limit(&self, resources: ResourceVector) -> ResourceVector {
-        match &self.capacity {
-            Some(capacity) => resources.component_min(capacity),
-            None => resources,
-        }
+    /// Returns the resources that tasks on the workers can use at once.
+    fn limit(&self, tasks: &TaskSum) -> ResourceVector {
+        let reserved = match &self.capacity {
+            Some(capacity) => tasks.reserved.component_min(capacity),
+            None => tasks.reserved,
+        };
+        reserved.plus(&tasks.unreserved)
     }
 }
 
@@ -192,10 +212,10 @@
     /// them.
     ///
     /// Such a worker may run any of these tasks until `until`, so they are not started before; all other tasks proceed.
-    /// Each team is charged for its own tasks, but for no more than the capacity of the workers.
+    /// Each team is charged for its own tasks, but for no more than the capacity of the workers and its fillers.
     fn mark_tasks_unconfirmed(&mut self, until: Instant, silent: &SilentWorkers) -> usize {
         let mut unconfirmed = 0;
-        let mut charges: BTreeMap<TeamId, ResourceVector> = BTreeMap::new();
+        let mut charges: BTreeMap<TeamId, TaskSum> = BTreeMap::new();
         for key in self.live.union(&self.retiring) {
             // Runs of a job that was ended early may still be stopping; a completed job has none.
             let open = |job: &&mut Job| job.phase != Phase::Done;
@@ -215,11 +235,12 @@
                 {
                     task.unconfirmed_until = Some(until);
                     unconfirmed += 1;
-                    *charge = silent.limit(charge.plus(&step.resources));
+                    charge.add(step);
                 }
             }
         }
-        for (team, resources) in charges {
+        for (team, tasks) in charges {
+            let resources = silent.limit(&tasks);
             self.charge(&team, &resources);
             self.charges.push(UnconfirmedCharge { team, resources, until });
         }
--- a/crates/policy/tests/fleet_engine/successor.rs
+++ b/crates/policy/tests/fleet_engine/successor.rs
@@ -218,3 +218,15 @@
     sim.run(5 * SECOND);
     assert_eq!(started_on(&sim), ["w-p", "w-p2"]);
 }
+
+// Guards against a charge for fillers that is limited to the capacity of their worker, which they do not reserve.
+#[test]
+fn successor_charges_a_team_for_all_fillers_on_an_unreachable_worker() {
+    let mut sim = one_worker_per_pool();
+    let fillers = Step { fills: true, ..step(8, 20_000) };
+    sim.submit(submission("a", vec![fillers]));
+    sim.run(SECOND);
+    assert_eq!(sim.starts.len(), 8);
+    take_over_without(&mut sim, "w-p");
+    assert_eq!(sim.engine.teams["t"].used.cpu_milli, 8_000);
+}
