Soak: the queue changes its pool while daemons fail

A fault now writes a configuration in which the queue leads to the other of two pools, which then is the only one in the configuration. The checks are as before: every accepted job completes, no task runs twice at once, and no worker is over its capacity.

--- a/crates/daemon/tests/soak/daemons.rs
+++ b/crates/daemon/tests/soak/daemons.rs
@@ -15,13 +15,15 @@
 use wasabiswitch_standin::free_port;
 
 use crate::proxy::{Proxy, ProxyMode};
-use crate::server::{Platform, StoreMode};
-use crate::{ODD_ENTRY_DEPTH, WORKER_COUNT};
+use crate::server::{Platform, StoreMode, config_in_pool};
+use crate::{ODD_ENTRY_DEPTH, OTHER_POOL, WORKER_COUNT};
 
 /// Time after which a call without a response fails.
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time after which the query of a daemon for the owner fails.
 const OWNER_QUERY_TIMEOUT: Duration = Duration::from_millis(100);
+/// Pool of the first configuration.
+const FIRST_POOL: &str = "p";
 /// Time to wait until started daemons serve calls.
 pub const START_TIME: Duration = Duration::from_millis(700);
 
@@ -39,6 +41,8 @@
     platform: Platform,
     daemons: Vec<Daemon>,
     client: HttpClient,
+    /// Version of the operator's newest configuration.
+    config_version: u64,
 }
 
 impl Drop for DaemonGroup {
@@ -111,7 +115,12 @@
             daemons.push(daemon);
         }
         tokio::time::sleep(START_TIME).await;
-        DaemonGroup { platform: platform.clone(), daemons, client: HttpClient::new(Network::tcp()) }
+        DaemonGroup {
+            platform: platform.clone(),
+            daemons,
+            client: HttpClient::new(Network::tcp()),
+            config_version: 1,
+        }
     }
 
     /// Injects a random fault into a daemon or the platform, or ends the faults of one daemon; other faults persist.
@@ -119,7 +128,7 @@
         let number = rng.usize(..self.daemons.len());
         let daemon = &mut self.daemons[number];
         let delay = Duration::from_millis(rng.u64(5..120));
-        match rng.u8(0..18) {
+        match rng.u8(0..20) {
             0 => daemon.kill(),
             1 => daemon.signal("-TERM"),
             2 => daemon.signal("-STOP"),
@@ -134,10 +143,18 @@
             11 => self.platform.drop_starts([0, 2]),
             12 => self.platform.restart_worker(&format!("w{}", rng.u8(0..WORKER_COUNT as u8))),
             13 => self.put_odd_entries(),
+            14 | 15 => self.change_pool(rng),
             _ => daemon.recover(),
         }
     }
 
+    /// Writes a configuration in which the queue leads to one of the two pools.
+    fn change_pool(&mut self, rng: &mut Rng) {
+        self.config_version += 1;
+        let pool = if rng.bool() { FIRST_POOL } else { OTHER_POOL };
+        self.platform.put("op", "config", &config_in_pool(self.config_version, pool));
+    }
+
     /// Writes entries that name no worker into the directory, and adds one to all other lists of the platform.
     fn put_odd_entries(&self) {
         let deep = "[".repeat(ODD_ENTRY_DEPTH) + &"]".repeat(ODD_ENTRY_DEPTH);
--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -3,8 +3,8 @@
 //! Each daemon reaches the platform's stand-in through a proxy of its own, which closes, stalls or delays its
 //! connections, and at an address of its own, where the store refuses its calls, hangs or loses its responses. The
 //! processes are stopped, paused, killed and restarted, one after the other and at the same time, while jobs are
-//! submitted to any of the daemons and some are cancelled, workers restart, and odd entries appear in the platform's
-//! lists. Every accepted job must complete or be cancelled, no task may run twice at the same time, and no worker may
+//! submitted to any of the daemons and some are cancelled, their queue changes its pool, workers restart, and odd entries
+//! appear in the platform's lists. Every accepted job must complete or be cancelled, no task may run twice at the same time, and no worker may
 //! get more tasks than it has room for.
 //!
 //! The test in `stops` stops daemons in the planned way only, and checks that each call is answered.
@@ -40,6 +40,10 @@
 const COMPLETION_TIMEOUT: Duration = Duration::from_secs(25);
 /// Number of workers per seed; the jobs keep them full at times.
 const WORKER_COUNT: usize = 4;
+/// Pool to which the queue leads at times instead of its first one.
+const OTHER_POOL: &str = "p2";
+/// Number of workers in [`OTHER_POOL`] per seed.
+const OTHER_POOL_WORKER_COUNT: usize = 2;
 /// Share of the accepted jobs that are cancelled: one in this number.
 const CANCELLED_JOB_INTERVAL: u8 = 6;
 /// Depth of nesting of an odd entry.
@@ -79,6 +83,7 @@
 async fn soak(seed: u64) {
     let mut rng = Rng::with_seed(seed);
     let platform = Platform::start(WORKER_COUNT).await;
+    platform.add_workers(OTHER_POOL_WORKER_COUNT, OTHER_POOL);
     platform.put("op", "config", &config(1));
     let mut daemons = DaemonGroup::start(DAEMON_COUNT, &platform, STOP_SETTINGS).await;
     let mut accepted = Vec::new();
