Remove rows of start pools that no job needs

During an upgrade a daemon of the version before retires jobs and leaves their rows of start pools, which it does not know. They would stay in the store and be read at each takeover. A takeover now passes on rows without a job, or of a retired one, and the next writes remove them, as they do for the jobs that they retire; what does not fit into one write is left for the next.

The new test of fleet_engine/successor.rs could not be built before, as the rows were skipped with a line of the log.

--- a/crates/plugins/src/fleet/takeover.rs
+++ b/crates/plugins/src/fleet/takeover.rs
@@ -211,7 +211,7 @@
     for row in rows {
         let Some(start_pools) = decode_row(START_POOL_TABLE, row) else { continue };
         if !engine.restore_start_pools(&row.key, &start_pools) {
-            log::warn!("start pools without a job skipped job={}", row.key);
+            log::warn!("start pools of no present job, to be removed job={}", row.key);
         }
     }
 }
--- a/crates/plugins/src/fleet/writer.rs
+++ b/crates/plugins/src/fleet/writer.rs
@@ -59,7 +59,7 @@
     waves: Vec<(WaveNumber, WaveProgress)>,
     /// Ended jobs, of which this write leaves only the progress row.
     retired: Vec<(JobKey, JobId)>,
-    /// Retired jobs whose row of start pools this write removes.
+    /// Jobs whose row of start pools this write removes, because they are retired.
     unused_start_pools: Vec<JobId>,
     /// Jobs whose status has expired, of which this write removes the last row.
     expired: Vec<JobId>,
@@ -167,10 +167,11 @@
         rows_left -= changes.jobs.len() + changes.start_pools.len();
         // Flush waiters are notified only by the write that contains the last of the pending progress.
         let is_complete = !term.engine.has_changes();
-        // A retired job has a row of its own, and possibly one of start pools.
-        let retired = term.engine.retirable_jobs((rows_left / 2).min(REMOVES_MAX));
-        let unused_start_pools = term.engine.with_start_pools_row(&retired);
-        rows_left -= retired.len() + unused_start_pools.len();
+        let retired = term.engine.retirable_jobs(rows_left.min(REMOVES_MAX));
+        rows_left -= retired.len();
+        let unused_start_pools =
+            term.engine.take_unused_start_pools(&retired, rows_left.min(REMOVES_MAX));
+        rows_left -= unused_start_pools.len();
         Batch {
             accepts,
             changes,
--- a/crates/policy/src/fleet/start_pools.rs
+++ b/crates/policy/src/fleet/start_pools.rs
@@ -116,16 +116,34 @@
         }
     }
 
-    /// Returns the ids of those of `jobs` that have a row of start pools in the store.
-    pub fn with_start_pools_row(&self, jobs: &[(JobKey, JobId)]) -> Vec<JobId> {
+    /// Takes the ids of at most `rows_max` jobs whose row of start pools is not needed any more: those of the jobs that are
+    /// being `retired`, and those that a daemon of another version has left behind.
+    pub fn take_unused_start_pools(
+        &mut self,
+        retired: &[(JobKey, JobId)],
+        rows_max: usize,
+    ) -> Vec<JobId> {
         let has_row = |key: &JobKey| self.jobs.get(*key).is_some_and(|j| j.start_pools.has_row());
-        jobs.iter().filter(|(key, _)| has_row(key)).map(|(_, id)| id.clone()).collect()
+        let rows = retired.iter().filter(|(key, _)| has_row(key)).map(|(_, id)| id.clone());
+        self.unused_start_pools.extend(rows);
+        let mut taken = Vec::new();
+        while taken.len() < rows_max
+            && let Some(job) = self.unused_start_pools.pop_first()
+        {
+            taken.push(job);
+        }
+        taken
     }
 
-    /// Restores the row of start pools of a job that [`Engine::restore`] has restored; returns whether the job is known.
+    /// Restores the row of start pools of a job, after the jobs; returns whether the job still needs it.
+    ///
+    /// A row without such a job is removed: a daemon of a version without this row has retired the job.
     pub fn restore_start_pools(&mut self, id: &str, row: &StartPoolsRow) -> bool {
-        let Some(key) = self.job_key(id) else { return false };
-        self.confirm_start_pools(key, row);
-        true
+        let key = self.job_key(id).filter(|key| !self.jobs[*key].retired);
+        match key {
+            Some(key) => self.confirm_start_pools(key, row),
+            None => drop(self.unused_start_pools.insert(id.into())),
+        }
+        key.is_some()
     }
 }
--- a/crates/policy/src/fleet/state.rs
+++ b/crates/policy/src/fleet/state.rs
@@ -81,6 +81,8 @@
     pub(super) unpersisted: BTreeSet<JobKey>,
     /// Jobs with pools in which tasks wait to start until the store has recorded them.
     pub(super) unpersisted_start_pools: BTreeSet<JobKey>,
+    /// Jobs that have been retired or removed, and of which the store still has a row of start pools.
+    pub(super) unused_start_pools: BTreeSet<JobId>,
     /// Jobs whose end is persisted but whose submission is still stored.
     pub(super) retiring: BTreeSet<JobKey>,
     pub(super) job_keys: HashMap<JobId, JobKey>,
@@ -130,6 +132,7 @@
             live: BTreeSet::new(),
             unpersisted: BTreeSet::new(),
             unpersisted_start_pools: BTreeSet::new(),
+            unused_start_pools: BTreeSet::new(),
             retiring: BTreeSet::new(),
             job_keys: HashMap::new(),
             worker_keys: HashMap::new(),
--- a/crates/policy/tests/fleet_engine/successor.rs
+++ b/crates/policy/tests/fleet_engine/successor.rs
@@ -4,6 +4,7 @@
 
 use wasabiswitch_policy::fleet::config::FleetConfig;
 use wasabiswitch_policy::fleet::spec::{Step, Submission};
+use wasabiswitch_policy::fleet::start_pools::StartPoolsRow;
 use wasabiswitch_policy::fleet::state::Phase;
 use wasabiswitch_standin::fleet::single_queue_config;
 use wasabiswitch_standin::fleet_worker::FakeWorker;
@@ -230,3 +231,16 @@
     take_over_without(&mut sim, "w-p");
     assert_eq!(sim.engine.teams["t"].used.cpu_milli, 8_000);
 }
+
+// Guards against rows of start pools that stay in the store, and are read at each takeover, after a daemon of a version without
+// them has retired their jobs.
+#[test]
+fn successor_removes_rows_of_start_pools_without_a_job() {
+    let mut sim = one_worker_per_pool();
+    sim.submit(submission("a", vec![long_running_step()]));
+    let row = StartPoolsRow { pools: vec!["p2".into()] };
+    assert!(sim.engine.restore_start_pools("a", &row));
+    assert!(!sim.engine.restore_start_pools("gone", &row));
+    assert_eq!(sim.engine.take_unused_start_pools(&[], 10), ["gone".into()]);
+    assert_eq!(sim.engine.take_unused_start_pools(&[], 10), []);
+}
