Keep a task unconfirmed when an earlier attempt at it ends

Callers could see a task run on two workers at once (TWICE) after two workers were cut off in turn around a takeover.

Cause: the end of any attempt confirmed its task. A worker may report the end of an attempt late, after the predecessor has given it up and has started a later attempt on a worker that does not answer now. Ruled out: the overlap and the change of the pool; the reduced test has neither.

Change: ends leave the doubt as it is; a run that is found still ends it. A task whose attempt ended on a worker that answers only after the rebuild now waits for the rest of the lease.

Tests: the new one of fleet_engine/successor.rs failed before ('runs 2 times at once'); all 80 of fleet_engine pass.

--- a/crates/policy/src/fleet/reports.rs
+++ b/crates/policy/src/fleet/reports.rs
@@ -453,7 +453,6 @@
         let mut failures = 0;
         for index in members {
             let Some(entry) = tasks.get_mut(index) else { continue };
-            entry.unconfirmed_until = None;
             if !entry.failures.contains(&end.attempt) {
                 entry.failures.push(end.attempt);
                 entry.failed_on.push(key);
@@ -486,13 +485,16 @@
         }
     }
 
+    /// Records the end of a run that did not complete its task.
+    ///
+    /// An unconfirmed task stays so: the end may be that of an earlier attempt, which a worker reports late, while a later
+    /// attempt runs on a worker that does not answer.
     fn task_interrupted(&mut self, task: TaskRef, checkpoint: &str) {
         let Some(job) = self.jobs.get_mut(task.job) else { return };
         let Some(entry) = job.task_mut(&task) else { return };
         if entry.done {
             return;
         }
-        entry.unconfirmed_until = None;
         if !checkpoint.is_empty() {
             entry.checkpoint = checkpoint.to_owned();
         }
--- a/crates/policy/tests/fleet_engine/random_faults.rs
+++ b/crates/policy/tests/fleet_engine/random_faults.rs
@@ -8,6 +8,9 @@
 
 use fastrand::Rng;
 use wasabiswitch_policy::fleet::config::FleetConfig;
+use wasabiswitch_policy::fleet::ownership::{
+    OWNER_LEASE, OWNER_LEASE_MARGIN, OWNER_UNRESPONSIVE_AFTER,
+};
 use wasabiswitch_policy::fleet::state::{Phase, PoolSettings};
 use wasabiswitch_standin::fleet::single_queue_config;
 
@@ -219,6 +222,60 @@
     check_histories(&seeds, run_history_of_config_changes, |phase| phase == Phase::Done);
 }
 
+/// Seeds of the histories with overlapping owners.
+const OVERLAP_SEEDS: Range<u64> = 4_000..4_040;
+/// Maximum time for which an owner acts after it has been replaced.
+const OVERLAP_MAX: Duration =
+    OWNER_LEASE.saturating_add(OWNER_LEASE_MARGIN).saturating_sub(OWNER_UNRESPONSIVE_AFTER);
+
+/// Runs a history in which owners are replaced while they act, workers are cut off from the newest owner or restart, and the
+/// pool of the queue changes.
+fn run_history_of_overlapping_owners(seed: u64) -> Simulation {
+    let mut choices = Rng::with_seed(seed ^ 0x0b3a);
+    let faults = Faults { lost_acks: choices.f64() * 0.1, ..Faults::default() };
+    let worker_count = POOLS.len() * WORKERS_PER_POOL;
+    let entries = (0..worker_count)
+        .map(|number| worker_entry(&format!("w{number}"), POOLS[number % POOLS.len()]))
+        .collect();
+    let config = |version: u64, pool: &str| {
+        let mut config = single_queue_config("spare", 0);
+        config.version = version;
+        config.pools.extend(POOLS.map(|pool| (pool.into(), PoolSettings::default())));
+        config.routes[0].queue_settings.pool = pool.into();
+        config
+    };
+    let mut sim = Simulation::with_workers(config(1, POOLS[0]), entries, faults, seed);
+    for round in 0..30 {
+        let work = step(choices.u32(1..6), choices.u64(50..3_000));
+        sim.submit(submission(&format!("job-{round}"), vec![work]));
+        let worker = format!("w{}", choices.usize(0..worker_count));
+        let until = sim.now + Duration::from_millis(choices.u64(100..9_000));
+        match choices.u8(0..8) {
+            0 | 1 => {
+                sim.unreachable_for_newest.insert(worker.as_str().into(), until);
+                sim.take_over_with_overlap(
+                    OVERLAP_MAX.mul_f64(choices.f64()),
+                    sim.now + OVERLAP_MAX,
+                );
+            }
+            2 => drop(sim.partitioned.insert(worker.as_str().into(), until)),
+            3 => sim.crash(&worker),
+            4 => sim.apply_config(config(2 + round, POOLS[choices.usize(0..POOLS.len())])),
+            _ => {}
+        }
+        sim.run(Duration::from_millis(choices.u64(50..900)));
+    }
+    sim.faults = Faults::default();
+    sim.run(Duration::from_secs(60));
+    sim
+}
+
+#[test]
+fn overlapping_owners_with_changes_of_the_pool_break_no_rule_and_lose_no_job() {
+    let seeds = seeds(&[], OVERLAP_SEEDS);
+    check_histories(&seeds, run_history_of_overlapping_owners, |phase| phase == Phase::Done);
+}
+
 #[test]
 fn checker_detects_duplicate_starts_of_a_new_owner() {
     let mut sim = Simulation::new(2, 0, Faults::default(), 7);
--- a/crates/policy/tests/fleet_engine/successor.rs
+++ b/crates/policy/tests/fleet_engine/successor.rs
@@ -244,3 +244,30 @@
     assert_eq!(sim.engine.take_unused_start_pools(&[], 10), ["gone".into()]);
     assert_eq!(sim.engine.take_unused_start_pools(&[], 10), []);
 }
+
+// Guards against a second run of a task on which an old end of the same task, reported late, casts no doubt any more.
+#[test]
+fn late_report_of_an_earlier_attempt_does_not_release_a_task_that_may_be_running() {
+    let entries = (0..3).map(|number| worker_entry(&format!("w{number}"), "p")).collect();
+    let config = single_queue_config("spare", 0);
+    let mut sim = Simulation::with_workers(config, entries, Faults::default(), 1);
+    sim.submit(submission("a", vec![long_running_step()]));
+    sim.run(SECOND);
+    let first = sim.starts[0].1.clone();
+    // The run on the first worker lapses there unseen, and the owner starts the task on a second one.
+    sim.partitioned.insert(first.clone(), sim.now + 8 * SECOND);
+    sim.run(7 * SECOND);
+    assert_eq!(sim.starts.len(), 2);
+    let second = sim.starts[1].1.clone();
+    sim.partitioned.insert(second, sim.now + 60 * SECOND);
+    sim.take_over();
+    sim.run(2 * SECOND);
+    assert_eq!(
+        sim.workers[&first].last_acknowledged_end, 1,
+        "the end of the first run is reported"
+    );
+    assert_eq!(sim.violations, Vec::<String>::new());
+    assert_eq!(sim.starts.len(), 2, "the task restarts while it may be running");
+    sim.run(5 * SECOND);
+    assert_eq!(sim.starts.len(), 3, "the task does not restart after the lease");
+}
