--- a/crates/policy/tests/fleet_engine/random_faults.rs
+++ b/crates/policy/tests/fleet_engine/random_faults.rs
@@ -155,18 +155,32 @@
 
 /// Seeds of the histories with changes of the configuration.
 const CONFIG_CHANGE_SEEDS: Range<u64> = 3_000..3_040;
-/// Pools of these histories, with [`WORKERS_PER_POOL`] workers each.
+/// Pools of the histories in which the queue changes its pool.
 const POOLS: [&str; 2] = ["p", "p2"];
-/// Number of workers in each of [`POOLS`].
-const WORKERS_PER_POOL: usize = 3;
+/// Number of workers in [`POOLS`] together.
+const TWO_POOL_WORKERS: usize = 6;
 
-/// Returns a configuration with a random pool for the queue, and with a random cap for the team or without the team.
-fn random_config(version: u64, choices: &mut Rng) -> FleetConfig {
-    let cap_milli = [0, 6_000, 9_000][choices.usize(0..3)];
+/// Returns a configuration of [`POOLS`] with one of them for the queue, and with a cap for the team, zero for none.
+fn two_pool_config(version: u64, pool: &str, cap_milli: u64) -> FleetConfig {
     let mut config = single_queue_config("spare", cap_milli);
     config.version = version;
     config.pools.extend(POOLS.map(|pool| (pool.into(), PoolSettings::default())));
-    config.routes[0].queue_settings.pool = POOLS[choices.usize(0..POOLS.len())].into();
+    config.routes[0].queue_settings.pool = pool.into();
+    config
+}
+
+/// Creates a fleet with workers in both of [`POOLS`].
+fn two_pool_fleet(config: FleetConfig, faults: Faults, seed: u64) -> Simulation {
+    let entry = |number: usize| worker_entry(&format!("w{number}"), POOLS[number % POOLS.len()]);
+    let entries = (0..TWO_POOL_WORKERS).map(entry).collect();
+    Simulation::with_workers(config, entries, faults, seed)
+}
+
+/// Returns a configuration with a random pool for the queue, and with a random cap for the team or without the team.
+fn random_config(version: u64, choices: &mut Rng) -> FleetConfig {
+    let cap_milli = [0, 6_000, 9_000][choices.usize(0..3)];
+    let pool = POOLS[choices.usize(0..POOLS.len())];
+    let mut config = two_pool_config(version, pool, cap_milli);
     if choices.u8(0..6) == 0 {
         config.teams.clear();
     }
@@ -183,11 +197,8 @@
         failed_tasks: 0.0,
         late_answers: choices.f64() * 0.2,
     };
-    let entries = (0..POOLS.len() * WORKERS_PER_POOL)
-        .map(|number| worker_entry(&format!("w{number}"), POOLS[number % POOLS.len()]))
-        .collect();
     let config = random_config(1, &mut choices);
-    let mut sim = Simulation::with_workers(config, entries, faults, seed);
+    let mut sim = two_pool_fleet(config, faults, seed);
     for round in 0..30 {
         let mut job = submission(
             &format!("job-{round}"),
@@ -197,7 +208,7 @@
             (job.repeats, job.period_ms) = (choices.u32(1..4), choices.u64(200..2_000));
         }
         sim.submit(job);
-        let worker = format!("w{}", choices.usize(0..POOLS.len() * WORKERS_PER_POOL));
+        let worker = format!("w{}", choices.usize(0..TWO_POOL_WORKERS));
         match choices.u8(0..8) {
             0 | 1 => sim.take_over(),
             2 => {
@@ -233,22 +244,11 @@
 fn run_history_of_overlapping_owners(seed: u64) -> Simulation {
     let mut choices = Rng::with_seed(seed ^ 0x0b3a);
     let faults = Faults { lost_acks: choices.f64() * 0.1, ..Faults::default() };
-    let worker_count = POOLS.len() * WORKERS_PER_POOL;
-    let entries = (0..worker_count)
-        .map(|number| worker_entry(&format!("w{number}"), POOLS[number % POOLS.len()]))
-        .collect();
-    let config = |version: u64, pool: &str| {
-        let mut config = single_queue_config("spare", 0);
-        config.version = version;
-        config.pools.extend(POOLS.map(|pool| (pool.into(), PoolSettings::default())));
-        config.routes[0].queue_settings.pool = pool.into();
-        config
-    };
-    let mut sim = Simulation::with_workers(config(1, POOLS[0]), entries, faults, seed);
+    let mut sim = two_pool_fleet(two_pool_config(1, POOLS[0], 0), faults, seed);
     for round in 0..30 {
         let work = step(choices.u32(1..6), choices.u64(50..3_000));
         sim.submit(submission(&format!("job-{round}"), vec![work]));
-        let worker = format!("w{}", choices.usize(0..worker_count));
+        let worker = format!("w{}", choices.usize(0..TWO_POOL_WORKERS));
         let until = sim.now + Duration::from_millis(choices.u64(100..9_000));
         match choices.u8(0..8) {
             0 | 1 => {
@@ -260,7 +260,10 @@
             }
             2 => drop(sim.partitioned.insert(worker.as_str().into(), until)),
             3 => sim.crash(&worker),
-            4 => sim.apply_config(config(2 + round, POOLS[choices.usize(0..POOLS.len())])),
+            4 => {
+                let pool = POOLS[choices.usize(0..POOLS.len())];
+                sim.apply_config(two_pool_config(2 + round, pool, 0));
+            }
             _ => {}
         }
         sim.run(Duration::from_millis(choices.u64(50..900)));
