--- a/crates/policy/tests/fleet_engine/main.rs
+++ b/crates/policy/tests/fleet_engine/main.rs
@@ -3,6 +3,7 @@
 
 mod bursts;
 mod ends_on_record;
+mod fixtures;
 mod head_of_line_blocking;
 mod hot_team;
 mod instance_service;
--- a/crates/policy/tests/fleet_engine/simulation.rs
+++ b/crates/policy/tests/fleet_engine/simulation.rs
@@ -3,99 +3,36 @@
 //! The checker is a reference implementation of the rules: at each start it looks at all workers, and it
 //! does not use leases, fences or attempt numbers.
 
+mod checks;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use crate::instance_service::InstanceService;
 use fastrand::Rng;
+use wasabiswitch_policy::fleet::Engine;
 use wasabiswitch_policy::fleet::config::FleetConfig;
-use wasabiswitch_policy::fleet::maintenance::{Instance, InstanceState};
+use wasabiswitch_policy::fleet::maintenance::Instance;
 use wasabiswitch_policy::fleet::outcomes::StartOutcome;
 use wasabiswitch_policy::fleet::plan::Order;
 use wasabiswitch_policy::fleet::progress::{JobRow, ProgressRow};
 use wasabiswitch_policy::fleet::reports::{ReportTiming, RunEnd, WorkerReport};
-use wasabiswitch_policy::fleet::spec::{ResourceVector, Step, Submission};
+use wasabiswitch_policy::fleet::spec::{Step, Submission};
 use wasabiswitch_policy::fleet::start_pools::StartPoolsRow;
-use wasabiswitch_policy::fleet::state::{QueueSettings, TaskName, TaskRef, WorkerEntry, WorkerKey};
-use wasabiswitch_policy::fleet::{Engine, Limits};
+use wasabiswitch_policy::fleet::state::{TaskName, TaskRef, WorkerEntry, WorkerKey};
 use wasabiswitch_policy::ids::{InstanceId, JobId};
 use wasabiswitch_standin::fleet::single_queue_config;
-use wasabiswitch_standin::fleet_worker::{FakeRun, FakeStart, FakeWorker};
+use wasabiswitch_standin::fleet_worker::{FakeStart, FakeWorker};
+
+use self::checks::cap_milli;
+pub use crate::fixtures::{instance, limits, queue_settings, step, submission, worker_entry};
+use crate::instance_service::InstanceService;
 
 /// Length of one simulation step.
 pub const TICK: Duration = Duration::from_millis(10);
 
-/// Maximum number of a worker's events that are printed with a violation.
-const WORKER_EVENTS_MAX: usize = 40;
-
 /// Time after which the sender of an order stops waiting for the answer.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// Returns the limits that the users' platform specifies.
-pub fn limits() -> Limits {
-    Limits {
-        status_retention: Duration::from_secs(120),
-        move_time: Duration::from_millis(1_500),
-        maintenance_time: Duration::from_secs(2),
-        instance_calls_per_s: 64,
-    }
-}
-
-/// Returns the settings of the queue `q`, whose tasks run in the pool `p`.
-pub fn queue_settings() -> QueueSettings {
-    single_queue_config("spare", 0).routes.remove(0).queue_settings
-}
-
-/// Returns a step of `count` tasks, each using one core.
-pub fn step(count: u32, estimate_ms: u64) -> Step {
-    let resources = ResourceVector { cpu_milli: 1_000, memory_mib: 100, accelerators: 0 };
-    Step { count, resources, estimate_ms, ..Step::default() }
-}
-
-/// Returns a job of the team `t` in the queue `q`.
-pub fn submission(job: &str, steps: Vec<Step>) -> Submission {
-    Submission {
-        job: job.into(),
-        queue: "q".into(),
-        team: "t".into(),
-        spec: String::new(),
-        steps,
-        repeats: 0,
-        first_unix_ms: 0,
-        period_ms: 0,
-    }
-}
-
-/// Returns the directory entry of a worker with four cores.
-pub fn worker_entry(id: &str, pool: &str) -> WorkerEntry {
-    WorkerEntry {
-        id: id.into(),
-        address: "127.0.0.1:1".into(),
-        pool: pool.into(),
-        data_centre: "dc".into(),
-        draining: false,
-        capacity: ResourceVector { cpu_milli: 4_000, memory_mib: 10_000, accelerators: 0 },
-        labels: vec!["a".into(), format!("r1-{id}")],
-        rack: format!("r1-{id}").into(),
-        incarnation: 1,
-    }
-}
-
-/// Returns an instance that is up and runs a worker.
-pub fn instance(worker: &str, pool: &str) -> Instance {
-    Instance {
-        pool: pool.into(),
-        state: InstanceState::Up,
-        worker: Some(worker.into()),
-        labels: Vec::new(),
-    }
-}
-
-/// Returns the cap of the team `t`, zero for none.
-fn cap_milli(config: &FleetConfig) -> u64 {
-    config.teams.get("t").map_or(0, |(_, cap)| cap.cpu_milli)
-}
-
 /// An order in flight to a worker.
 struct Delivery {
     sent: Instant,
@@ -436,28 +373,6 @@
         }
     }
 
-    fn trace_task(&mut self, task: &TaskName, event: String) {
-        let at_ms = self.now.saturating_duration_since(self.origin).as_millis();
-        self.trace.entry(task.clone()).or_default().push(format!("{at_ms} ms: {event}"));
-    }
-
-    fn trace_worker(&mut self, worker: &InstanceId, event: String) {
-        let at_ms = self.now.saturating_duration_since(self.origin).as_millis();
-        let account = self.engine.worker_key(worker).map(|key| {
-            let worker = &self.engine.workers[key];
-            format!("{}, {}", worker.describe_load(), self.engine.is_usable(worker, self.now))
-        });
-        let account = account.unwrap_or_default();
-        let events = self.worker_trace.entry(worker.clone()).or_default();
-        events.push(format!("{at_ms} ms: {event}; account: {account}"));
-    }
-
-    /// Returns the last events of a worker.
-    fn recent_worker_events(&self, worker: &InstanceId) -> &[String] {
-        let events = self.worker_trace.get(worker).map_or(&[][..], Vec::as_slice);
-        &events[events.len().saturating_sub(WORKER_EVENTS_MAX)..]
-    }
-
     /// Records the tasks whose successful ends have numbers up to `acknowledged`.
     fn record_acknowledged(&mut self, id: &InstanceId, acknowledged: u64) {
         let ends = self.workers[id].ends.iter();
@@ -690,50 +605,4 @@
         }
         outcome
     }
-
-    /// Returns the highest cap by which an order that arrives now may have been sent; zero for no cap.
-    fn highest_cap_milli(&self) -> u64 {
-        let in_flight = |at: Instant| self.now.saturating_duration_since(at) <= ORDER_TIMEOUT;
-        let replaced =
-            self.replaced_caps.iter().filter(|(at, _)| in_flight(*at)).map(|(_, cap)| *cap);
-        let caps: Vec<u64> = replaced.chain([cap_milli(&self.config)]).collect();
-        if caps.contains(&0) { 0 } else { caps.into_iter().max().unwrap_or(0) }
-    }
-
-    fn check_start(&mut self, id: &InstanceId, start: &FakeStart, step: &Step, late: bool) {
-        let name = &start.task;
-        let running = self.workers.values().flat_map(|worker| &worker.runs);
-        let counted =
-            |run: &&FakeRun| !self.exempt_starts.contains(&(run.task.clone(), run.attempt));
-        let same = running.clone().filter(|run| run.task == *name).filter(counted).count();
-        if same > 1 && !step.speculative {
-            let history = &self.trace[name];
-            self.violations.push(format!("{name:?} runs {same} times at once: {history:#?}"));
-        }
-        // The platform does not count a start that is delivered late: a new incarnation of a worker, for example,
-        // executes the start because the incarnation has neither the barrier nor the clock of the previous one.
-        if self.acknowledged_done.contains(name) && !late {
-            let history = &self.trace[name];
-            self.violations
-                .push(format!("{name:?} starts after its end was acknowledged: {history:#?}"));
-        }
-        let amount_milli = |task: &TaskName| {
-            let steps = &self.stored_jobs[&task.job].0.submission.steps;
-            steps[task.step as usize].resources.cpu_milli
-        };
-        let on_worker: u64 = self.workers[id].runs.iter().map(|run| amount_milli(&run.task)).sum();
-        let capacity = self.workers[id].entry.capacity.cpu_milli;
-        if on_worker > capacity {
-            let history = self.recent_worker_events(id);
-            self.violations
-                .push(format!("{id} runs {on_worker} millicores of {capacity}: {history:#?}"));
-        }
-        let used: u64 = running.map(|run| amount_milli(&run.task)).sum();
-        let cap = self.highest_cap_milli();
-        // The platform allows a tenth and one task above the cap, for starts that are delivered late.
-        let allowed = cap + cap / 10 + step.resources.cpu_milli;
-        if cap > 0 && used > allowed {
-            self.violations.push(format!("the team runs {used} millicores of {cap}"));
-        }
-    }
 }
