--- a/crates/plugins/src/fleet/workers.rs
+++ b/crates/plugins/src/fleet/workers.rs
@@ -71,10 +71,16 @@
     });
     let Some(order) = order.flatten() else { return NextPoll::Never };
     let Some(order) = order else { return NextPoll::After(REPORT_RETRY_DELAY) };
+    let renewed_until_ms = order.until_ms;
     let reply = (port(kernel).hold)(order).await;
     let timing = ReportTiming { sent: now, received: kernel.clock.now() };
     let mut events = Vec::new();
     let applied = with_term(kernel, fence, |term| {
+        if let (Ok(WorkerReply::Done(report)), Some(worker)) =
+            (&reply, term.engine.workers.get(key))
+        {
+            log_restart(worker, report, renewed_until_ms);
+        }
         let may_be_applied =
             reply.as_ref().err().is_none_or(|error| error.verdict != Verdict::NotRun);
         term.engine.end_renewal(key, may_be_applied);
@@ -95,6 +101,22 @@
     NextPoll::After(pause)
 }
 
+/// Logs that a worker has restarted, with the time to which the request for its report renewed its leases: a time on the
+/// clock of the previous incarnation.
+fn log_restart(worker: &Worker, report: &WorkerReport, renewed_until_ms: Option<u64>) {
+    if worker.incarnation == 0 || worker.incarnation == report.incarnation {
+        return;
+    }
+    log::info!(
+        "worker has restarted worker={} incarnation={} before={} clock_ms={} renewed_until_ms={}",
+        worker.entry.id,
+        report.incarnation,
+        worker.incarnation,
+        report.clock_ms,
+        renewed_until_ms.unwrap_or(0)
+    );
+}
+
 /// Requests a report at once, in addition to the regular request, which waits for the next end of a task.
 ///
 /// Only a report that is requested after an unanswered order shows whether the order took effect.
