Bound leases by orders for the previous incarnation of a worker

Callers saw a task run twice at once, on a worker that had restarted under its id and was cut off soon after, and on the worker where the same owner started it again.

Cause: the end of a lease is a time on the worker's clock, computed from the clock of the incarnation that the owner knows. A restarted worker keeps its id, so it takes the renewals and starts that were computed for its previous incarnation. Its clock starts anywhere; where the time lies far ahead on it, the lease lasts until the platform's longest one (10 s) is over, and the owner expects 4.6 s.

Fix: the owner keeps what may still reach another incarnation (the renewal in flight, renewals and starts without an answer), and when a report shows a new incarnation it extends the bound on its leases by them: to the order's time on the new clock, or to the longest lease after the order has arrived, whichever is earlier. An answered renewal counts on the clock of the incarnation that answered. The longest lease is a setting (lease_max_ms), which the template takes from the platform's bounds.

--- a/crates/kernel/src/settings.rs
+++ b/crates/kernel/src/settings.rs
@@ -280,6 +280,7 @@
         processor_milli: processor_milli(fields),
         limits: Limits {
             status_retention: seconds(fields, "status_kept_s", 120.0),
+            lease_max: fields.millis("lease_max_ms").unwrap_or(Duration::from_secs(10)),
             move_time: seconds(fields, "move_s", 1.5),
             maintenance_time: seconds(fields, "upkeep_s", 2.0),
             instance_calls_per_s: fields.decimal("instance_calls_per_s").unwrap_or(64.0) as u32,
--- a/crates/plugins/src/fleet/workers.rs
+++ b/crates/plugins/src/fleet/workers.rs
@@ -16,7 +16,7 @@
 use wasabiswitch_policy::fleet::outcomes::StartOutcome;
 use wasabiswitch_policy::fleet::ownership::may_act;
 use wasabiswitch_policy::fleet::plan::Order;
-use wasabiswitch_policy::fleet::reports::{JobEvent, ReportTiming, WorkerReport};
+use wasabiswitch_policy::fleet::reports::{JobEvent, OrderOutcome, ReportTiming, WorkerReport};
 use wasabiswitch_policy::fleet::state::{TaskName, TaskRef, Worker, WorkerKey};
 
 use super::term::with_term;
@@ -81,9 +81,12 @@
         {
             log_restart(worker, report, renewed_until_ms);
         }
-        let may_be_applied =
-            reply.as_ref().err().is_none_or(|error| error.verdict != Verdict::NotRun);
-        term.engine.end_renewal(key, may_be_applied);
+        let outcome = match &reply {
+            Ok(WorkerReply::Done(report)) => OrderOutcome::Answered(report.clock_ms),
+            Err(error) if error.verdict == Verdict::NotRun => OrderOutcome::NotDelivered,
+            _ => OrderOutcome::Unknown,
+        };
+        term.engine.end_renewal(key, outcome, timing.received);
         let applied = apply_reply(&mut term.engine, key, timing, reply, &mut events);
         (applied, term.pressure.report_interval())
     });
--- a/crates/policy/src/fleet/lease.rs
+++ b/crates/policy/src/fleet/lease.rs
@@ -3,6 +3,9 @@
 //! A worker measures leases on its own clock, which may be slow. The owner knows that clock only from
 //! samples, so it bounds the end of a lease from above: a sample was taken before its answer arrived, and
 //! from then on the worker's clock runs at least [`WORKER_CLOCK_RATE_MIN`] times as fast as the owner's.
+//!
+//! The clock of each incarnation starts anywhere. A worker that restarts keeps its id, so it also carries out orders
+//! that were computed for the clock of its previous incarnation ([`LeaseOrder`]).
 
 use std::time::{Duration, Instant};
 
@@ -53,6 +56,34 @@
     }
 }
 
+/// An order that extends the leases on a worker to a time on the clock of one incarnation.
+#[derives(value)]
+pub struct LeaseOrder {
+    /// Time to which the order extends leases, in milliseconds of that clock.
+    pub until_ms: u64,
+    /// Time by which the order has arrived, if it arrives at all.
+    pub arrives_by: Instant,
+}
+
+impl LeaseOrder {
+    /// Returns an order whose effects on another incarnation end no earlier than those of both orders.
+    pub fn merged(self, other: LeaseOrder) -> LeaseOrder {
+        LeaseOrder {
+            until_ms: self.until_ms.max(other.until_ms),
+            arrives_by: self.arrives_by.max(other.arrives_by),
+        }
+    }
+
+    /// Returns a time by which leases have expired that the order extends on an incarnation with the given clock.
+    ///
+    /// The incarnation need not be the one that the order was computed for. Where the order's time lies far ahead on its
+    /// clock, the lease ends `lease_max` after the order has arrived.
+    pub fn leases_expire_by(&self, clock: &ClockSample, lease_max: Duration) -> Instant {
+        let longest = lease_max.div_f64(WORKER_CLOCK_RATE_MIN);
+        clock.latest_time_of(self.until_ms).min(self.arrives_by + longest)
+    }
+}
+
 /// Returns the longest time, on the owner's clock, for which a lease just renewed by another owner is valid.
 pub fn lease_bound() -> Duration {
     TASK_LEASE.max(START_VALIDITY).div_f64(WORKER_CLOCK_RATE_MIN)
--- a/crates/policy/src/fleet/outcomes.rs
+++ b/crates/policy/src/fleet/outcomes.rs
@@ -1,9 +1,11 @@
 //! Processing of the outcomes of starts and stops, lost answers included.
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use wasabiswitch_derive::derives;
 
+use super::lease::LeaseOrder;
 use super::reports::JobEvent;
 use super::state::{Engine, Orphan, RunState, TaskName, TaskRef, WorkerKey};
 
@@ -95,12 +97,19 @@
         key: WorkerKey,
         name: &TaskName,
         attempt: u32,
+        until_ms: u64,
         now: Instant,
     ) {
-        if let Some(worker) = self.workers.get_mut(key) {
-            worker.starts_in_doubt.retain(|_, until| *until > now);
-            worker.starts_in_doubt.insert((name.clone(), attempt), now + DELIVERY_DELAY_MAX);
+        let Some(worker) = self.workers.get_mut(key) else { return };
+        let (open, arrived) = std::mem::take(&mut worker.starts_in_doubt)
+            .into_iter()
+            .partition(|(_, order)| order.arrives_by > now);
+        worker.starts_in_doubt = open;
+        for order in BTreeMap::into_values(arrived) {
+            worker.record_unanswered(order);
         }
+        let order = LeaseOrder { until_ms, arrives_by: now + DELIVERY_DELAY_MAX };
+        worker.starts_in_doubt.insert((name.clone(), attempt), order);
     }
 
     /// Records that a start has been answered.
--- a/crates/policy/src/fleet/plan.rs
+++ b/crates/policy/src/fleet/plan.rs
@@ -413,7 +413,7 @@
         self.record_renewal(worker, until_ms);
         self.add_run(task, new_run(worker, attempt, now, clock.latest_time_of(until_ms)));
         let load = self.workers[worker].describe_load();
-        self.record_start_in_doubt(worker, &name, attempt, now);
+        self.record_start_in_doubt(worker, &name, attempt, until_ms, now);
         let detail = format!("{}, {load}", self.describe(worker, &task, attempt));
         events.push(JobEvent { job: name.job.clone(), kind: "start", detail });
         let job = &mut self.jobs[task.job];
--- a/crates/policy/src/fleet/reports.rs
+++ b/crates/policy/src/fleet/reports.rs
@@ -6,10 +6,11 @@
 
 use wasabiswitch_derive::derives;
 
-use super::lease::{ClockSample, TASK_LEASE, lease_bound};
+use super::lease::{ClockSample, LeaseOrder, TASK_LEASE, lease_bound};
 use super::outcomes::DELIVERY_DELAY_MAX;
 use super::placement::UNRESPONSIVE_AFTER;
 use super::state::{Engine, Orphan, Phase, Run, RunState, TaskName, TaskRef, WorkerKey};
+use super::worker::Renewal;
 use crate::ids::{BootId, InstanceId, JobId};
 
 /// Maximum number of ended runs in one report; a report with fewer lists all of them.
@@ -24,11 +25,11 @@
 /// Returns the barriers for a new incarnation of a worker: stops that it has to acknowledge, so that no start
 /// whose answer was lost takes effect there.
 fn barrier_stops(
-    starts_in_doubt: &BTreeMap<(TaskName, u32), Instant>,
+    starts_in_doubt: &BTreeMap<(TaskName, u32), LeaseOrder>,
     now: Instant,
 ) -> BTreeMap<(TaskName, u32), Orphan> {
-    let open = starts_in_doubt.iter().filter(|(_, until)| **until > now);
-    open.map(|(run, until)| (run.clone(), Orphan::barrier(*until))).collect()
+    let open = starts_in_doubt.iter().filter(|(_, order)| order.arrives_by > now);
+    open.map(|(run, order)| (run.clone(), Orphan::barrier(order.arrives_by))).collect()
 }
 
 /// Time after which a start without a known bound expires; an acknowledged stop ends such a run long before.
@@ -103,6 +104,17 @@
     pub received: Instant,
 }
 
+/// Outcome of an order that extends leases.
+#[derives(value)]
+pub enum OrderOutcome {
+    /// An incarnation of the worker carried the order out; the answer has a reading of its clock, in milliseconds.
+    Answered(u64),
+    /// The order was certainly not carried out, and will not be.
+    NotDelivered,
+    /// The order may have been carried out, or may still be.
+    Unknown,
+}
+
 /// An event of a job, for the log and the metrics.
 #[derives(record)]
 pub struct JobEvent {
@@ -123,10 +135,12 @@
         report: &WorkerReport,
         events: &mut Vec<JobEvent>,
     ) -> bool {
+        let lease_max = self.limits.lease_max;
         let Some(worker) = self.workers.get_mut(key) else { return false };
         if worker.is_overtaken(timing.sent, report) {
             return false;
         }
+        let clock = ClockSample { clock_ms: report.clock_ms, received: timing.received };
         if worker.incarnation != report.incarnation {
             let known = worker.incarnation != 0;
             let barriers = barrier_stops(&worker.starts_in_doubt, timing.received);
@@ -136,6 +150,7 @@
             worker.orphans = barriers.clone();
             worker.consecutive_failures = 0;
             if known {
+                worker.cover_orders_for_previous_incarnation(&clock, lease_max);
                 self.report_barriers(key, &barriers, events);
                 self.drop_runs_of_previous_incarnation(key, timing, events);
                 self.block_until_barriers(&barriers, timing.received);
@@ -146,7 +161,7 @@
             // An earlier owner may have renewed the leases on this worker until just now.
             worker.leases_expire_at = worker.leases_expire_at.max(timing.received + lease_bound());
         }
-        worker.clock = Some(ClockSample { clock_ms: report.clock_ms, received: timing.received });
+        worker.clock = Some(clock);
         worker.last_contact = worker.last_contact.max(Some(timing.sent));
         worker.gauges_updated = true;
         worker.report_missed_at = worker.report_missed_at.filter(|at| *at > timing.sent);
@@ -186,7 +201,10 @@
             return None;
         }
         let until_ms = clock.until(now, TASK_LEASE);
-        worker.leases_expire_at_if_renewed = Some(clock.latest_time_of(until_ms));
+        worker.renewal = Some(Renewal {
+            order: LeaseOrder { until_ms, arrives_by: now + DELIVERY_DELAY_MAX },
+            leases_expire_at: clock.latest_time_of(until_ms),
+        });
         Some(until_ms)
     }
 
@@ -197,12 +215,15 @@
         }
     }
 
-    /// Ends the renewal in flight; `may_be_applied` tells whether the worker may have applied it.
-    pub fn end_renewal(&mut self, key: WorkerKey, may_be_applied: bool) {
+    /// Ends the renewal in flight, before the report that answers it is applied.
+    pub fn end_renewal(&mut self, key: WorkerKey, outcome: OrderOutcome, now: Instant) {
+        let lease_max = self.limits.lease_max;
         let Some(worker) = self.workers.get_mut(key) else { return };
-        if let Some(expiry) = worker.leases_expire_at_if_renewed.take().filter(|_| may_be_applied) {
-            worker.leases_expire_at = worker.leases_expire_at.max(expiry);
+        let Some(renewal) = worker.renewal.take() else { return };
+        if outcome != OrderOutcome::NotDelivered {
+            worker.leases_expire_at = worker.leases_expire_at.max(renewal.leases_expire_at);
         }
+        worker.apply_order_outcome(renewal.order, outcome, lease_max, now);
     }
 
     fn apply_running(
--- a/crates/policy/src/fleet/settings.rs
+++ b/crates/policy/src/fleet/settings.rs
@@ -12,6 +12,8 @@
 pub struct Limits {
     /// Time for which the status of a job stays readable after its end.
     pub status_retention: Duration,
+    /// Longest lease that a worker grants; it shortens a longer one.
+    pub lease_max: Duration,
     /// Time that the move of an instance to another pool takes.
     pub move_time: Duration,
     /// Time that the maintenance of an instance takes.
--- a/crates/policy/src/fleet/worker.rs
+++ b/crates/policy/src/fleet/worker.rs
@@ -1,13 +1,13 @@
 //! Workers: their entries in the platform's directory, their runs and their leases.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use wasabiswitch_derive::derives;
 
 use super::job::{TaskName, TaskRef};
-use super::lease::ClockSample;
-use super::reports::WorkerReport;
+use super::lease::{ClockSample, LeaseOrder};
+use super::reports::{OrderOutcome, WorkerReport};
 use super::spec::ResourceVector;
 use super::state::JobKey;
 use crate::ids::{BootId, DataCentre, FailureDomain, InstanceId, PoolId};
@@ -83,6 +83,15 @@
     }
 }
 
+/// A request for a report, still unanswered, that renews the leases on a worker.
+#[derives(value)]
+pub struct Renewal {
+    /// The renewal as an order, which may still be delivered after its request has failed.
+    pub order: LeaseOrder,
+    /// Time by which the leases have expired if the incarnation for which it was computed applies the renewal.
+    pub leases_expire_at: Instant,
+}
+
 /// State of a worker as the owner knows it.
 #[derives(record)]
 pub struct Worker {
@@ -98,8 +107,10 @@
     pub clock: Option<ClockSample>,
     /// Time by which the leases of all runs on the worker have expired unless they are renewed.
     pub leases_expire_at: Instant,
-    /// Value of [`Worker::leases_expire_at`] if the renewal in flight takes effect.
-    pub leases_expire_at_if_renewed: Option<Instant>,
+    /// Renewal in flight.
+    pub renewal: Option<Renewal>,
+    /// Renewals and starts without an answer that may still reach another incarnation, merged into one order.
+    pub unanswered_order: Option<LeaseOrder>,
     /// Time at which the last call that the worker answered was sent; `None` before the first answer.
     pub last_contact: Option<Instant>,
     /// Number of the last end of a run that was processed.
@@ -118,8 +129,8 @@
     pub reserved: ResourceVector,
     /// Runs to stop although the engine does not track them, and barriers, by task and attempt.
     pub orphans: BTreeMap<(TaskName, u32), Orphan>,
-    /// Starts that are not answered yet or got no answer, with the time until which they may still be delivered.
-    pub starts_in_doubt: BTreeMap<(TaskName, u32), Instant>,
+    /// Starts that are not answered yet or got no answer and may still be delivered.
+    pub starts_in_doubt: BTreeMap<(TaskName, u32), LeaseOrder>,
     /// Number of failed runs since the last success.
     pub consecutive_failures: u32,
     /// Time until which the worker gets no new tasks, after consecutive failures or a refused start.
@@ -196,8 +207,52 @@
 
     /// Returns whether the leases of all runs on the worker have expired, renewals in flight included.
     pub fn leases_expired(&self, now: Instant) -> bool {
-        self.leases_expire_at.max(self.leases_expire_at_if_renewed.unwrap_or(self.leases_expire_at))
-            <= now
+        let renewed =
+            self.renewal.map_or(self.leases_expire_at, |renewal| renewal.leases_expire_at);
+        self.leases_expire_at.max(renewed) <= now
+    }
+
+    /// Records that an order may still reach another incarnation than the one for which it was computed.
+    pub fn record_unanswered(&mut self, order: LeaseOrder) {
+        let merged = self.unanswered_order.map_or(order, |earlier| earlier.merged(order));
+        self.unanswered_order = Some(merged);
+    }
+
+    /// Extends the bound on the leases by an order whose outcome has just become known.
+    ///
+    /// The clock in an answer is that of the incarnation that carried the order out, which need not be the one that the
+    /// owner knows.
+    pub fn apply_order_outcome(
+        &mut self,
+        order: LeaseOrder,
+        outcome: OrderOutcome,
+        lease_max: Duration,
+        now: Instant,
+    ) {
+        match outcome {
+            OrderOutcome::Answered(clock_ms) => {
+                let clock = ClockSample { clock_ms, received: now };
+                let order = LeaseOrder { arrives_by: now, ..order };
+                let expiry = order.leases_expire_by(&clock, lease_max);
+                self.leases_expire_at = self.leases_expire_at.max(expiry);
+            }
+            OrderOutcome::NotDelivered => {}
+            OrderOutcome::Unknown => self.record_unanswered(order),
+        }
+    }
+
+    /// Extends the bound on the leases by the orders for the previous incarnation that the current one, with the given
+    /// clock, may have carried out or may still carry out.
+    pub fn cover_orders_for_previous_incarnation(
+        &mut self,
+        clock: &ClockSample,
+        lease_max: Duration,
+    ) {
+        let renewal = self.renewal.map(|renewal| renewal.order);
+        let orders = self.starts_in_doubt.values().copied().chain(renewal);
+        let expiries = orders.chain(self.unanswered_order);
+        let expiries = expiries.map(|order| order.leases_expire_by(clock, lease_max));
+        self.leases_expire_at = expiries.fold(self.leases_expire_at, Instant::max);
     }
 
     /// Describes for the log what the known runs take of the capacity, and how many runs are not in this account.
--- a/crates/policy/tests/end_model/world.rs
+++ b/crates/policy/tests/end_model/world.rs
@@ -11,14 +11,14 @@
 use wasabiswitch_policy::fleet::outcomes::StartOutcome;
 use wasabiswitch_policy::fleet::plan::Order;
 use wasabiswitch_policy::fleet::progress::{JobRow, ProgressChanges, ProgressRow};
-use wasabiswitch_policy::fleet::reports::{ReportTiming, RunEnd, WorkerReport};
+use wasabiswitch_policy::fleet::reports::{OrderOutcome, ReportTiming, RunEnd, WorkerReport};
 use wasabiswitch_policy::fleet::spec::{ResourceVector, Step, Submission};
 use wasabiswitch_policy::fleet::state::{WorkerEntry, WorkerKey};
 use wasabiswitch_policy::fleet::unconfirmed::UnlistedWorkers;
 use wasabiswitch_policy::fleet::{Engine, Limits};
 use wasabiswitch_policy::ids::InstanceId;
 use wasabiswitch_standin::fleet::single_queue_config;
-use wasabiswitch_standin::fleet_worker::{FakeStart, FakeWorker};
+use wasabiswitch_standin::fleet_worker::{FakeStart, FakeWorker, LEASE_MAX};
 
 /// Length of one step of time: longer than the run of the task and than a stop.
 pub const TICK: Duration = Duration::from_millis(600);
@@ -142,6 +142,7 @@
     Limits {
         status_retention: Duration::from_secs(120),
         move_time: Duration::from_millis(1_500),
+        lease_max: LEASE_MAX,
         maintenance_time: Duration::from_secs(2),
         instance_calls_per_s: 64,
     }
@@ -411,7 +412,13 @@
         let fake = self.workers.get_mut(worker);
         let report = fake.and_then(|fake| fake.hold(fence, acknowledged, until_ms, self.now));
         let engine = &mut self.owners[number].engine;
-        engine.end_renewal(key, true);
+        let outcome = match &report {
+            Some(report) if delivery == Delivery::Answered => {
+                OrderOutcome::Answered(report.clock_ms)
+            }
+            _ => OrderOutcome::Unknown,
+        };
+        engine.end_renewal(key, outcome, self.now);
         match (report, delivery) {
             (Some(report), Delivery::Answered) => self.apply_report(number, key, self.now, &report),
             (Some(report), Delivery::Late) => {
--- a/crates/policy/tests/fleet_engine/fixtures.rs
+++ b/crates/policy/tests/fleet_engine/fixtures.rs
@@ -7,11 +7,13 @@
 use wasabiswitch_policy::fleet::spec::{ResourceVector, Step, Submission};
 use wasabiswitch_policy::fleet::state::{QueueSettings, WorkerEntry};
 use wasabiswitch_standin::fleet::single_queue_config;
+use wasabiswitch_standin::fleet_worker::LEASE_MAX;
 
 /// Returns the limits that the users' platform specifies.
 pub fn limits() -> Limits {
     Limits {
         status_retention: Duration::from_secs(120),
+        lease_max: LEASE_MAX,
         move_time: Duration::from_millis(1_500),
         maintenance_time: Duration::from_secs(2),
         instance_calls_per_s: 64,
--- a/crates/policy/tests/fleet_engine/main.rs
+++ b/crates/policy/tests/fleet_engine/main.rs
@@ -11,6 +11,7 @@
 mod ownership;
 mod random_faults;
 mod regressions;
+mod restarted_worker;
 mod simulation;
 mod sizing;
 mod slow_store;
--- a/crates/policy/tests/fleet_engine/simulation.rs
+++ b/crates/policy/tests/fleet_engine/simulation.rs
@@ -15,7 +15,7 @@
 use wasabiswitch_policy::fleet::outcomes::StartOutcome;
 use wasabiswitch_policy::fleet::plan::Order;
 use wasabiswitch_policy::fleet::progress::{JobRow, ProgressRow};
-use wasabiswitch_policy::fleet::reports::{ReportTiming, RunEnd, WorkerReport};
+use wasabiswitch_policy::fleet::reports::{OrderOutcome, ReportTiming, RunEnd, WorkerReport};
 use wasabiswitch_policy::fleet::spec::{Step, Submission};
 use wasabiswitch_policy::fleet::start_pools::StartPoolsRow;
 use wasabiswitch_policy::fleet::state::{TaskName, TaskRef, WorkerEntry, WorkerKey};
@@ -305,7 +305,7 @@
         let until_ms = renews.then(|| self.engine.begin_renewal(key, self.now)).flatten();
         let removed = !self.workers.contains_key(&id);
         if removed || self.is_partitioned(&id, self.engine.fence) || self.disconnected.remove(&id) {
-            self.engine.end_renewal(key, false);
+            self.engine.end_renewal(key, OrderOutcome::NotDelivered, self.now);
             self.engine.record_missed_report(key, self.now);
             self.trace_worker(&id, "report not received".to_owned());
             return;
@@ -314,8 +314,13 @@
         self.record_acknowledged(&id, acknowledged);
         let worker = self.workers.get_mut(&id).expect("engines know only these workers");
         let report = worker.hold(self.engine.fence, acknowledged, until_ms, self.now);
-        self.engine.end_renewal(key, true);
-        match report.filter(|_| self.rng.f64() >= self.faults.lost_reports) {
+        let report = report.filter(|_| self.rng.f64() >= self.faults.lost_reports);
+        let outcome = match &report {
+            Some(report) => OrderOutcome::Answered(report.clock_ms),
+            None => OrderOutcome::Unknown,
+        };
+        self.engine.end_renewal(key, outcome, self.now);
+        match report {
             Some(report) => self.answer(key, AnswerContent::Report { sent: self.now, report }),
             None => {
                 self.engine.record_missed_report(key, self.now);
--- a/crates/standin/src/fleet_worker.rs
+++ b/crates/standin/src/fleet_worker.rs
@@ -12,11 +12,15 @@
 use wasabiswitch_policy::fleet::outcomes::StartOutcome;
 use wasabiswitch_policy::fleet::reports::{EndEntry, RunEnd, RunningEntry, WorkerReport};
 use wasabiswitch_policy::fleet::state::{TaskName, WorkerEntry};
+use wasabiswitch_policy::ids::BootId;
 
 /// Time that the worker takes to stop a run, the maximum that the platform states; the run occupies its resources until
 /// its end is listed.
 pub const STOP_TIME: Duration = Duration::from_millis(200);
 
+/// Longest lease that the worker grants, as the platform states it; a longer one is shortened.
+pub const LEASE_MAX: Duration = Duration::from_secs(10);
+
 /// A run of a task on the worker.
 #[derives(record)]
 pub struct FakeRun {
@@ -64,6 +68,8 @@
     /// Highest number of an ended run that the owner has acknowledged.
     pub last_acknowledged_end: u64,
     started_at: Instant,
+    // Reading of the clock at the start; the clock of each incarnation starts anywhere.
+    clock_origin_ms: u64,
     clock_rate: f64,
     fence: u64,
     // One lease covers all runs.
@@ -77,6 +83,7 @@
     /// Creates a worker that starts at `now`; its clock advances `clock_rate` seconds per second.
     pub fn new(entry: WorkerEntry, now: Instant, clock_rate: f64) -> FakeWorker {
         FakeWorker {
+            clock_origin_ms: clock_origin_ms(entry.incarnation),
             entry,
             runs: Vec::new(),
             ends: Vec::new(),
@@ -90,10 +97,16 @@
         }
     }
 
-    /// Returns the time on the worker's clock, in milliseconds since the worker started.
+    /// Returns the time on the worker's clock, in milliseconds.
     pub fn clock_ms(&self, now: Instant) -> u64 {
         let elapsed = now.saturating_duration_since(self.started_at).as_secs_f64();
-        (elapsed * self.clock_rate * 1_000.0) as u64
+        self.clock_origin_ms + (elapsed * self.clock_rate * 1_000.0) as u64
+    }
+
+    /// Extends the lease to `until_ms`, but not beyond the [longest lease](LEASE_MAX).
+    fn extend_lease(&mut self, until_ms: u64, now: Instant) {
+        let longest_ms = self.clock_ms(now) + LEASE_MAX.as_millis() as u64;
+        self.lease_until_ms = self.lease_until_ms.max(until_ms.min(longest_ms));
     }
 
     /// Restarts the worker as a new incarnation, which has lost all runs, ended runs, fences and barriers.
@@ -145,7 +158,7 @@
         if start.until_ms <= self.clock_ms(now) {
             return StartOutcome::TooLate;
         }
-        self.lease_until_ms = self.lease_until_ms.max(start.until_ms);
+        self.extend_lease(start.until_ms, now);
         let same = |run: &FakeRun| run.task == start.task && run.attempt == start.attempt;
         if self.runs.iter().any(|run| same(run) && run.stops_at.is_none()) {
             return StartOutcome::Started;
@@ -193,7 +206,7 @@
         if !self.admit(fence) {
             return None;
         }
-        self.lease_until_ms = self.lease_until_ms.max(until_ms.unwrap_or(0));
+        self.extend_lease(until_ms.unwrap_or(0), now);
         self.last_acknowledged_end = self.last_acknowledged_end.max(acknowledged);
         self.ends.retain(|end| end.number > acknowledged);
         let running = self.runs.iter().map(|run| RunningEntry {
@@ -212,6 +225,14 @@
     }
 }
 
+/// Returns the reading with which the clock of an incarnation starts: the second starts below the first, the third above
+/// the second, and so on.
+fn clock_origin_ms(incarnation: BootId) -> u64 {
+    const STEP_MS: u64 = 5_147_231;
+    const RANGE_MS: u64 = 9_000_000;
+    incarnation.wrapping_mul(STEP_MS) % RANGE_MS
+}
+
 fn percent(run: &FakeRun, now: Instant) -> u32 {
     let Some(ends_at) = run.ends_at else { return 100 };
     let total = ends_at.saturating_duration_since(run.started_at).as_secs_f64().max(0.001);
