Wait for the longest lease on workers that may have restarted before a takeover

Callers saw a task run twice at once after a takeover: on a worker that had restarted under its id shortly before and did not answer the new owner, and on the worker where the new owner started it.

An order of the predecessor, computed for another incarnation, gives a worker a lease of up to the platform's longest one (10 s). The successor does not know the predecessor's orders, and waited 4.6 s, the longest lease that they ask for: for workers without an answer, for those that it could reach once and then no more, and for unlisted ones.

Four regression tests fail there: a worker without an answer, one that answers once, one that is not listed, and one that a late renewal of the predecessor reaches after a restart.

Workers that have run for longer are waited for as before. Nothing shows when an unlisted worker started, so it gets the longest lease. What arrives late from the predecessor counts as an order that may reach a later incarnation.

A check that changed: successor_without_a_list_of_instances_waits_for_pools_that_were_removed wanted the task to start 7 s after the takeover. Its worker is not listed and may have restarted; the new test for unlisted workers shows two runs at once with that bound. It now checks both sides of the platform's bound: no start within 10 s, and a start within 11 s. The other tests are as they were.

--- a/crates/policy/src/fleet/lease.rs
+++ b/crates/policy/src/fleet/lease.rs
@@ -79,12 +79,14 @@
     /// The incarnation need not be the one that the order was computed for. Where the order's time lies far ahead on its
     /// clock, the lease ends `lease_max` after the order has arrived.
     pub fn leases_expire_by(&self, clock: &ClockSample, lease_max: Duration) -> Instant {
-        let longest = lease_max.div_f64(WORKER_CLOCK_RATE_MIN);
-        clock.latest_time_of(self.until_ms).min(self.arrives_by + longest)
+        clock.latest_time_of(self.until_ms).min(self.arrives_by + longest_time_of(lease_max))
     }
 }
 
-/// Returns the longest time, on the owner's clock, for which a lease just renewed by another owner is valid.
-pub fn lease_bound() -> Duration {
-    TASK_LEASE.max(START_VALIDITY).div_f64(WORKER_CLOCK_RATE_MIN)
+/// Maximum deviation of a time of day that a worker or a daemon reads, as the platform states it.
+pub const TIME_OF_DAY_DEVIATION_MAX: Duration = Duration::from_secs(5);
+
+/// Returns the longest time, on the owner's clock, that a duration on a worker's clock may take.
+pub fn longest_time_of(duration: Duration) -> Duration {
+    duration.div_f64(WORKER_CLOCK_RATE_MIN)
 }
--- a/crates/policy/src/fleet/reports.rs
+++ b/crates/policy/src/fleet/reports.rs
@@ -6,7 +6,7 @@
 
 use wasabiswitch_derive::derives;
 
-use super::lease::{ClockSample, LeaseOrder, TASK_LEASE, lease_bound};
+use super::lease::{ClockSample, LeaseOrder, TASK_LEASE};
 use super::outcomes::DELIVERY_DELAY_MAX;
 use super::placement::UNRESPONSIVE_AFTER;
 use super::state::{Engine, Orphan, Phase, Run, RunState, TaskName, TaskRef, WorkerKey};
@@ -135,7 +135,8 @@
         report: &WorkerReport,
         events: &mut Vec<JobEvent>,
     ) -> bool {
-        let lease_max = self.limits.lease_max;
+        let (lease_max, predecessor_order) = (self.limits.lease_max, self.predecessor_order);
+        let predecessor_lease = self.predecessor_lease(report.incarnation);
         let Some(worker) = self.workers.get_mut(key) else { return false };
         if worker.is_overtaken(timing.sent, report) {
             return false;
@@ -150,7 +151,7 @@
             worker.orphans = barriers.clone();
             worker.consecutive_failures = 0;
             if known {
-                worker.cover_orders_for_previous_incarnation(&clock, lease_max);
+                worker.cover_orders_for_previous_incarnation(predecessor_order, &clock, lease_max);
                 self.report_barriers(key, &barriers, events);
                 self.drop_runs_of_previous_incarnation(key, timing, events);
                 self.block_until_barriers(&barriers, timing.received);
@@ -159,7 +160,8 @@
         let Some(worker) = self.workers.get_mut(key) else { return false };
         if worker.last_contact.is_none() {
             // An earlier owner may have renewed the leases on this worker until just now.
-            worker.leases_expire_at = worker.leases_expire_at.max(timing.received + lease_bound());
+            let expiry = timing.received + predecessor_lease;
+            worker.leases_expire_at = worker.leases_expire_at.max(expiry);
         }
         worker.clock = Some(clock);
         worker.last_contact = worker.last_contact.max(Some(timing.sent));
--- a/crates/policy/src/fleet/start_pools.rs
+++ b/crates/policy/src/fleet/start_pools.rs
@@ -42,11 +42,6 @@
         self.submitted_to == *pool || self.persisted.contains(pool)
     }
 
-    /// Returns whether a task may have been started in one of `pools`.
-    pub fn intersects(&self, pools: &BTreeSet<PoolId>) -> bool {
-        pools.iter().any(|pool| self.is_persisted(pool))
-    }
-
     /// Returns whether the store has a row for the job.
     pub fn has_row(&self) -> bool {
         !self.persisted.is_empty()
--- a/crates/policy/src/fleet/state.rs
+++ b/crates/policy/src/fleet/state.rs
@@ -9,6 +9,7 @@
 
 use super::advice::Advice;
 pub use super::job::{Job, Occurrence, Phase, Run, RunState, StepState, Task, TaskName, TaskRef};
+use super::lease::LeaseOrder;
 use super::maintenance::{Instance, Wave, WaveNumber};
 use super::offered_load::OfferedLoad;
 use super::pressure::StartWindow;
@@ -99,6 +100,10 @@
     pub instances: BTreeMap<InstanceId, Instance>,
     /// Time at which the current list of instances was requested.
     pub(super) instances_requested: Option<Instant>,
+    /// Time of day at which this owner took the fleet over, in Unix milliseconds; zero if it is not known.
+    pub takeover_unix_ms: u64,
+    /// What an order of an earlier owner may still do to leases; `None` without an earlier owner.
+    pub(super) predecessor_order: Option<LeaseOrder>,
     /// Time by which the last call of an earlier owner to the instance service has arrived; `None` without
     /// an earlier owner.
     pub(super) predecessor_calls_settled: Option<Instant>,
@@ -142,6 +147,8 @@
             charges: Vec::new(),
             instances: BTreeMap::new(),
             instances_requested: None,
+            takeover_unix_ms: 0,
+            predecessor_order: None,
             predecessor_calls_settled: None,
             waves: BTreeMap::new(),
             pending_moves: BTreeMap::new(),
--- a/crates/policy/src/fleet/unconfirmed.rs
+++ b/crates/policy/src/fleet/unconfirmed.rs
@@ -4,15 +4,19 @@
 //! These tasks are unconfirmed, and wait until the worker's leases have expired; their teams are charged for them.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use wasabiswitch_derive::derives;
 
-use super::lease::lease_bound;
+use super::lease::{
+    LeaseOrder, START_VALIDITY, TASK_LEASE, TIME_OF_DAY_DEVIATION_MAX, longest_time_of,
+};
 use super::maintenance::{Instance, InstanceState, PREDECESSOR_CALL_TIMEOUT};
+use super::outcomes::DELIVERY_DELAY_MAX;
+use super::placement::UNRESPONSIVE_AFTER;
 use super::spec::{ResourceVector, Step};
 use super::state::{Engine, Job, Phase, WorkerKey};
-use crate::ids::{InstanceId, PoolId, TeamId};
+use crate::ids::{BootId, InstanceId, PoolId, TeamId};
 
 /// Resources that count as used by a team, since its tasks may be running on workers that cannot be reached.
 #[derives(record)]
@@ -66,8 +70,10 @@
 /// Workers on which unconfirmed tasks may be running.
 #[derives(record)]
 struct SilentWorkers {
-    /// Pools of the workers; `None` if any pool may have some.
-    pools: Option<BTreeSet<PoolId>>,
+    /// Time by which the leases on all workers have expired, by pool; `None` if any pool may have some workers.
+    pools: Option<BTreeMap<PoolId, Instant>>,
+    /// Latest of these times, also if any pool may have some workers.
+    until: Instant,
     /// Sum of their capacities; `None` if it is not known.
     capacity: Option<ResourceVector>,
 }
@@ -75,12 +81,14 @@
 impl SilentWorkers {
     /// Returns whether there are none.
     fn is_empty(&self) -> bool {
-        self.pools.as_ref().is_some_and(BTreeSet::is_empty)
+        self.pools.as_ref().is_some_and(BTreeMap::is_empty)
     }
 
-    /// Returns whether tasks of a job may be running on one of the workers.
-    fn may_run(&self, job: &Job) -> bool {
-        self.pools.as_ref().is_none_or(|pools| job.start_pools.intersects(pools))
+    /// Returns the time until which tasks of a job may be running on one of the workers, if they may at all.
+    fn may_run_until(&self, job: &Job) -> Option<Instant> {
+        let Some(pools) = &self.pools else { return Some(self.until) };
+        let of_job = pools.iter().filter(|(pool, _)| job.start_pools.is_persisted(pool));
+        of_job.map(|(_, until)| *until).max()
     }
 
     /// Returns the resources that tasks on the workers can use at once.
@@ -166,25 +174,58 @@
         if self.fence > 1 {
             self.predecessor_calls_settled =
                 Some(now.max(predecessor_deadline) + PREDECESSOR_CALL_TIMEOUT);
+            // The clock for which the predecessor computed its orders is not known here.
+            let arrives_by = predecessor_deadline + DELIVERY_DELAY_MAX;
+            self.predecessor_order = Some(LeaseOrder { until_ms: u64::MAX, arrives_by });
         }
-        let until = predecessor_deadline + lease_bound();
-        let silent = self.silent_workers(unlisted);
-        for worker in self.workers.values_mut().filter(|worker| worker.last_contact.is_none()) {
-            worker.leases_expire_at = until;
+        let unresponsive = self.workers.iter().filter(|(_, worker)| worker.last_contact.is_none());
+        let leases: Vec<(WorkerKey, Duration)> = unresponsive
+            .map(|(key, worker)| (key, self.predecessor_lease(worker.entry.incarnation)))
+            .collect();
+        for (key, lease) in leases {
+            self.workers[key].leases_expire_at = predecessor_deadline + lease;
+        }
+        let silent = self.silent_workers(unlisted, predecessor_deadline);
+        if silent.is_empty() { 0 } else { self.mark_tasks_unconfirmed(&silent) }
+    }
+
+    /// Returns the longest time, on the owner's clock, for which a lease that an earlier owner has just extended on the given
+    /// incarnation of a worker is valid.
+    ///
+    /// An order that was computed for the previous incarnation may have given it the longest lease of all. The earlier owner
+    /// sends such orders no longer than it takes the previous incarnation for responsive, and they are delivered late at
+    /// worst, so that they no longer have an effect on an incarnation that started before.
+    pub(super) fn predecessor_lease(&self, incarnation: BootId) -> Duration {
+        let longest = longest_time_of(self.limits.lease_max);
+        let effect_max = UNRESPONSIVE_AFTER + DELIVERY_DELAY_MAX + longest;
+        // Both the worker's time of day and this daemon's may deviate.
+        let effect_max = effect_max + 2 * TIME_OF_DAY_DEVIATION_MAX;
+        let settled_unix_ms = incarnation.saturating_add(effect_max.as_millis() as u64);
+        if self.fence > 1 && settled_unix_ms > self.takeover_unix_ms {
+            longest
+        } else {
+            longest_time_of(TASK_LEASE.max(START_VALIDITY))
         }
-        if silent.is_empty() { 0 } else { self.mark_tasks_unconfirmed(until, &silent) }
     }
 
     /// Returns the workers that have not answered together with the `unlisted` ones.
-    fn silent_workers(&self, unlisted: &UnlistedWorkers) -> SilentWorkers {
+    fn silent_workers(
+        &self,
+        unlisted: &UnlistedWorkers,
+        predecessor_deadline: Instant,
+    ) -> SilentWorkers {
+        // Nothing shows when an unlisted worker has started.
+        let longest = predecessor_deadline + longest_time_of(self.limits.lease_max);
         let UnlistedWorkers::InPools(unlisted) = unlisted else {
-            return SilentWorkers { pools: None, capacity: None };
+            return SilentWorkers { pools: None, until: longest, capacity: None };
         };
         let unresponsive = self.workers.values().filter(|worker| worker.last_contact.is_none());
-        let mut pools: BTreeSet<PoolId> = unlisted.keys().cloned().collect();
+        let mut pools: BTreeMap<PoolId, Instant> =
+            unlisted.keys().map(|pool| (pool.clone(), longest)).collect();
         let mut capacity = ResourceVector::default();
         for worker in unresponsive {
-            pools.insert(worker.entry.pool.clone());
+            let until = pools.entry(worker.entry.pool.clone()).or_insert(worker.leases_expire_at);
+            *until = worker.leases_expire_at.max(*until);
             capacity = capacity.plus(&worker.entry.capacity);
         }
         // The capacity of an unlisted worker is not known; without any listed worker there is nothing to compare it with.
@@ -193,7 +234,8 @@
             (Some(largest), count) => Some(capacity.plus(&largest.times(count))),
             (None, _) => None,
         };
-        SilentWorkers { pools: Some(pools), capacity }
+        let until = pools.values().copied().max().unwrap_or(predecessor_deadline);
+        SilentWorkers { pools: Some(pools), until, capacity }
     }
 
     /// Ends the charges for unconfirmed tasks whose leases have all expired.
@@ -211,18 +253,16 @@
     /// Marks as unconfirmed the unfinished tasks that may be running on `silent` workers, and charges their teams for
     /// them.
     ///
-    /// Such a worker may run any of these tasks until `until`, so they are not started before; all other tasks proceed.
-    /// Each team is charged for its own tasks, but for no more than the capacity of the workers and its fillers.
-    fn mark_tasks_unconfirmed(&mut self, until: Instant, silent: &SilentWorkers) -> usize {
+    /// Such a worker may run any of these tasks until its leases have expired, so they are not started before; all other
+    /// tasks proceed. Each team is charged for its own tasks, but for no more than the capacity of the workers and its fillers.
+    fn mark_tasks_unconfirmed(&mut self, silent: &SilentWorkers) -> usize {
         let mut unconfirmed = 0;
         let mut charges: BTreeMap<TeamId, TaskSum> = BTreeMap::new();
         for key in self.live.union(&self.retiring) {
             // Runs of a job that was ended early may still be stopping; a completed job has none.
             let open = |job: &&mut Job| job.phase != Phase::Done;
             let Some(job) = self.jobs.get_mut(*key).filter(open) else { continue };
-            if !silent.may_run(job) {
-                continue;
-            }
+            let Some(until) = silent.may_run_until(job) else { continue };
             let submission = job.submission.clone();
             let charge = charges.entry(submission.team.clone()).or_default();
             let steps = job
@@ -242,7 +282,7 @@
         for (team, tasks) in charges {
             let resources = silent.limit(&tasks);
             self.charge(&team, &resources);
-            self.charges.push(UnconfirmedCharge { team, resources, until });
+            self.charges.push(UnconfirmedCharge { team, resources, until: silent.until });
         }
         unconfirmed
     }
--- a/crates/policy/src/fleet/worker.rs
+++ b/crates/policy/src/fleet/worker.rs
@@ -31,7 +31,7 @@
     pub labels: Vec<String>,
     /// Rack of the worker's instance.
     pub rack: FailureDomain,
-    /// Incarnation, which changes when the worker restarts under the same id.
+    /// Incarnation, which changes when the worker restarts under the same id: the time of its start, in Unix milliseconds.
     pub incarnation: BootId,
 }
 
@@ -242,15 +242,16 @@
     }
 
     /// Extends the bound on the leases by the orders for the previous incarnation that the current one, with the given
-    /// clock, may have carried out or may still carry out.
+    /// clock, may have carried out or may still carry out, one of an earlier owner included.
     pub fn cover_orders_for_previous_incarnation(
         &mut self,
+        predecessor_order: Option<LeaseOrder>,
         clock: &ClockSample,
         lease_max: Duration,
     ) {
         let renewal = self.renewal.map(|renewal| renewal.order);
         let orders = self.starts_in_doubt.values().copied().chain(renewal);
-        let expiries = orders.chain(self.unanswered_order);
+        let expiries = orders.chain(self.unanswered_order).chain(predecessor_order);
         let expiries = expiries.map(|order| order.leases_expire_by(clock, lease_max));
         self.leases_expire_at = expiries.fold(self.leases_expire_at, Instant::max);
     }
--- a/crates/policy/tests/fleet_engine/restarted_worker.rs
+++ b/crates/policy/tests/fleet_engine/restarted_worker.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use crate::simulation::{Faults, Simulation, step, submission};
+use crate::simulation::{Faults, Simulation, instance, step, submission};
 
 const SECOND: Duration = Duration::from_secs(1);
 /// Time after which the leases on a worker that cannot be reached have expired, whatever orders have arrived there.
@@ -43,3 +43,61 @@
     assert_eq!(runs(&sim, "w0"), 2, "the tasks start on the restarted worker");
     tasks_move_once_the_leases_have_expired(&mut sim);
 }
+
+// A task ran twice at once: a successor did not know that an order of its predecessor, for an earlier incarnation, had given a
+// worker that it could not reach a lease of ten seconds.
+#[test]
+fn successor_waits_for_the_longest_lease_on_a_worker_that_does_not_answer() {
+    let mut sim = two_workers_with_long_tasks();
+    sim.crash("w0");
+    sim.run(SECOND);
+    assert_eq!(runs(&sim, "w0"), 2, "the tasks start on the restarted worker");
+    sim.partitioned.insert("w0".into(), sim.now + ALL_LEASES_EXPIRED);
+    sim.take_over();
+    tasks_move_once_the_leases_have_expired(&mut sim);
+}
+
+// A task ran twice at once: as above, on a worker that answered the successor once and was cut off then.
+#[test]
+fn successor_waits_for_the_longest_lease_on_a_worker_that_is_cut_off_after_the_takeover() {
+    let mut sim = two_workers_with_long_tasks();
+    sim.crash("w0");
+    sim.run(SECOND);
+    assert_eq!(runs(&sim, "w0"), 2, "the tasks start on the restarted worker");
+    sim.take_over();
+    tasks_move_once_the_leases_have_expired(&mut sim);
+}
+
+// A task ran twice at once: as above, on a worker that the directory did not list.
+#[test]
+fn successor_waits_for_the_longest_lease_on_a_worker_that_is_not_listed() {
+    for is_instance_list_known in [false, true] {
+        let mut sim = two_workers_with_long_tasks();
+        sim.crash("w0");
+        sim.run(SECOND);
+        assert_eq!(runs(&sim, "w0"), 2, "the tasks start on the restarted worker");
+        let instances = sim.workers.keys().map(|id| (id.clone(), instance(id, "p"))).collect();
+        sim.unlisted.insert("w0".into());
+        sim.take_over_with(is_instance_list_known.then_some(&instances));
+        tasks_move_once_the_leases_have_expired(&mut sim);
+    }
+}
+
+// A task ran twice at once: a worker restarted after a takeover, and a late renewal of the predecessor reached it before the
+// successor did.
+#[test]
+fn successor_covers_a_late_renewal_of_its_predecessor() {
+    let mut sim = two_workers_with_long_tasks();
+    let predecessor = sim.engine.fence;
+    let until_ms = sim.workers["w0"].clock_ms(sim.now) + 4_500;
+    sim.take_over();
+    sim.run(SECOND);
+    sim.crash("w0");
+    sim.partitioned.insert("w0".into(), sim.now + 3 * SECOND);
+    sim.run(2 * SECOND);
+    let (now, worker) = (sim.now, sim.workers.get_mut("w0").expect("the worker exists"));
+    worker.hold(predecessor, 0, Some(until_ms), now).expect("no newer fence has arrived");
+    sim.run(2 * SECOND);
+    assert_eq!(runs(&sim, "w0"), 2, "the tasks start on the restarted worker");
+    tasks_move_once_the_leases_have_expired(&mut sim);
+}
--- a/crates/policy/tests/fleet_engine/simulation.rs
+++ b/crates/policy/tests/fleet_engine/simulation.rs
@@ -33,6 +33,9 @@
 /// Time after which the sender of an order stops waiting for the answer.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Age of the workers at the start of a simulation.
+const WORKER_AGE: Duration = Duration::from_secs(3_600);
+
 /// An order in flight to a worker.
 struct Delivery {
     sent: Instant,
@@ -95,6 +98,8 @@
     pub partitioned: BTreeMap<InstanceId, Instant>,
     /// Workers that the newest owner cannot reach until the given time, while its predecessors can.
     pub unreachable_for_newest: BTreeMap<InstanceId, Instant>,
+    /// Workers that the directory does not list at a takeover.
+    pub unlisted: BTreeSet<InstanceId>,
     stale_owner: Option<StaleOwner>,
     newest_fence: u64,
     /// Workers whose next call fails because a restart has closed their connections.
@@ -164,6 +169,7 @@
             rng,
             partitioned: BTreeMap::new(),
             unreachable_for_newest: BTreeMap::new(),
+            unlisted: BTreeSet::new(),
             stale_owner: None,
             newest_fence: 0,
             disconnected: BTreeSet::new(),
@@ -226,9 +232,17 @@
         job.ended.is_some_and(|ended| ended <= self.objectives[id])
     }
 
+    /// Returns the time of day, in Unix milliseconds.
+    fn unix_ms(&self) -> u64 {
+        let elapsed = self.now.saturating_duration_since(self.origin);
+        (WORKER_AGE + elapsed).as_millis() as u64
+    }
+
     /// Restarts a worker as a new incarnation and closes its connections.
     pub fn crash(&mut self, id: &str) {
-        self.workers.get_mut(id).expect("the worker exists").crash(self.now);
+        let incarnation = self.unix_ms();
+        let worker = self.workers.get_mut(id).expect("the worker exists");
+        worker.crash_as(incarnation.max(worker.entry.incarnation + 1), self.now);
         self.disconnected.insert(id.into());
         self.trace_worker(&id.into(), "restarts".to_owned());
     }
@@ -261,6 +275,7 @@
         predecessor_deadline: Instant,
     ) {
         let mut engine = Engine::new(limits(), self.engine.fence + 1);
+        engine.takeover_unix_ms = self.unix_ms();
         engine.apply_config(&self.config);
         for (id, (row, progress)) in &self.stored_jobs {
             match progress {
@@ -273,7 +288,8 @@
         for (id, row) in &self.stored_start_pools {
             engine.restore_start_pools(id, row);
         }
-        for worker in self.workers.values() {
+        let listed = self.workers.values().filter(|w| !self.unlisted.contains(&w.entry.id));
+        for worker in listed {
             engine.upsert_worker(worker.entry.clone(), self.now);
         }
         self.engine = engine;
--- a/crates/policy/tests/fleet_engine/successor.rs
+++ b/crates/policy/tests/fleet_engine/successor.rs
@@ -7,7 +7,7 @@
 use wasabiswitch_policy::fleet::start_pools::StartPoolsRow;
 use wasabiswitch_policy::fleet::state::Phase;
 use wasabiswitch_standin::fleet::single_queue_config;
-use wasabiswitch_standin::fleet_worker::FakeWorker;
+use wasabiswitch_standin::fleet_worker::{FakeWorker, LEASE_MAX};
 
 use crate::simulation::{Faults, Simulation, instance, step, submission, worker_entry};
 
@@ -210,13 +210,13 @@
     sim.apply_config(config);
     sim.workers.remove("w-p");
     sim.take_over_with(None);
-    sim.run(2 * SECOND);
+    sim.run(LEASE_MAX);
     assert_eq!(
         started_on(&sim),
         ["w-p"],
         "the task starts while it may run on a worker that is not listed"
     );
-    sim.run(5 * SECOND);
+    sim.run(SECOND);
     assert_eq!(started_on(&sim), ["w-p", "w-p2"]);
 }
 
--- a/crates/standin/src/fleet_worker.rs
+++ b/crates/standin/src/fleet_worker.rs
@@ -68,6 +68,7 @@
     /// Highest number of an ended run that the owner has acknowledged.
     pub last_acknowledged_end: u64,
     started_at: Instant,
+    restarts: u64,
     // Reading of the clock at the start; the clock of each incarnation starts anywhere.
     clock_origin_ms: u64,
     clock_rate: f64,
@@ -83,7 +84,8 @@
     /// Creates a worker that starts at `now`; its clock advances `clock_rate` seconds per second.
     pub fn new(entry: WorkerEntry, now: Instant, clock_rate: f64) -> FakeWorker {
         FakeWorker {
-            clock_origin_ms: clock_origin_ms(entry.incarnation),
+            restarts: 0,
+            clock_origin_ms: clock_origin_ms(0),
             entry,
             runs: Vec::new(),
             ends: Vec::new(),
@@ -109,11 +111,18 @@
         self.lease_until_ms = self.lease_until_ms.max(until_ms.min(longest_ms));
     }
 
-    /// Restarts the worker as a new incarnation, which has lost all runs, ended runs, fences and barriers.
+    /// Restarts the worker as the next incarnation.
     pub fn crash(&mut self, now: Instant) {
-        let mut entry = self.entry.clone();
-        entry.incarnation += 1;
-        *self = FakeWorker::new(entry, now, self.clock_rate);
+        self.crash_as(self.entry.incarnation + 1, now);
+    }
+
+    /// Restarts the worker as the given incarnation, which has lost all runs, ended runs, fences and barriers.
+    pub fn crash_as(&mut self, incarnation: BootId, now: Instant) {
+        let entry = WorkerEntry { incarnation, ..self.entry.clone() };
+        let restarts = self.restarts + 1;
+        let clock_origin_ms = clock_origin_ms(restarts);
+        let worker = FakeWorker::new(entry, now, self.clock_rate);
+        *self = FakeWorker { restarts, clock_origin_ms, ..worker };
     }
 
     /// Ends the runs that have completed, and all runs once the lease has expired.
@@ -225,12 +234,12 @@
     }
 }
 
-/// Returns the reading with which the clock of an incarnation starts: the second starts below the first, the third above
-/// the second, and so on.
-fn clock_origin_ms(incarnation: BootId) -> u64 {
+/// Returns the reading with which the clock starts after a number of restarts: first a lower one than before, then a
+/// higher one, and so on.
+fn clock_origin_ms(restarts: u64) -> u64 {
     const STEP_MS: u64 = 5_147_231;
     const RANGE_MS: u64 = 9_000_000;
-    incarnation.wrapping_mul(STEP_MS) % RANGE_MS
+    (restarts + 1).wrapping_mul(STEP_MS) % RANGE_MS
 }
 
 fn percent(run: &FakeRun, now: Instant) -> u32 {
