Measure the lease of an answered start on the clock of the worker that answered

What callers could see: a task runs twice at once. A worker restarts under its id, carries out a start that was meant for its previous incarnation, and is cut off before its first report.

An answer to a start did not tell which incarnation had answered, and the owner took the lease for one on the clock that it knew (2.6 s); the restarted worker keeps it for up to 10 s.

Evidence: answered_start_is_measured_on_the_clock_of_the_incarnation_that_answered fails before: two runs at once, 3.6 s after the start.

Fix: each answer carries a reading of the worker's clock. The adapter passes it on, and the owner bounds the lease by the order's time on that clock, or by the longest lease after the answer, whichever is earlier; an answer of the known incarnation gives the same bound as before, up to the time of the round trip. Refusals that extend leases all the same (an older attempt, no room) count as well.

--- a/crates/kernel/src/platform/fleet.rs
+++ b/crates/kernel/src/platform/fleet.rs
@@ -14,7 +14,7 @@
 use wasabiswitch_policy::fleet::advice::TicketGrant;
 use wasabiswitch_policy::fleet::config::FleetConfig;
 use wasabiswitch_policy::fleet::maintenance::{FleetOutcome, Instance, WaveNumber};
-use wasabiswitch_policy::fleet::outcomes::StartOutcome;
+use wasabiswitch_policy::fleet::outcomes::StartAnswer;
 use wasabiswitch_policy::fleet::reports::WorkerReport;
 use wasabiswitch_policy::fleet::state::{TaskName, WorkerEntry};
 use wasabiswitch_policy::ids::{BootId, DaemonId, InstanceId, PoolId};
@@ -246,7 +246,7 @@
     /// Reports to the operator whether a wave is done.
     pub report_wave: PlatformFn<(WaveNumber, bool), ()>,
     /// Starts a task.
-    pub start: PlatformFn<StartOrder, StartOutcome>,
+    pub start: PlatformFn<StartOrder, StartAnswer>,
     /// Stops a task.
     pub stop: PlatformFn<RunOrder, WorkerReply<()>>,
     /// Throttles a task to a percentage of its speed.
--- a/crates/plugins/src/fleet/workers.rs
+++ b/crates/plugins/src/fleet/workers.rs
@@ -233,8 +233,8 @@
         }
         Order::Start { worker, task, name, attempt, submission, until_ms, checkpoint, ticket } => {
             let sent = kernel.clock.now();
-            let outcome = match order_target(kernel, fence, worker) {
-                None => StartOutcome::NotSent,
+            let answer = match order_target(kernel, fence, worker) {
+                None => StartOutcome::NotSent.into(),
                 Some(target) => {
                     let spec = submission.spec.clone();
                     let start = StartOrder {
@@ -248,9 +248,10 @@
                         ticket,
                     };
                     // The port turns every failure of a start into an outcome.
-                    (port(kernel).start)(start).await.unwrap_or(StartOutcome::Unknown)
+                    (port(kernel).start)(start).await.unwrap_or(StartOutcome::Unknown.into())
                 }
             };
+            let outcome = answer.outcome;
             let label = format!("{outcome:?}");
             metrics::counter!(metric::STARTS, "outcome" => label).increment(1);
             let now = kernel.clock.now();
@@ -259,7 +260,7 @@
                 if outcome == StartOutcome::Started {
                     term.pressure.record_answer(now.saturating_duration_since(sent));
                 }
-                term.engine.apply_start_outcome(worker, task, attempt, outcome, now, &mut events);
+                term.engine.apply_start_outcome(worker, task, attempt, answer, now, &mut events);
                 term.engine.holds_starts_back()
             });
             log_job_events(&events);
--- a/crates/policy/src/fleet/outcomes.rs
+++ b/crates/policy/src/fleet/outcomes.rs
@@ -6,7 +6,7 @@
 use wasabiswitch_derive::derives;
 
 use super::lease::LeaseOrder;
-use super::reports::JobEvent;
+use super::reports::{JobEvent, OrderOutcome};
 use super::state::{Engine, Orphan, RunState, TaskName, TaskRef, WorkerKey};
 
 /// Time for which a worker that refused a start for lack of capacity gets no further start.
@@ -42,19 +42,42 @@
     Unknown,
 }
 
+impl StartOutcome {
+    /// Returns whether the worker has extended its leases to the time in the order.
+    fn extends_leases(self) -> bool {
+        matches!(self, StartOutcome::Started | StartOutcome::Superseded | StartOutcome::NoRoom)
+    }
+}
+
+/// Answer to an order to start a run, or the lack of one.
+#[derives(value)]
+pub struct StartAnswer {
+    /// Outcome of the order.
+    pub outcome: StartOutcome,
+    /// Reading of the clock of the incarnation that answered, in milliseconds; `None` if the worker gave none.
+    pub clock_ms: Option<u64>,
+}
+
+impl From<StartOutcome> for StartAnswer {
+    fn from(outcome: StartOutcome) -> StartAnswer {
+        StartAnswer { outcome, clock_ms: None }
+    }
+}
+
 impl Engine {
-    /// Applies the outcome of a start.
+    /// Applies the answer to a start.
     pub fn apply_start_outcome(
         &mut self,
         key: WorkerKey,
         task: TaskRef,
         attempt: u32,
-        outcome: StartOutcome,
+        answer: StartAnswer,
         now: Instant,
         events: &mut Vec<JobEvent>,
     ) {
+        let outcome = answer.outcome;
         if outcome != StartOutcome::Unknown {
-            self.settle_start(key, &task, attempt);
+            self.settle_start(key, &task, attempt, answer, now);
         }
         if outcome == StartOutcome::Started
             && let Some(sent) = self.run(key, &task, attempt).map(|run| run.sent)
@@ -112,12 +135,25 @@
         worker.starts_in_doubt.insert((name.clone(), attempt), order);
     }
 
-    /// Records that a start has been answered.
-    fn settle_start(&mut self, key: WorkerKey, task: &TaskRef, attempt: u32) {
+    /// Records that a start has been answered, maybe by another incarnation than the one that it was meant for.
+    fn settle_start(
+        &mut self,
+        key: WorkerKey,
+        task: &TaskRef,
+        attempt: u32,
+        answer: StartAnswer,
+        now: Instant,
+    ) {
+        let lease_max = self.limits.lease_max;
         let name = self.task_name(task);
-        if let (Some(name), Some(worker)) = (name, self.workers.get_mut(key)) {
-            worker.starts_in_doubt.remove(&(name, attempt));
-        }
+        let (Some(name), Some(worker)) = (name, self.workers.get_mut(key)) else { return };
+        let Some(order) = worker.starts_in_doubt.remove(&(name, attempt)) else { return };
+        let outcome = match answer.clock_ms {
+            _ if !answer.outcome.extends_leases() => OrderOutcome::NotDelivered,
+            Some(clock_ms) => OrderOutcome::Answered(clock_ms),
+            None => OrderOutcome::Unknown,
+        };
+        worker.apply_order_outcome(order, outcome, lease_max, now);
     }
 
     fn confirm_start(&mut self, key: WorkerKey, task: TaskRef, attempt: u32, now: Instant) {
--- a/crates/policy/tests/end_model/world.rs
+++ b/crates/policy/tests/end_model/world.rs
@@ -8,7 +8,7 @@
 use wasabiswitch_policy::fleet::maintenance::{
     FleetOrder, FleetOutcome, Instance, InstanceState, Wave,
 };
-use wasabiswitch_policy::fleet::outcomes::StartOutcome;
+use wasabiswitch_policy::fleet::outcomes::{StartAnswer, StartOutcome};
 use wasabiswitch_policy::fleet::plan::Order;
 use wasabiswitch_policy::fleet::progress::{JobRow, ProgressChanges, ProgressRow};
 use wasabiswitch_policy::fleet::reports::{OrderOutcome, ReportTiming, RunEnd, WorkerReport};
@@ -345,7 +345,7 @@
                 };
                 let outcome = match delivery {
                     Delivery::Late => {
-                        self.late_start = Some(LateStart { worker: id, start });
+                        self.late_start = Some(LateStart { worker: id.clone(), start });
                         StartOutcome::Unknown
                     }
                     _ => self.start(&id, &start, false).unwrap_or(StartOutcome::Unknown),
@@ -354,9 +354,11 @@
                     Delivery::Answered => outcome,
                     _ => StartOutcome::Unknown,
                 };
-                let engine = &mut self.owners[number].engine;
                 let now = self.now;
-                engine.apply_start_outcome(worker, task, attempt, outcome, now, &mut Vec::new());
+                let clock_ms = self.workers.get(&id).map(|fake| fake.clock_ms(now));
+                let answer = StartAnswer { outcome, clock_ms };
+                let engine = &mut self.owners[number].engine;
+                engine.apply_start_outcome(worker, task, attempt, answer, now, &mut Vec::new());
             }
             Order::Stop { worker, name, attempt } => {
                 let Some(id) = self.worker_id(number, worker) else { return };
--- a/crates/policy/tests/fleet_engine/restarted_worker.rs
+++ b/crates/policy/tests/fleet_engine/restarted_worker.rs
@@ -101,3 +101,20 @@
     assert_eq!(runs(&sim, "w0"), 2, "the tasks start on the restarted worker");
     tasks_move_once_the_leases_have_expired(&mut sim);
 }
+
+// A task ran twice at once: a restarted worker answered a start that was meant for its previous incarnation and was cut off
+// before it reported, so that the owner measured the lease on the wrong clock.
+#[test]
+fn answered_start_is_measured_on_the_clock_of_the_incarnation_that_answered() {
+    let mut sim = Simulation::new(3, 0, Faults::default(), 1);
+    sim.run(SECOND);
+    sim.submit(submission("a", vec![step(3, 60_000)]));
+    sim.workers.get_mut("w0").expect("the worker exists").crash(sim.now);
+    sim.plan();
+    sim.run(SECOND / 50);
+    assert_eq!(runs(&sim, "w0"), 1, "the restarted worker carries out the start");
+    sim.partitioned.insert("w0".into(), sim.now + ALL_LEASES_EXPIRED);
+    sim.run(ALL_LEASES_EXPIRED - SECOND);
+    assert_eq!(sim.violations, Vec::<String>::new());
+    assert_eq!(sim.starts.len(), 4, "the task starts on another worker");
+}
--- a/crates/policy/tests/fleet_engine/simulation.rs
+++ b/crates/policy/tests/fleet_engine/simulation.rs
@@ -12,7 +12,7 @@
 use wasabiswitch_policy::fleet::Engine;
 use wasabiswitch_policy::fleet::config::FleetConfig;
 use wasabiswitch_policy::fleet::maintenance::Instance;
-use wasabiswitch_policy::fleet::outcomes::StartOutcome;
+use wasabiswitch_policy::fleet::outcomes::{StartAnswer, StartOutcome};
 use wasabiswitch_policy::fleet::plan::Order;
 use wasabiswitch_policy::fleet::progress::{JobRow, ProgressRow};
 use wasabiswitch_policy::fleet::reports::{OrderOutcome, ReportTiming, RunEnd, WorkerReport};
@@ -83,7 +83,7 @@
 /// Content of an answer.
 enum AnswerContent {
     Report { sent: Instant, report: WorkerReport },
-    Start { task: TaskRef, attempt: u32, outcome: StartOutcome },
+    Start { task: TaskRef, attempt: u32, answer: StartAnswer },
     Stop { name: TaskName, attempt: u32, sent: Instant },
 }
 
@@ -374,8 +374,8 @@
                     ),
                 );
             }
-            AnswerContent::Start { task, attempt, outcome } => {
-                self.resolve_start(worker, task, attempt, outcome);
+            AnswerContent::Start { task, attempt, answer } => {
+                self.resolve_start(worker, task, attempt, answer);
             }
             AnswerContent::Stop { name, attempt, sent } => {
                 self.engine.record_stop_acknowledgement(worker, &name, attempt, sent, self.now);
@@ -530,7 +530,7 @@
         self.timeouts = waiting;
         for (_, fence, worker, task, attempt) in expired {
             if fence == self.engine.fence {
-                self.resolve_start(worker, task, attempt, StartOutcome::Unknown);
+                self.resolve_start(worker, task, attempt, StartOutcome::Unknown.into());
             }
         }
         let (due, later): (Vec<_>, Vec<_>) = std::mem::take(&mut self.deliveries)
@@ -565,7 +565,9 @@
                     StartOutcome::Unknown
                 };
                 if current && delivery.answered {
-                    let content = AnswerContent::Start { task, attempt, outcome };
+                    let clock_ms = self.workers.get(&delivery.worker).map(|w| w.clock_ms(self.now));
+                    let answer = StartAnswer { outcome, clock_ms };
+                    let content = AnswerContent::Start { task, attempt, answer };
                     self.answer(worker, content);
                 }
             }
@@ -589,9 +591,9 @@
         worker: WorkerKey,
         task: TaskRef,
         attempt: u32,
-        outcome: StartOutcome,
+        answer: StartAnswer,
     ) {
-        self.engine.apply_start_outcome(worker, task, attempt, outcome, self.now, &mut Vec::new());
+        self.engine.apply_start_outcome(worker, task, attempt, answer, self.now, &mut Vec::new());
     }
 
     /// Starts a task on a worker, and checks the start against the rules.
--- a/crates/policy/tests/fleet_engine/worker_capacity.rs
+++ b/crates/policy/tests/fleet_engine/worker_capacity.rs
@@ -83,7 +83,7 @@
     let job = sim.engine.job_key("a").expect("the job was accepted");
     let task = TaskRef { job, occurrence: 0, step: 0, index: 0 };
     let now = sim.now;
-    let unknown = StartOutcome::Unknown;
+    let unknown = StartOutcome::Unknown.into();
     sim.engine.apply_start_outcome(key, task, 1, unknown, now, &mut Vec::new());
     sim.now += SECOND / 10;
     sim.workers.get_mut("w0").expect("the worker exists").crash(sim.now);
@@ -134,7 +134,7 @@
     let job = sim.engine.job_key("a").expect("the job was accepted");
     for index in 0..4 {
         let task = TaskRef { job, occurrence: 0, step: 0, index };
-        let (now, started) = (sim.now, StartOutcome::Started);
+        let (now, started) = (sim.now, StartOutcome::Started.into());
         sim.engine.apply_start_outcome(key, task, 1, started, now, &mut Vec::new());
     }
     apply(&mut sim, "w0", sent, &first);
@@ -151,7 +151,7 @@
     let job = sim.engine.job_key("a").expect("the job was accepted");
     let task = TaskRef { job, occurrence: 0, step: 0, index: 0 };
     let now = sim.now;
-    let unknown = StartOutcome::Unknown;
+    let unknown = StartOutcome::Unknown.into();
     sim.engine.apply_start_outcome(key, task, 1, unknown, now, &mut Vec::new());
     sim.now += SECOND / 10;
     let stop_sent = sim.now;
--- a/crates/standin/src/fleet/port.rs
+++ b/crates/standin/src/fleet/port.rs
@@ -9,7 +9,7 @@
 };
 use wasabiswitch_kernel::platform::{PlatformError, PlatformFn, PlatformResult};
 use wasabiswitch_policy::Verdict;
-use wasabiswitch_policy::fleet::outcomes::StartOutcome;
+use wasabiswitch_policy::fleet::outcomes::{StartAnswer, StartOutcome};
 use wasabiswitch_policy::fleet::reports::WorkerReport;
 use wasabiswitch_policy::ids::InstanceId;
 
@@ -155,7 +155,7 @@
         })
     }
 
-    fn start_function(&self) -> PlatformFn<StartOrder, StartOutcome> {
+    fn start_function(&self) -> PlatformFn<StartOrder, StartAnswer> {
         let cap_milli = self.cap_milli;
         let start = self.worker_function(
             Operation::Start,
@@ -168,8 +168,8 @@
             let started = start(order);
             async move {
                 Ok(started.await.unwrap_or_else(|error| match error.verdict {
-                    Verdict::NotRun => StartOutcome::NotSent,
-                    _ => StartOutcome::Unknown,
+                    Verdict::NotRun => StartOutcome::NotSent.into(),
+                    _ => StartOutcome::Unknown.into(),
                 }))
             }
             .boxed()
--- a/crates/standin/src/fleet/state.rs
+++ b/crates/standin/src/fleet/state.rs
@@ -10,7 +10,7 @@
 };
 use wasabiswitch_kernel::platform::{PlatformError, PlatformResult, Version};
 use wasabiswitch_policy::fleet::maintenance::{FleetOutcome, Instance, InstanceState, WaveNumber};
-use wasabiswitch_policy::fleet::outcomes::StartOutcome;
+use wasabiswitch_policy::fleet::outcomes::{StartAnswer, StartOutcome};
 use wasabiswitch_policy::fleet::reports::{RunEnd, WorkerReport};
 use wasabiswitch_policy::fleet::state::{TaskName, WorkerEntry};
 use wasabiswitch_policy::ids::{InstanceId, PoolId};
@@ -187,9 +187,9 @@
         RowPage { rows, more }
     }
 
-    pub(super) fn start(&mut self, order: &StartOrder, cap_milli: u64) -> StartOutcome {
+    pub(super) fn start(&mut self, order: &StartOrder, cap_milli: u64) -> StartAnswer {
         let Some(worker) = self.workers.get_mut(&order.target.id) else {
-            return StartOutcome::NotSent;
+            return StartOutcome::NotSent.into();
         };
         let before = worker.runs.len();
         let start = FakeStart {
@@ -201,11 +201,12 @@
             run_end: RunEnd::Done,
         };
         let outcome = worker.start(&start, self.now);
+        let answer = StartAnswer { outcome, clock_ms: Some(worker.clock_ms(self.now)) };
         if worker.runs.len() > before {
             let runs = worker.runs.len() as u64;
             self.check_start(&order.task, runs, cap_milli);
         }
-        outcome
+        answer
     }
 
     /// Checks all runs after a start of `task` on a worker that now has `runs` runs.
