Wait for the longest lease after an unanswered start on a worker that is then unreachable

What callers could see: a task runs twice at once. A restarted worker carries out a start that was meant for its previous incarnation, the answer is lost, and the worker is cut off.

Without an answer and without a report nothing tells which incarnation has the run, so its lease was bounded by a clock that need not be its own.

Evidence: unanswered_start_at_a_restarted_worker_that_is_cut_off_is_waited_for fails before, with two runs at once.

Fix: such a run is kept until the longest lease after its start has passed, unless the worker reports.

--- a/crates/policy/src/fleet/plan.rs
+++ b/crates/policy/src/fleet/plan.rs
@@ -16,7 +16,7 @@
 /// Delay before a stop that was not acknowledged is sent again.
 const STOP_RETRY_DELAY: Duration = Duration::from_millis(400);
 /// Time after which a start without an answer no longer counts as under way; its timeout has passed by then.
-const START_ANSWER_OVERDUE: Duration = Duration::from_millis(600);
+pub(super) const START_ANSWER_OVERDUE: Duration = Duration::from_millis(600);
 /// Time without progress after which a task at full pace is stopped, so that it starts on another worker.
 ///
 /// Tasks report progress in whole percent, and each worker is polled at least once per second. A long-running
--- a/crates/policy/src/fleet/reports.rs
+++ b/crates/policy/src/fleet/reports.rs
@@ -6,9 +6,10 @@
 
 use wasabiswitch_derive::derives;
 
-use super::lease::{ClockSample, LeaseOrder, TASK_LEASE};
+use super::lease::{ClockSample, LeaseOrder, TASK_LEASE, longest_time_of};
 use super::outcomes::DELIVERY_DELAY_MAX;
 use super::placement::UNRESPONSIVE_AFTER;
+use super::plan::START_ANSWER_OVERDUE;
 use super::state::{Engine, Orphan, Phase, Run, RunState, TaskName, TaskRef, WorkerKey};
 use super::worker::Renewal;
 use crate::ids::{BootId, InstanceId, JobId};
@@ -650,16 +651,35 @@
             .workers
             .iter()
             .filter(|(_, worker)| worker.leases_expired(now))
-            .map(|(key, worker)| (key, worker.listed))
+            .map(|(key, worker)| (key, worker.runs.iter().copied().collect::<Vec<_>>()))
             .collect();
-        for (key, listed) in expired {
-            self.drop_all_runs(key, "its lease has expired", events);
-            if !listed {
+        for (key, runs) in expired {
+            for (task, attempt) in runs {
+                if !self.may_run_on_another_incarnation(key, &task, attempt, now) {
+                    self.drop_run(key, task, attempt, "its lease has expired", events);
+                }
+            }
+            if !self.workers[key].listed && self.workers[key].runs.is_empty() {
                 self.remove_worker(key);
             }
         }
     }
 
+    /// Returns whether a run whose start got no answer may have begun on an incarnation of its worker that has not reported,
+    /// and whose lease is then measured on an unknown clock.
+    fn may_run_on_another_incarnation(
+        &self,
+        key: WorkerKey,
+        task: &TaskRef,
+        attempt: u32,
+        now: Instant,
+    ) -> bool {
+        let Some(run) = self.run(key, task, attempt) else { return false };
+        let is_unanswered = matches!(run.state, RunState::Starting | RunState::Unconfirmed);
+        let lease_max = longest_time_of(self.limits.lease_max);
+        is_unanswered && now < run.sent + START_ANSWER_OVERDUE + lease_max
+    }
+
     /// Removes a worker that is gone and has no runs.
     pub(super) fn remove_worker(&mut self, key: WorkerKey) {
         if let Some(worker) = self.workers.remove(key) {
