Random histories of restarted workers that are cut off while long tasks run

The new histories have tasks of up to 12 s and cut workers off soon after a restart, also around takeovers and for unlisted workers.

--- a/crates/policy/tests/fleet_engine/random_faults.rs
+++ b/crates/policy/tests/fleet_engine/random_faults.rs
@@ -12,9 +12,10 @@
     OWNER_LEASE, OWNER_LEASE_MARGIN, OWNER_UNRESPONSIVE_AFTER,
 };
 use wasabiswitch_policy::fleet::state::{Phase, PoolSettings};
+use wasabiswitch_policy::ids::InstanceId;
 use wasabiswitch_standin::fleet::single_queue_config;
 
-use crate::simulation::{Faults, Simulation, step, submission, worker_entry};
+use crate::simulation::{Faults, Simulation, instance, step, submission, worker_entry};
 
 /// Seeds of faults that were fixed: an end was acknowledged to a worker incarnation that had not reported yet
 /// (1); a start was delivered late to a new incarnation (471), and to the one after it (680).
@@ -279,6 +280,64 @@
     check_histories(&seeds, run_history_of_overlapping_owners, |phase| phase == Phase::Done);
 }
 
+/// Seeds of histories in which only an unanswered start (100050) or an unanswered renewal (100972) reaches a restarted worker.
+const RESTART_REGRESSION_SEEDS: [u64; 2] = [100_050, 100_972];
+/// Seeds of the further histories with restarted workers.
+const RESTART_SEEDS: Range<u64> = 5_000..5_040;
+/// Number of workers in the histories with restarted workers.
+const RESTARTED_WORKERS: usize = 4;
+
+/// Runs a history in which workers restart and are cut off soon after, also around takeovers, and tasks outlast the leases.
+fn run_history_of_restarted_workers(seed: u64) -> Simulation {
+    let mut choices = Rng::with_seed(seed ^ 0x4e57);
+    let faults = Faults {
+        lost_acks: choices.f64() * 0.1,
+        late_orders: 0.0,
+        lost_reports: choices.f64() * 0.2,
+        failed_tasks: 0.0,
+        late_answers: choices.f64() * 0.2,
+    };
+    let mut sim = Simulation::new(RESTARTED_WORKERS, 0, faults, seed);
+    for round in 0..24 {
+        let work = step(choices.u32(1..4), choices.u64(2_000..12_000));
+        sim.submit(submission(&format!("job-{round}"), vec![work]));
+        sim.list_all_workers();
+        let worker: InstanceId = format!("w{}", choices.usize(0..RESTARTED_WORKERS)).into();
+        let event = choices.u8(0..8);
+        if event < 5 {
+            sim.crash(&worker);
+            sim.run(Duration::from_millis(choices.u64(0..2_500)));
+        }
+        if event < 7 {
+            let until = sim.now + Duration::from_millis(choices.u64(1_000..12_000));
+            sim.partitioned.insert(worker.clone(), until);
+        }
+        match event {
+            0 => sim.take_over(),
+            1 => {
+                let ids = sim.workers.keys();
+                let instances = ids.map(|id| (id.clone(), instance(id, "p"))).collect();
+                sim.unlisted.insert(worker);
+                sim.take_over_with(choices.bool().then_some(&instances));
+            }
+            _ => {}
+        }
+        sim.run(Duration::from_millis(choices.u64(200..2_500)));
+    }
+    sim.list_all_workers();
+    sim.faults = Faults::default();
+    sim.run(Duration::from_secs(90));
+    sim
+}
+
+// Guards against a second run of a task while the first one goes on, on a restarted worker, under a lease that was extended for
+// its previous incarnation.
+#[test]
+fn restarted_workers_that_are_cut_off_break_no_rule_and_lose_no_job() {
+    let seeds = seeds(&RESTART_REGRESSION_SEEDS, RESTART_SEEDS);
+    check_histories(&seeds, run_history_of_restarted_workers, |phase| phase == Phase::Done);
+}
+
 #[test]
 fn checker_detects_duplicate_starts_of_a_new_owner() {
     let mut sim = Simulation::new(2, 0, Faults::default(), 7);
--- a/crates/policy/tests/fleet_engine/restarted_worker.rs
+++ b/crates/policy/tests/fleet_engine/restarted_worker.rs
@@ -44,6 +44,19 @@
     tasks_move_once_the_leases_have_expired(&mut sim);
 }
 
+// A task ran twice at once: as above, but the answers to the renewals were lost, and the first report came without one.
+#[test]
+fn unanswered_renewal_for_a_previous_incarnation_is_covered() {
+    let mut sim = two_workers_with_long_tasks();
+    sim.workers.get_mut("w0").expect("the worker exists").crash(sim.now);
+    sim.faults.lost_reports = 1.0;
+    sim.run(5 * SECOND / 2);
+    sim.faults.lost_reports = 0.0;
+    sim.run(SECOND);
+    assert_eq!(runs(&sim, "w0"), 2, "the tasks start on the restarted worker");
+    tasks_move_once_the_leases_have_expired(&mut sim);
+}
+
 // A task ran twice at once: a successor did not know that an order of its predecessor, for an earlier incarnation, had given a
 // worker that it could not reach a lease of ten seconds.
 #[test]
--- a/crates/policy/tests/fleet_engine/simulation.rs
+++ b/crates/policy/tests/fleet_engine/simulation.rs
@@ -258,6 +258,13 @@
         self.begin_term(instances, self.now);
     }
 
+    /// Lists all workers in the directory again.
+    pub fn list_all_workers(&mut self) {
+        for id in std::mem::take(&mut self.unlisted) {
+            self.engine.upsert_worker(self.workers[&id].entry.clone(), self.now);
+        }
+    }
+
     /// Starts the term of a new owner while the old one, whose writes are fenced, sends orders for `overlap`.
     ///
     /// The new owner assumes that its predecessor sends its last order at `predecessor_deadline`.
