Acknowledge no ends to a worker that left a start unanswered

What callers could see: the end of a task is lost, and the task runs again. A worker restarts unseen, carries out a short task whose start gets no answer, and the request for a report that follows at once acknowledges the ends of the previous incarnation to it. Ends are numbered anew, so that the end of the task counts as acknowledged.

Cause: the cursor was left out only after a missed report.

Evidence: no_ends_are_acknowledged_to_a_worker_that_left_a_start_unanswered fails before: the cursor is 2, of the previous incarnation.

Fix: after an unanswered start the cursor is zero as well, until a report that was requested later has arrived. A cursor that is delivered seconds late can still reach a restarted worker; no field of the platform prevents that.

--- a/crates/policy/src/fleet/outcomes.rs
+++ b/crates/policy/src/fleet/outcomes.rs
@@ -87,6 +87,9 @@
         match outcome {
             StartOutcome::Started => self.confirm_start(key, task, attempt, now),
             StartOutcome::Unknown => {
+                if let Some(worker) = self.workers.get_mut(key) {
+                    worker.answer_missed_at = Some(now);
+                }
                 self.set_state(key, task, attempt, |state| match state {
                     RunState::Starting => RunState::Unconfirmed,
                     other => other,
--- a/crates/policy/src/fleet/reports.rs
+++ b/crates/policy/src/fleet/reports.rs
@@ -168,6 +168,7 @@
         worker.last_contact = worker.last_contact.max(Some(timing.sent));
         worker.gauges_updated = true;
         worker.report_missed_at = worker.report_missed_at.filter(|at| *at > timing.sent);
+        worker.answer_missed_at = worker.answer_missed_at.filter(|at| *at > timing.sent);
         let mut listed = BTreeSet::new();
         for end in &report.ended {
             listed.insert((end.task.clone(), end.attempt));
--- a/crates/policy/src/fleet/state.rs
+++ b/crates/policy/src/fleet/state.rs
@@ -340,6 +340,7 @@
             last_end_persisted: 0,
             ends_to_persist: VecDeque::new(),
             report_missed_at: None,
+            answer_missed_at: None,
             runs: BTreeSet::new(),
             reserved: ResourceVector::default(),
             orphans: BTreeMap::new(),
--- a/crates/policy/src/fleet/worker.rs
+++ b/crates/policy/src/fleet/worker.rs
@@ -123,6 +123,8 @@
     ///
     /// Until then the worker may have restarted, and the next report may come from another incarnation.
     pub report_missed_at: Option<Instant>,
+    /// Time at which a start got no answer; `None` once a report that was requested later has arrived.
+    pub answer_missed_at: Option<Instant>,
     /// Tasks, with their attempts, that may be running on the worker.
     pub runs: BTreeSet<(TaskRef, u32)>,
     /// Resources that [`Worker::runs`] reserve.
@@ -199,10 +201,11 @@
 
     /// Returns the cursor that acknowledges ends to the worker, which then discards all ends up to it.
     ///
-    /// A new incarnation numbers its ends from the start. After a missed report the cursor is zero, since the
+    /// A new incarnation numbers its ends from the start. After a missed report or answer the cursor is zero, since the
     /// old cursor would acknowledge ends of a new incarnation that have not been processed.
     pub fn ack_cursor(&self) -> u64 {
-        if self.report_missed_at.is_some() { 0 } else { self.last_end_persisted }
+        let may_have_restarted = self.report_missed_at.is_some() || self.answer_missed_at.is_some();
+        if may_have_restarted { 0 } else { self.last_end_persisted }
     }
 
     /// Returns whether the leases of all runs on the worker have expired, renewals in flight included.
--- a/crates/policy/tests/fleet_engine/restarted_worker.rs
+++ b/crates/policy/tests/fleet_engine/restarted_worker.rs
@@ -3,6 +3,9 @@
 
 use std::time::Duration;
 
+use wasabiswitch_policy::fleet::outcomes::StartOutcome;
+use wasabiswitch_policy::fleet::state::TaskRef;
+
 use crate::simulation::{Faults, Simulation, instance, step, submission};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -149,3 +152,29 @@
     assert_eq!(sim.violations, Vec::<String>::new());
     assert_eq!(sim.starts.len(), 4, "the task starts on another worker");
 }
+
+// The end of a task was lost, and the task ran again: the request for a report after an unanswered start acknowledged the ends of
+// the previous incarnation to a restarted worker, whose ends have the same numbers.
+#[test]
+fn no_ends_are_acknowledged_to_a_worker_that_left_a_start_unanswered() {
+    let mut sim = Simulation::new(1, 0, Faults::default(), 1);
+    sim.submit(submission("a", vec![step(2, 50)]));
+    sim.run(2 * SECOND);
+    let key = sim.engine.worker_key("w0").expect("the engine knows the worker");
+    assert_eq!(sim.engine.workers[key].ack_cursor(), 2);
+    sim.workers.get_mut("w0").expect("the worker exists").crash(sim.now);
+    sim.submit(submission("b", vec![step(1, 50)]));
+    let job = sim.engine.job_key("b").expect("the job was accepted");
+    sim.plan();
+    let (now, task) = (sim.now, TaskRef { job, occurrence: 0, step: 0, index: 0 });
+    let unknown = StartOutcome::Unknown.into();
+    sim.engine.apply_start_outcome(key, task, 1, unknown, now, &mut Vec::new());
+    assert_eq!(sim.engine.workers[key].ack_cursor(), 0);
+    sim.run(SECOND);
+    assert_eq!(
+        sim.engine.workers[key].ack_cursor(),
+        1,
+        "the end of the new incarnation is acknowledged"
+    );
+    assert_eq!(sim.violations, Vec::<String>::new());
+}
