Take an instance with an unlisted worker down only after the longest lease

What callers could see: maintenance ends tasks that run on a sound worker. The runs of a worker that the directory does not list are unknown, so its instance waited 6 s, after which all leases were thought to have expired.

Evidence: instance_with_an_unlisted_worker_goes_down_only_after_the_longest_lease fails before.

--- a/crates/policy/src/fleet/maintenance.rs
+++ b/crates/policy/src/fleet/maintenance.rs
@@ -10,6 +10,7 @@
 
 use wasabiswitch_derive::derives;
 
+use super::lease::longest_time_of;
 use super::placement::UNRESPONSIVE_AFTER;
 use super::reports::JobEvent;
 use super::state::{Cordon, Engine, TaskRef, WorkerKey};
@@ -20,9 +21,9 @@
 
 /// Time for which a cordoned instance waits for its short tasks before it goes down with them.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(3_500);
-/// Time for which a cordoned instance waits if the directory does not list its worker; all leases there have
-/// expired by then.
-const UNLISTED_DRAIN_TIMEOUT: Duration = Duration::from_millis(6_000);
+/// Time, beyond the longest lease, for which a cordoned instance waits if the directory does not list its worker: an earlier
+/// owner may have sent orders until a moment ago.
+const UNLISTED_DRAIN_MARGIN: Duration = Duration::from_millis(1_400);
 /// Maximum number of instances cordoned beyond those that may be down, so that the next one is empty in time.
 const CORDONED_AHEAD_MAX: usize = 1;
 /// Time that the instance service may take, beyond the maintenance itself, to list an instance as up again.
@@ -274,6 +275,8 @@
             }
         }
         self.cordon_next(wave, now);
+        // The runs of a worker that the directory does not list are unknown, as are its leases.
+        let unlisted_drain_timeout = longest_time_of(self.limits.lease_max) + UNLISTED_DRAIN_MARGIN;
         let ids: Vec<InstanceId> = wave.stages.keys().cloned().collect();
         for id in ids {
             let MaintenanceStage::Draining(since) = wave.stages[&id] else { continue };
@@ -281,8 +284,7 @@
             let key = worker.as_ref().and_then(|id| self.worker_key(id));
             let empty = match (key, &worker) {
                 (Some(key), _) => self.evacuate(key, since, now),
-                // The runs of a worker that the directory does not list are unknown.
-                (None, Some(_)) => now.saturating_duration_since(since) >= UNLISTED_DRAIN_TIMEOUT,
+                (None, Some(_)) => now.saturating_duration_since(since) >= unlisted_drain_timeout,
                 (None, None) => true,
             };
             cordoned.extend(worker);
--- a/crates/policy/tests/fleet_engine/regressions.rs
+++ b/crates/policy/tests/fleet_engine/regressions.rs
@@ -10,6 +10,7 @@
 use wasabiswitch_policy::fleet::reports::RunEnd;
 use wasabiswitch_policy::fleet::state::{Phase, RunTimes};
 use wasabiswitch_policy::ids::InstanceId;
+use wasabiswitch_standin::fleet_worker::LEASE_MAX;
 
 use crate::simulation::{Faults, Simulation, instance, queue_settings, step, submission};
 
@@ -352,6 +353,17 @@
     assert_eq!(maintenance_calls(&mut sim, &instances, SECOND).len(), 2);
 }
 
+// An instance whose worker is not listed was taken down under tasks of the predecessor, since a restarted worker may hold a longer
+// lease than the predecessor asked for.
+#[test]
+fn instance_with_an_unlisted_worker_goes_down_only_after_the_longest_lease() {
+    let (mut sim, mut instances) = successor_during_wave(3);
+    instances.get_mut("m2").expect("the instance is listed").worker = Some("unlisted".into());
+    let id: InstanceId = "m2".into();
+    assert!(!maintenance_calls(&mut sim, &instances, LEASE_MAX).contains(&id));
+    assert!(maintenance_calls(&mut sim, &instances, 2 * SECOND).contains(&id));
+}
+
 /// Returns one instance for each worker; the instance of the worker `replaced` has moved to another pool and has another worker
 /// instead.
 fn instances_with(sim: &Simulation, replaced: &InstanceId) -> BTreeMap<InstanceId, Instance> {
