Move the bounds on leases into a module of their own

reports.rs had grown beyond one job: renewals, the outcome of orders that extend leases, the lease that a predecessor may have given and the runs whose leases have expired are now in lease_bounds.rs.

--- a/crates/plugins/src/fleet/workers.rs
+++ b/crates/plugins/src/fleet/workers.rs
@@ -13,10 +13,11 @@
 use wasabiswitch_kernel::{Kernel, metric};
 use wasabiswitch_policy::Verdict;
 use wasabiswitch_policy::fleet::Engine;
+use wasabiswitch_policy::fleet::lease_bounds::OrderOutcome;
 use wasabiswitch_policy::fleet::outcomes::StartOutcome;
 use wasabiswitch_policy::fleet::ownership::may_act;
 use wasabiswitch_policy::fleet::plan::Order;
-use wasabiswitch_policy::fleet::reports::{JobEvent, OrderOutcome, ReportTiming, WorkerReport};
+use wasabiswitch_policy::fleet::reports::{JobEvent, ReportTiming, WorkerReport};
 use wasabiswitch_policy::fleet::state::{TaskName, TaskRef, Worker, WorkerKey};
 
 use super::term::with_term;
--- a/crates/policy/src/fleet/lease.rs
+++ b/crates/policy/src/fleet/lease.rs
@@ -83,9 +83,6 @@
     }
 }
 
-/// Maximum deviation of a time of day that a worker or a daemon reads, as the platform states it.
-pub const TIME_OF_DAY_DEVIATION_MAX: Duration = Duration::from_secs(5);
-
 /// Returns the longest time, on the owner's clock, that a duration on a worker's clock may take.
 pub fn longest_time_of(duration: Duration) -> Duration {
     duration.div_f64(WORKER_CLOCK_RATE_MIN)
--- a/crates/policy/src/fleet/mod.rs
+++ b/crates/policy/src/fleet/mod.rs
@@ -13,6 +13,7 @@
 //! | [`worker`] | state of workers |
 //! | [`state`] | the tables of the engine |
 //! | [`lease`] | bounds on the time in which an order can take effect on a worker |
+//! | [`lease_bounds`] | leases on workers: renewals, orders that another incarnation may carry out, expired leases |
 //! | [`reports`] | processing of the workers' reports |
 //! | [`outcomes`] | processing of the outcomes of starts and stops |
 //! | [`placement`] | choice of a worker for a task |
@@ -40,6 +41,7 @@
 pub mod fairness;
 pub mod job;
 pub mod lease;
+pub mod lease_bounds;
 pub mod maintenance;
 pub mod offered_load;
 pub mod outcomes;
--- a/crates/policy/src/fleet/outcomes.rs
+++ b/crates/policy/src/fleet/outcomes.rs
@@ -6,7 +6,8 @@
 use wasabiswitch_derive::derives;
 
 use super::lease::LeaseOrder;
-use super::reports::{JobEvent, OrderOutcome};
+use super::lease_bounds::OrderOutcome;
+use super::reports::JobEvent;
 use super::state::{Engine, Orphan, RunState, TaskName, TaskRef, WorkerKey};
 
 /// Time for which a worker that refused a start for lack of capacity gets no further start.
--- a/crates/policy/src/fleet/reports.rs
+++ b/crates/policy/src/fleet/reports.rs
@@ -6,12 +6,9 @@
 
 use wasabiswitch_derive::derives;
 
-use super::lease::{ClockSample, LeaseOrder, TASK_LEASE, longest_time_of};
+use super::lease::{ClockSample, LeaseOrder};
 use super::outcomes::DELIVERY_DELAY_MAX;
-use super::placement::UNRESPONSIVE_AFTER;
-use super::plan::START_ANSWER_OVERDUE;
 use super::state::{Engine, Orphan, Phase, Run, RunState, TaskName, TaskRef, WorkerKey};
-use super::worker::Renewal;
 use crate::ids::{BootId, InstanceId, JobId};
 
 /// Maximum number of ended runs in one report; a report with fewer lists all of them.
@@ -105,17 +102,6 @@
     pub received: Instant,
 }
 
-/// Outcome of an order that extends leases.
-#[derives(value)]
-pub enum OrderOutcome {
-    /// An incarnation of the worker carried the order out; the answer has a reading of its clock, in milliseconds.
-    Answered(u64),
-    /// The order was certainly not carried out, and will not be.
-    NotDelivered,
-    /// The order may have been carried out, or may still be.
-    Unknown,
-}
-
 /// An event of a job, for the log and the metrics.
 #[derives(record)]
 pub struct JobEvent {
@@ -184,34 +170,6 @@
         true
     }
 
-    /// Records that an order may have extended the leases of a worker to `until_ms` on its clock.
-    pub fn record_renewal(&mut self, key: WorkerKey, until_ms: u64) {
-        if let Some(worker) = self.workers.get_mut(key)
-            && let Some(clock) = worker.clock
-        {
-            worker.leases_expire_at = worker.leases_expire_at.max(clock.latest_time_of(until_ms));
-        }
-    }
-
-    /// Returns the time on the worker's clock to which a report that is requested now renews its leases, or
-    /// `None` if they must not be renewed.
-    ///
-    /// An unresponsive worker is not renewed, so that its tasks can run elsewhere in time.
-    pub fn begin_renewal(&mut self, key: WorkerKey, now: Instant) -> Option<u64> {
-        let worker = self.workers.get_mut(key).filter(|worker| !worker.runs.is_empty())?;
-        let clock = worker.clock?;
-        let answered = worker.last_contact?;
-        if now.saturating_duration_since(answered) > UNRESPONSIVE_AFTER {
-            return None;
-        }
-        let until_ms = clock.until(now, TASK_LEASE);
-        worker.renewal = Some(Renewal {
-            order: LeaseOrder { until_ms, arrives_by: now + DELIVERY_DELAY_MAX },
-            leases_expire_at: clock.latest_time_of(until_ms),
-        });
-        Some(until_ms)
-    }
-
     /// Records that a request for a worker's report has failed.
     pub fn record_missed_report(&mut self, key: WorkerKey, now: Instant) {
         if let Some(worker) = self.workers.get_mut(key) {
@@ -219,17 +177,6 @@
         }
     }
 
-    /// Ends the renewal in flight, before the report that answers it is applied.
-    pub fn end_renewal(&mut self, key: WorkerKey, outcome: OrderOutcome, now: Instant) {
-        let lease_max = self.limits.lease_max;
-        let Some(worker) = self.workers.get_mut(key) else { return };
-        let Some(renewal) = worker.renewal.take() else { return };
-        if outcome != OrderOutcome::NotDelivered {
-            worker.leases_expire_at = worker.leases_expire_at.max(renewal.leases_expire_at);
-        }
-        worker.apply_order_outcome(renewal.order, outcome, lease_max, now);
-    }
-
     fn apply_running(
         &mut self,
         key: WorkerKey,
@@ -645,42 +592,6 @@
         }
     }
 
-    /// Drops the runs of workers whose leases have certainly expired, and removes such a worker if the
-    /// directory no longer lists it.
-    pub fn expire_leases(&mut self, now: Instant, events: &mut Vec<JobEvent>) {
-        let expired: Vec<_> = self
-            .workers
-            .iter()
-            .filter(|(_, worker)| worker.leases_expired(now))
-            .map(|(key, worker)| (key, worker.runs.iter().copied().collect::<Vec<_>>()))
-            .collect();
-        for (key, runs) in expired {
-            for (task, attempt) in runs {
-                if !self.may_run_on_another_incarnation(key, &task, attempt, now) {
-                    self.drop_run(key, task, attempt, "its lease has expired", events);
-                }
-            }
-            if !self.workers[key].listed && self.workers[key].runs.is_empty() {
-                self.remove_worker(key);
-            }
-        }
-    }
-
-    /// Returns whether a run whose start got no answer may have begun on an incarnation of its worker that has not reported,
-    /// and whose lease is then measured on an unknown clock.
-    fn may_run_on_another_incarnation(
-        &self,
-        key: WorkerKey,
-        task: &TaskRef,
-        attempt: u32,
-        now: Instant,
-    ) -> bool {
-        let Some(run) = self.run(key, task, attempt) else { return false };
-        let is_unanswered = matches!(run.state, RunState::Starting | RunState::Unconfirmed);
-        let lease_max = longest_time_of(self.limits.lease_max);
-        is_unanswered && now < run.sent + START_ANSWER_OVERDUE + lease_max
-    }
-
     /// Removes a worker that is gone and has no runs.
     pub(super) fn remove_worker(&mut self, key: WorkerKey) {
         if let Some(worker) = self.workers.remove(key) {
--- a/crates/policy/src/fleet/unconfirmed.rs
+++ b/crates/policy/src/fleet/unconfirmed.rs
@@ -8,15 +8,12 @@
 
 use wasabiswitch_derive::derives;
 
-use super::lease::{
-    LeaseOrder, START_VALIDITY, TASK_LEASE, TIME_OF_DAY_DEVIATION_MAX, longest_time_of,
-};
+use super::lease::{LeaseOrder, longest_time_of};
 use super::maintenance::{Instance, InstanceState, PREDECESSOR_CALL_TIMEOUT};
 use super::outcomes::DELIVERY_DELAY_MAX;
-use super::placement::UNRESPONSIVE_AFTER;
 use super::spec::{ResourceVector, Step};
 use super::state::{Engine, Job, Phase, WorkerKey};
-use crate::ids::{BootId, InstanceId, PoolId, TeamId};
+use crate::ids::{InstanceId, PoolId, TeamId};
 
 /// Resources that count as used by a team, since its tasks may be running on workers that cannot be reached.
 #[derives(record)]
@@ -189,25 +186,6 @@
         if silent.is_empty() { 0 } else { self.mark_tasks_unconfirmed(&silent) }
     }
 
-    /// Returns the longest time, on the owner's clock, for which a lease that an earlier owner has just extended on the given
-    /// incarnation of a worker is valid.
-    ///
-    /// An order that was computed for the previous incarnation may have given it the longest lease of all. The earlier owner
-    /// sends such orders no longer than it takes the previous incarnation for responsive, and they are delivered late at
-    /// worst, so that they no longer have an effect on an incarnation that started before.
-    pub(super) fn predecessor_lease(&self, incarnation: BootId) -> Duration {
-        let longest = longest_time_of(self.limits.lease_max);
-        let effect_max = UNRESPONSIVE_AFTER + DELIVERY_DELAY_MAX + longest;
-        // Both the worker's time of day and this daemon's may deviate.
-        let effect_max = effect_max + 2 * TIME_OF_DAY_DEVIATION_MAX;
-        let settled_unix_ms = incarnation.saturating_add(effect_max.as_millis() as u64);
-        if self.fence > 1 && settled_unix_ms > self.takeover_unix_ms {
-            longest
-        } else {
-            longest_time_of(TASK_LEASE.max(START_VALIDITY))
-        }
-    }
-
     /// Returns the workers that have not answered together with the `unlisted` ones.
     fn silent_workers(
         &self,
--- a/crates/policy/src/fleet/worker.rs
+++ b/crates/policy/src/fleet/worker.rs
@@ -7,7 +7,8 @@
 
 use super::job::{TaskName, TaskRef};
 use super::lease::{ClockSample, LeaseOrder};
-use super::reports::{OrderOutcome, WorkerReport};
+use super::lease_bounds::OrderOutcome;
+use super::reports::WorkerReport;
 use super::spec::ResourceVector;
 use super::state::JobKey;
 use crate::ids::{BootId, DataCentre, FailureDomain, InstanceId, PoolId};
--- a/crates/policy/tests/end_model/world.rs
+++ b/crates/policy/tests/end_model/world.rs
@@ -5,13 +5,14 @@
 use std::hash::{Hash, Hasher};
 use std::time::{Duration, Instant};
 
+use wasabiswitch_policy::fleet::lease_bounds::OrderOutcome;
 use wasabiswitch_policy::fleet::maintenance::{
     FleetOrder, FleetOutcome, Instance, InstanceState, Wave,
 };
 use wasabiswitch_policy::fleet::outcomes::{StartAnswer, StartOutcome};
 use wasabiswitch_policy::fleet::plan::Order;
 use wasabiswitch_policy::fleet::progress::{JobRow, ProgressChanges, ProgressRow};
-use wasabiswitch_policy::fleet::reports::{OrderOutcome, ReportTiming, RunEnd, WorkerReport};
+use wasabiswitch_policy::fleet::reports::{ReportTiming, RunEnd, WorkerReport};
 use wasabiswitch_policy::fleet::spec::{ResourceVector, Step, Submission};
 use wasabiswitch_policy::fleet::state::{WorkerEntry, WorkerKey};
 use wasabiswitch_policy::fleet::unconfirmed::UnlistedWorkers;
