--- a/crates/policy/src/fleet/lease_bounds.rs
+++ b/crates/policy/src/fleet/lease_bounds.rs
@@ -97,9 +97,10 @@
             .map(|(key, worker)| (key, worker.runs.iter().copied().collect::<Vec<_>>()))
             .collect();
         for (key, runs) in expired {
+            let reason = self.workers[key].describe_expired_lease(now);
             for (task, attempt) in runs {
                 if !self.may_run_on_another_incarnation(key, &task, attempt, now) {
-                    self.drop_run(key, task, attempt, "its lease has expired", events);
+                    self.drop_run(key, task, attempt, &reason, events);
                 }
             }
             if !self.workers[key].listed && self.workers[key].runs.is_empty() {
--- a/crates/policy/src/fleet/reports.rs
+++ b/crates/policy/src/fleet/reports.rs
@@ -599,14 +599,19 @@
         }
     }
 
+    /// Describes a run for the log, with the incarnation of its worker that reported last; zero before the first report.
     pub(super) fn describe(&self, key: WorkerKey, task: &TaskRef, attempt: u32) -> String {
-        let worker = self.workers.get(key).map_or("?", |worker| &worker.entry.id);
+        let worker = self.workers.get(key);
+        let (id, incarnation) =
+            worker.map_or(("?", 0), |worker| (&*worker.entry.id, worker.incarnation));
         let TaskRef { occurrence, step, index, .. } = task;
-        format!("task={occurrence}.{step}.{index} attempt={attempt} worker={worker}")
+        format!(
+            "task={occurrence}.{step}.{index} attempt={attempt} worker={id} incarnation={incarnation}"
+        )
     }
 }
 
-/// Describes a run for the log as [`Engine::describe`] does, by the name of its task.
+/// Describes a run for the log by the name of its task.
 fn describe_run(name: &TaskName, attempt: u32, worker: &InstanceId) -> String {
     let TaskName { occurrence, step, index, .. } = name;
     format!("task={occurrence}.{step}.{index} attempt={attempt} worker={worker}")
--- a/crates/policy/src/fleet/worker.rs
+++ b/crates/policy/src/fleet/worker.rs
@@ -260,6 +260,18 @@
         self.leases_expire_at = expiries.fold(self.leases_expire_at, Instant::max);
     }
 
+    /// Describes for the log why the runs on a worker are taken for ended, with the time since the worker was last in contact,
+    /// which is the longest that any of them can have outlived the owner's knowledge.
+    pub fn describe_expired_lease(&self, now: Instant) -> String {
+        let silent = self.last_contact.map(|at| now.saturating_duration_since(at).as_millis());
+        let silent_ms = silent.map_or_else(|| "never answered".to_owned(), |ms| ms.to_string());
+        format!(
+            "its lease has expired silent_ms={silent_ms} starts_in_doubt={} unanswered_order={}",
+            self.starts_in_doubt.len(),
+            self.unanswered_order.is_some()
+        )
+    }
+
     /// Describes for the log what the known runs take of the capacity, and how many runs are not in this account.
     pub fn describe_load(&self) -> String {
         let (taken, capacity) = (&self.reserved, &self.entry.capacity);
