--- a/crates/plugins/src/fleet/takeover.rs
+++ b/crates/plugins/src/fleet/takeover.rs
@@ -73,7 +73,6 @@
     let (items, directory_cursor) = directory?;
     let limits = super::term::limits(kernel);
     let mut engine = Engine::new(limits, fence);
-    engine.takeover_unix_ms = kernel.clock.unix_ms();
     if let Some(config) = super::queue_calls::config(kernel) {
         engine.apply_config(&config);
     }
--- a/crates/policy/src/fleet/lease_bounds.rs
+++ b/crates/policy/src/fleet/lease_bounds.rs
@@ -5,17 +5,13 @@
 
 use wasabiswitch_derive::derives;
 
-use super::lease::{LeaseOrder, START_VALIDITY, TASK_LEASE, longest_time_of};
+use super::lease::{LeaseOrder, TASK_LEASE, longest_time_of};
 use super::outcomes::DELIVERY_DELAY_MAX;
 use super::placement::UNRESPONSIVE_AFTER;
 use super::plan::START_ANSWER_OVERDUE;
 use super::reports::JobEvent;
 use super::state::{Engine, RunState, TaskRef, WorkerKey};
 use super::worker::Renewal;
-use crate::ids::BootId;
-
-/// Maximum deviation of a time of day that a worker or a daemon reads; the platform states that it may jump by seconds.
-const TIME_OF_DAY_DEVIATION_MAX: Duration = Duration::from_secs(5);
 
 /// Outcome of an order that extends leases.
 #[derives(value)]
@@ -68,23 +64,15 @@
         worker.apply_order_outcome(renewal.order, outcome, lease_max, now);
     }
 
-    /// Returns the longest time, on the owner's clock, for which a lease that an earlier owner has just extended on the given
-    /// incarnation of a worker is valid.
+    /// Returns the longest time, on the owner's clock, for which a lease is valid that has just been extended by an earlier
+    /// owner, if there was one.
     ///
-    /// An order that was computed for the previous incarnation may have given it the longest lease of all. The earlier owner
-    /// sends such orders no longer than it takes the previous incarnation for responsive, and they are delivered late at
-    /// worst, so that they no longer have an effect on an incarnation that started before.
-    pub(super) fn predecessor_lease(&self, incarnation: BootId) -> Duration {
-        let longest = longest_time_of(self.limits.lease_max);
-        let effect_max = UNRESPONSIVE_AFTER + DELIVERY_DELAY_MAX + longest;
-        // Both the worker's time of day and this daemon's may deviate.
-        let effect_max = effect_max + 2 * TIME_OF_DAY_DEVIATION_MAX;
-        let settled_unix_ms = incarnation.saturating_add(effect_max.as_millis() as u64);
-        if self.fence > 1 && settled_unix_ms > self.takeover_unix_ms {
-            longest
-        } else {
-            longest_time_of(TASK_LEASE.max(START_VALIDITY))
-        }
+    /// An order that was computed for a previous incarnation of the worker may have given it the longest lease of all. Nothing
+    /// that a successor can trust shows when a worker has restarted: its entry states its own time of day, and may be that
+    /// of the previous incarnation. See docs/incidents/2026-12-two-runs-on-real-processes.md.
+    pub(super) fn predecessor_lease(&self) -> Duration {
+        let longest = if self.fence > 1 { self.limits.lease_max } else { TASK_LEASE };
+        longest_time_of(longest)
     }
 
     /// Drops the runs of workers whose leases have certainly expired, and removes such a worker if the
--- a/crates/policy/src/fleet/reports.rs
+++ b/crates/policy/src/fleet/reports.rs
@@ -123,7 +123,7 @@
         events: &mut Vec<JobEvent>,
     ) -> bool {
         let (lease_max, predecessor_order) = (self.limits.lease_max, self.predecessor_order);
-        let predecessor_lease = self.predecessor_lease(report.incarnation);
+        let predecessor_lease = self.predecessor_lease();
         let Some(worker) = self.workers.get_mut(key) else { return false };
         if worker.is_overtaken(timing.sent, report) {
             return false;
--- a/crates/policy/src/fleet/unconfirmed.rs
+++ b/crates/policy/src/fleet/unconfirmed.rs
@@ -4,11 +4,11 @@
 //! These tasks are unconfirmed, and wait until the worker's leases have expired; their teams are charged for them.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use wasabiswitch_derive::derives;
 
-use super::lease::{LeaseOrder, longest_time_of};
+use super::lease::LeaseOrder;
 use super::maintenance::{Instance, InstanceState, PREDECESSOR_CALL_TIMEOUT};
 use super::outcomes::DELIVERY_DELAY_MAX;
 use super::spec::{ResourceVector, Step};
@@ -175,12 +175,9 @@
             let arrives_by = predecessor_deadline + DELIVERY_DELAY_MAX;
             self.predecessor_order = Some(LeaseOrder { until_ms: u64::MAX, arrives_by });
         }
-        let unresponsive = self.workers.iter().filter(|(_, worker)| worker.last_contact.is_none());
-        let leases: Vec<(WorkerKey, Duration)> = unresponsive
-            .map(|(key, worker)| (key, self.predecessor_lease(worker.entry.incarnation)))
-            .collect();
-        for (key, lease) in leases {
-            self.workers[key].leases_expire_at = predecessor_deadline + lease;
+        let leases_expire_at = predecessor_deadline + self.predecessor_lease();
+        for worker in self.workers.values_mut().filter(|worker| worker.last_contact.is_none()) {
+            worker.leases_expire_at = leases_expire_at;
         }
         let silent = self.silent_workers(unlisted, predecessor_deadline);
         if silent.is_empty() { 0 } else { self.mark_tasks_unconfirmed(&silent) }
@@ -192,8 +189,7 @@
         unlisted: &UnlistedWorkers,
         predecessor_deadline: Instant,
     ) -> SilentWorkers {
-        // Nothing shows when an unlisted worker has started.
-        let longest = predecessor_deadline + longest_time_of(self.limits.lease_max);
+        let longest = predecessor_deadline + self.predecessor_lease();
         let UnlistedWorkers::InPools(unlisted) = unlisted else {
             return SilentWorkers { pools: None, until: longest, capacity: None };
         };
--- a/crates/policy/tests/fleet_engine/fixtures.rs
+++ b/crates/policy/tests/fleet_engine/fixtures.rs
@@ -9,6 +9,10 @@
 use wasabiswitch_standin::fleet::single_queue_config;
 use wasabiswitch_standin::fleet_worker::LEASE_MAX;
 
+/// Time after a takeover by which a silent worker holds no lease any more that the predecessor extended, with the time to start
+/// its tasks elsewhere.
+pub const PREDECESSOR_LEASES_EXPIRED: Duration = LEASE_MAX.saturating_add(Duration::from_secs(1));
+
 /// Returns the limits that the users' platform specifies.
 pub fn limits() -> Limits {
     Limits {
--- a/crates/policy/tests/fleet_engine/restarted_worker.rs
+++ b/crates/policy/tests/fleet_engine/restarted_worker.rs
@@ -73,6 +73,20 @@
     tasks_move_once_the_leases_have_expired(&mut sim);
 }
 
+// A task ran twice at once: as above, and the worker's time of day was an hour behind that of the successor, which therefore took
+// the worker for one that had not restarted.
+#[test]
+fn successor_waits_for_the_longest_lease_whatever_the_times_of_day_are() {
+    let mut sim = two_workers_with_long_tasks();
+    let worker = sim.workers.get_mut("w0").expect("the worker exists");
+    worker.crash_as(worker.entry.incarnation + 1, sim.now);
+    sim.run(2 * SECOND);
+    assert_eq!(runs(&sim, "w0"), 2, "the tasks start on the restarted worker");
+    sim.partitioned.insert("w0".into(), sim.now + ALL_LEASES_EXPIRED);
+    sim.take_over();
+    tasks_move_once_the_leases_have_expired(&mut sim);
+}
+
 // A task ran twice at once: as above, on a worker that answered the successor once and was cut off then.
 #[test]
 fn successor_waits_for_the_longest_lease_on_a_worker_that_is_cut_off_after_the_takeover() {
