--- a/crates/policy/src/fleet/lease_bounds.rs
+++ b/crates/policy/src/fleet/lease_bounds.rs
@@ -76,7 +76,7 @@
     }
 
     /// Drops the runs of workers whose leases have certainly expired, and removes such a worker if the
-    /// directory no longer lists it.
+    /// directory no longer lists it and no order to it [awaits delivery](super::worker::Worker::awaits_delivery).
     pub fn expire_leases(&mut self, now: Instant, events: &mut Vec<JobEvent>) {
         let expired: Vec<_> = self
             .workers
@@ -91,7 +91,8 @@
                     self.drop_run(key, task, attempt, &reason, events);
                 }
             }
-            if !self.workers[key].listed && self.workers[key].runs.is_empty() {
+            let worker = &self.workers[key];
+            if !worker.listed && worker.runs.is_empty() && !worker.awaits_delivery(now) {
                 self.remove_worker(key);
             }
         }
--- a/crates/policy/src/fleet/maintenance.rs
+++ b/crates/policy/src/fleet/maintenance.rs
@@ -219,8 +219,7 @@
         for key in ended {
             self.workers[key].listed = false;
             self.drop_all_runs(key, "its instance has no worker or another one", events);
-            // A start in doubt may still reach a later incarnation under the same id, so it is kept.
-            if self.workers[key].starts_in_doubt.is_empty() {
+            if !self.workers[key].awaits_delivery(requested) {
                 self.remove_worker(key);
             }
         }
--- a/crates/policy/src/fleet/worker.rs
+++ b/crates/policy/src/fleet/worker.rs
@@ -222,6 +222,16 @@
         self.unanswered_order = Some(merged);
     }
 
+    /// Returns whether a start or a renewal may still be delivered to the worker, or to its next incarnation.
+    ///
+    /// Until then the owner has to remember the worker, also if it is gone: one that comes back under its id is a new
+    /// incarnation, against which such an order needs a barrier or a longer bound.
+    pub fn awaits_delivery(&self, now: Instant) -> bool {
+        let renewal = self.renewal.map(|renewal| renewal.order);
+        let orders = self.starts_in_doubt.values().copied().chain(renewal);
+        orders.chain(self.unanswered_order).any(|order| order.arrives_by > now)
+    }
+
     /// Extends the bound on the leases by an order whose outcome has just become known.
     ///
     /// The clock in an answer is that of the incarnation that carried the order out, which need not be the one that the
--- a/crates/policy/tests/fleet_engine/restarted_worker.rs
+++ b/crates/policy/tests/fleet_engine/restarted_worker.rs
@@ -3,8 +3,12 @@
 
 use std::time::Duration;
 
+use wasabiswitch_policy::fleet::lease_bounds::OrderOutcome;
 use wasabiswitch_policy::fleet::outcomes::StartOutcome;
+use wasabiswitch_policy::fleet::plan::Order;
+use wasabiswitch_policy::fleet::reports::RunEnd;
 use wasabiswitch_policy::fleet::state::TaskRef;
+use wasabiswitch_standin::fleet_worker::FakeStart;
 
 use crate::simulation::{Faults, Simulation, instance, step, submission};
 
@@ -12,16 +16,21 @@
 /// Time after which the leases on a worker that cannot be reached have expired, whatever orders have arrived there.
 const ALL_LEASES_EXPIRED: Duration = Duration::from_secs(30);
 
-/// Creates a fleet of two workers that run two tasks each, all of which outlast every lease.
-fn two_workers_with_long_tasks() -> Simulation {
+/// Creates a fleet of two workers that run the given number of tasks each, all of which outlast every lease.
+fn two_workers_with_long_tasks_each(tasks: u32) -> Simulation {
     let mut sim = Simulation::new(2, 0, Faults::default(), 1);
     sim.run(SECOND);
-    sim.submit(submission("a", vec![step(4, 60_000)]));
+    sim.submit(submission("a", vec![step(2 * tasks, 60_000)]));
     sim.run(SECOND);
-    assert_eq!(runs(&sim, "w0"), 2);
+    assert_eq!(runs(&sim, "w0"), tasks as usize);
     sim
 }
 
+/// Creates a fleet of two workers that run two such tasks each, so that each has room for those of the other.
+fn two_workers_with_long_tasks() -> Simulation {
+    two_workers_with_long_tasks_each(2)
+}
+
 /// Returns the number of runs on a worker.
 fn runs(sim: &Simulation, id: &str) -> usize {
     sim.workers[id].runs.len()
@@ -132,6 +141,66 @@
     tasks_move_once_the_leases_have_expired(&mut sim);
 }
 
+/// Makes a worker unreachable and unlisted until the leases on it have expired and its tasks have moved, then restarts it and
+/// lists it again, and runs until it has reported.
+fn restart_after_an_absence(sim: &mut Simulation, id: &str) {
+    sim.partitioned.insert(id.into(), sim.now + 6 * SECOND);
+    sim.engine.mark_worker_unlisted(id);
+    sim.run(6 * SECOND);
+    sim.crash(id);
+    let entry = sim.workers[id].entry.clone();
+    sim.engine.upsert_worker(entry, sim.now);
+    sim.run(SECOND);
+}
+
+// A task ran again after its end: a start without an answer was delivered late to a worker that had been unlisted for so long that
+// the owner had forgotten it, and with it the start.
+#[test]
+fn late_start_does_not_begin_on_a_worker_that_is_listed_again() {
+    let mut sim = Simulation::new(2, 0, Faults::default(), 1);
+    sim.run(SECOND);
+    sim.submit(submission("a", vec![step(1, 50)]));
+    let orders = sim.engine.plan(sim.now, &mut Vec::new());
+    let [Order::Start { worker, task, name, attempt, .. }] = &orders[..] else {
+        panic!("the task is started: {orders:?}");
+    };
+    let id = sim.engine.workers[*worker].entry.id.clone();
+    let unknown = StartOutcome::Unknown.into();
+    sim.engine.apply_start_outcome(*worker, *task, *attempt, unknown, sim.now, &mut Vec::new());
+    // The list of instances shows that the worker has ended.
+    sim.engine.drop_all_runs(*worker, "its instance has no worker", &mut Vec::new());
+    restart_after_an_absence(&mut sim, &id);
+    assert_eq!(sim.starts.len(), 1, "the task runs on the other worker");
+    let (now, worker) = (sim.now, sim.workers.get_mut(&id).expect("the worker exists"));
+    let late = FakeStart {
+        task: name.clone(),
+        attempt: *attempt,
+        fence: sim.engine.fence,
+        // On the clock of the restarted worker the start may be valid for hours.
+        until_ms: worker.clock_ms(now) + 3_600_000,
+        run_time: None,
+        run_end: RunEnd::Done,
+    };
+    assert_eq!(worker.start(&late, now), StartOutcome::Superseded);
+}
+
+// A task ran twice at once: a renewal without an answer was delivered late to such a worker, and its leases outlived the owner's
+// estimate.
+#[test]
+fn late_renewal_of_a_worker_that_is_listed_again_is_covered() {
+    let mut sim = two_workers_with_long_tasks_each(1);
+    let key = sim.engine.worker_key("w0").expect("the engine knows the worker");
+    let until_ms = sim.engine.begin_renewal(key, sim.now).expect("the worker is busy");
+    sim.engine.end_renewal(key, OrderOutcome::Unknown, sim.now);
+    restart_after_an_absence(&mut sim, "w0");
+    sim.submit(submission("b", vec![step(2, 60_000)]));
+    sim.run(SECOND);
+    assert_eq!(runs(&sim, "w0"), 2, "tasks start on the restarted worker");
+    let (now, worker) = (sim.now, sim.workers.get_mut("w0").expect("the worker exists"));
+    worker.hold(sim.engine.fence, 0, Some(until_ms), now).expect("the fence is the newest");
+    tasks_move_once_the_leases_have_expired(&mut sim);
+}
+
 /// Starts a task on a worker that has just restarted, cuts the worker off before it reports, and checks that the task starts
 /// elsewhere without breaking a rule.
 fn cut_off_after_a_start_on_a_restarted_worker(lost_acks: f64) {
