--- a/crates/plugins/src/fleet/directory.rs
+++ b/crates/plugins/src/fleet/directory.rs
@@ -77,12 +77,15 @@
                     format!("worker={} pool={} draining={}", entry.id, entry.pool, entry.draining);
                 let upserted = with_term(kernel, fence, |term| {
                     let known = term.engine.worker_key(&entry.id).is_some();
-                    (known, term.engine.upsert_worker(entry, now))
+                    let key = term.engine.upsert_worker(entry, now);
+                    (known, key, term.engine.workers[key].has_entry_of_another_incarnation())
                 });
-                let Some((known, key)) = upserted else { return };
-                log::info!("worker listed {worker} known={known}");
+                let Some((known, key, restarted)) = upserted else { return };
+                log::info!("worker listed {worker} known={known} restarted={restarted}");
                 if !known {
                     workers::poll_worker(kernel, fence, tasks, key);
+                } else if restarted {
+                    workers::spawn_poll(kernel, fence, tasks, key);
                 }
             }
             DirectoryItem::Unlisted(id) => {
--- a/crates/plugins/src/fleet/workers.rs
+++ b/crates/plugins/src/fleet/workers.rs
@@ -121,6 +121,17 @@
     );
 }
 
+/// Requests a report of a worker that has restarted in a separate task, which is joined at the end of the term.
+///
+/// The regular request may still wait for an answer of the previous incarnation, while late orders for that one begin on the new
+/// one.
+pub(crate) fn spawn_poll(kernel: &Arc<Kernel>, fence: u64, tasks: &TaskTree, key: WorkerKey) {
+    let kernel = kernel.clone();
+    tasks.spawn("report of a restarted worker", async move {
+        poll_now(&kernel, fence, key).await;
+    });
+}
+
 /// Requests a report at once, in addition to the regular request, which waits for the next end of a task.
 ///
 /// Only a report that is requested after an unanswered order shows whether the order took effect.
@@ -138,6 +149,11 @@
     }
     let mut events = Vec::new();
     let applied = with_term(kernel, fence, |term| {
+        if let (Ok(WorkerReply::Done(report)), Some(worker)) =
+            (&reply, term.engine.workers.get(key))
+        {
+            log_restart(worker, report, None);
+        }
         apply_reply(&mut term.engine, key, timing, reply, &mut events)
     });
     log_job_events(&events);
--- a/crates/plugins/tests/fleet_terms.rs
+++ b/crates/plugins/tests/fleet_terms.rs
@@ -14,6 +14,29 @@
 /// Number of instances in the pool.
 const POOL_INSTANCES: usize = 4;
 
+// A start without an answer began on a restarted worker after its task had ended elsewhere: while a request for a report from the
+// former incarnation went unanswered, the owner learned of the restart only seconds after the new incarnation had been listed.
+#[tokio::test(start_paused = true)]
+async fn restarted_worker_is_asked_for_a_report_as_soon_as_it_is_listed() {
+    let platform = FleetStandIn::new(&[("p", 1), ("standby", 0)], 100_000);
+    platform.put_config(single_queue_config("standby", 100_000));
+    let owner = platform.start(1).await;
+    tokio::time::sleep(ms(1_500)).await;
+    platform.faults().inject(Operation::Hold, Fault::Hang, 1);
+    // The next regular request hangs when it has waited for an end.
+    tokio::time::sleep(ms(2_100)).await;
+    let incarnation = platform.restart_worker("w0");
+    tokio::time::sleep(ms(100)).await;
+    {
+        let guard = owner.tables.term.lock();
+        let engine = &guard.as_ref().expect("the daemon owns the fleet").engine;
+        let key = engine.worker_key("w0").expect("the worker is listed");
+        assert_eq!(engine.workers[key].incarnation, incarnation);
+    }
+    platform.faults().clear();
+    owner.stop().await;
+}
+
 // A report that was requested in an ended term was applied to the engine of the daemon's next term, where the key of its
 // worker names another worker.
 #[tokio::test(start_paused = true)]
--- a/crates/policy/src/fleet/worker.rs
+++ b/crates/policy/src/fleet/worker.rs
@@ -157,6 +157,12 @@
         self.clock.is_some_and(|clock| report.clock_ms < clock.clock_ms)
     }
 
+    /// Returns whether the directory names another incarnation than the last report: the worker has restarted, unless the entry is
+    /// outdated.
+    pub fn has_entry_of_another_incarnation(&self) -> bool {
+        self.incarnation != 0 && self.incarnation != self.entry.incarnation
+    }
+
     /// Returns whether all runs on the worker are known: the worker has reported, and has no orphans.
     pub fn is_reconciled(&self) -> bool {
         self.last_contact.is_some() && self.orphans.is_empty()
--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -16,14 +16,14 @@
 use wasabiswitch_kernel::Kernel;
 use wasabiswitch_kernel::clock::Clock;
 use wasabiswitch_kernel::platform::Platform;
-use wasabiswitch_kernel::platform::fleet::{OperatorItem, WaveRequest};
+use wasabiswitch_kernel::platform::fleet::{DirectoryItem, OperatorItem, WaveRequest};
 use wasabiswitch_kernel::plugin::{PlatformKind, registered_for_platform};
 use wasabiswitch_kernel::settings::{Settings, read_text};
 use wasabiswitch_policy::fleet::config::{FleetConfig, Route};
 use wasabiswitch_policy::fleet::maintenance::{Instance, InstanceState, WaveNumber};
 use wasabiswitch_policy::fleet::spec::ResourceVector;
 use wasabiswitch_policy::fleet::state::{PoolSettings, QueueSettings, TaskName};
-use wasabiswitch_policy::ids::InstanceId;
+use wasabiswitch_policy::ids::{BootId, InstanceId};
 
 pub use self::state::History;
 use self::state::{InstanceRecord, State};
@@ -153,6 +153,18 @@
         self.state().waves_done.contains(&wave)
     }
 
+    /// Restarts a worker under its id, and lists the entry of its new incarnation, which it returns.
+    pub fn restart_worker(&self, id: &str) -> BootId {
+        let mut state = self.state();
+        let now = state.now;
+        let worker = state.workers.get_mut(id).expect("the worker exists");
+        worker.crash(now);
+        let entry = worker.entry.clone();
+        let incarnation = entry.incarnation;
+        state.directory.push(DirectoryItem::Listed(entry));
+        incarnation
+    }
+
     /// Appends an item to the operator's rows.
     pub fn put_operator_item(&self, item: OperatorItem) {
         self.state().operator.push(item);
