--- a/crates/plugins/src/fleet/workers.rs
+++ b/crates/plugins/src/fleet/workers.rs
@@ -83,7 +83,7 @@
             log_restart(worker, report, renewed_until_ms);
         }
         let outcome = match &reply {
-            Ok(WorkerReply::Done(report)) => OrderOutcome::Answered(report.clock_ms),
+            Ok(WorkerReply::Done(report)) => OrderOutcome::Answered(Some(report.clock_ms)),
             Err(error) if error.verdict == Verdict::NotRun => OrderOutcome::NotDelivered,
             _ => OrderOutcome::Unknown,
         };
@@ -121,6 +121,22 @@
     );
 }
 
+/// Logs that a start was answered by another clock than that of the incarnation that reported last.
+fn log_other_clock(worker: &Worker, name: &TaskName, attempt: u32, clock_ms: Option<u64>) {
+    log::info!(
+        "start answered by another clock job={} task={}.{}.{} attempt={attempt} worker={} incarnation={} \
+         clock_ms={} known_clock_ms={}",
+        name.job,
+        name.occurrence,
+        name.step,
+        name.index,
+        worker.entry.id,
+        worker.incarnation,
+        clock_ms.map_or_else(|| "none".to_owned(), |clock_ms| clock_ms.to_string()),
+        worker.clock.map_or(0, |clock| clock.clock_ms)
+    );
+}
+
 /// Requests a report of a worker that has restarted in a separate task, which is joined at the end of the term.
 ///
 /// The regular request may still wait for an answer of the previous incarnation, while late orders for that one begin on the new
@@ -273,16 +289,25 @@
             metrics::counter!(metric::STARTS, "outcome" => label).increment(1);
             let now = kernel.clock.now();
             let mut events = Vec::new();
-            let holds_back = with_term(kernel, fence, |term| {
+            let applied = with_term(kernel, fence, |term| {
                 if outcome == StartOutcome::Started {
                     term.pressure.record_answer(now.saturating_duration_since(sent));
                 }
                 term.engine.apply_start_outcome(worker, task, attempt, answer, now, &mut events);
-                term.engine.holds_starts_back()
+                let worker = term.engine.workers.get(worker);
+                let doubted = worker.filter(|worker| worker.clock_doubted_at == Some(now));
+                if let Some(worker) = doubted {
+                    log_other_clock(worker, &name, attempt, answer.clock_ms);
+                }
+                (term.engine.holds_starts_back(), doubted.is_some())
             });
             log_job_events(&events);
+            let (holds_back, is_clock_doubted) = applied.unwrap_or_default();
+            if is_clock_doubted {
+                poll_now(kernel, fence, worker).await;
+            }
             match outcome {
-                StartOutcome::Started if holds_back == Some(true) => {
+                StartOutcome::Started if holds_back => {
                     kernel.wake_signals.plan.notify_one();
                 }
                 StartOutcome::Started => {}
--- a/crates/policy/src/fleet/lease.rs
+++ b/crates/policy/src/fleet/lease.rs
@@ -15,6 +15,10 @@
 /// rest is margin.
 pub const WORKER_CLOCK_RATE_MIN: f64 = 0.975;
 
+/// Longest time between the reading of a worker's clock and the arrival of the answer with it: the platform's client waits no
+/// longer for an answer.
+const READING_AGE_MAX: Duration = Duration::from_secs(2);
+
 /// Time for which a task's lease is valid after a renewal, on the worker's clock.
 ///
 /// The lease has to outlast a takeover: the owner's lease, its margin and the time to restore the rows. The tasks
@@ -44,6 +48,20 @@
         self.clock_ms.saturating_add(passed_ms)
     }
 
+    /// Returns whether a later sample can be one of the same clock.
+    ///
+    /// The clock of another incarnation starts anywhere, so that its sample most likely cannot; if it can, orders mean nearly
+    /// the same to both incarnations.
+    pub fn can_be_followed_by(&self, later: &ClockSample) -> bool {
+        let passed = later.received.saturating_duration_since(self.received);
+        let (slowest, fastest) =
+            (passed.mul_f64(WORKER_CLOCK_RATE_MIN), passed.div_f64(WORKER_CLOCK_RATE_MIN));
+        let at = |passed: Duration| self.clock_ms.saturating_add(passed.as_millis() as u64);
+        let earliest_ms = at(slowest).saturating_sub(READING_AGE_MAX.as_millis() as u64);
+        let latest_ms = at(fastest + READING_AGE_MAX);
+        (earliest_ms..=latest_ms).contains(&later.clock_ms)
+    }
+
     /// Returns the time on the worker's clock, in milliseconds, to which an order sent at `now` is valid.
     pub fn until(&self, now: Instant, validity: Duration) -> u64 {
         self.clock_at(now).saturating_add(validity.as_millis() as u64)
@@ -74,12 +92,14 @@
         }
     }
 
-    /// Returns a time by which leases have expired that the order extends on an incarnation with the given clock.
+    /// Returns a time by which leases have expired that the order extends on an incarnation with the given clock, which is
+    /// `None` if it is not known.
     ///
     /// The incarnation need not be the one that the order was computed for. Where the order's time lies far ahead on its
     /// clock, the lease ends `lease_max` after the order has arrived.
-    pub fn leases_expire_by(&self, clock: &ClockSample, lease_max: Duration) -> Instant {
-        clock.latest_time_of(self.until_ms).min(self.arrives_by + longest_time_of(lease_max))
+    pub fn leases_expire_by(&self, clock: Option<&ClockSample>, lease_max: Duration) -> Instant {
+        let longest = self.arrives_by + longest_time_of(lease_max);
+        clock.map_or(longest, |clock| clock.latest_time_of(self.until_ms).min(longest))
     }
 }
 
--- a/crates/policy/src/fleet/lease_bounds.rs
+++ b/crates/policy/src/fleet/lease_bounds.rs
@@ -16,8 +16,9 @@
 /// Outcome of an order that extends leases.
 #[derives(value)]
 pub enum OrderOutcome {
-    /// An incarnation of the worker carried the order out; the answer has a reading of its clock, in milliseconds.
-    Answered(u64),
+    /// An incarnation of the worker carried the order out; the answer has a reading of its clock, in milliseconds, or `None`
+    /// if there was no readable one.
+    Answered(Option<u64>),
     /// The order was certainly not carried out, and will not be.
     NotDelivered,
     /// The order may have been carried out, or may still be.
@@ -37,12 +38,14 @@
     /// Returns the time on the worker's clock to which a report that is requested now renews its leases, or
     /// `None` if they must not be renewed.
     ///
-    /// An unresponsive worker is not renewed, so that its tasks can run elsewhere in time.
+    /// An unresponsive worker is not renewed, so that its tasks can run elsewhere in time, nor is one whose clock is in doubt.
     pub fn begin_renewal(&mut self, key: WorkerKey, now: Instant) -> Option<u64> {
         let worker = self.workers.get_mut(key).filter(|worker| !worker.runs.is_empty())?;
         let clock = worker.clock?;
         let answered = worker.last_contact?;
-        if now.saturating_duration_since(answered) > UNRESPONSIVE_AFTER {
+        if worker.clock_doubted_at.is_some()
+            || now.saturating_duration_since(answered) > UNRESPONSIVE_AFTER
+        {
             return None;
         }
         let until_ms = clock.until(now, TASK_LEASE);
--- a/crates/policy/src/fleet/outcomes.rs
+++ b/crates/policy/src/fleet/outcomes.rs
@@ -152,12 +152,14 @@
         let name = self.task_name(task);
         let (Some(name), Some(worker)) = (name, self.workers.get_mut(key)) else { return };
         let Some(order) = worker.starts_in_doubt.remove(&(name, attempt)) else { return };
-        let outcome = match answer.clock_ms {
-            _ if !answer.outcome.extends_leases() => OrderOutcome::NotDelivered,
-            Some(clock_ms) => OrderOutcome::Answered(clock_ms),
-            None => OrderOutcome::Unknown,
+        let outcome = match answer.outcome.extends_leases() {
+            true => OrderOutcome::Answered(answer.clock_ms),
+            false => OrderOutcome::NotDelivered,
         };
         worker.apply_order_outcome(order, outcome, lease_max, now);
+        if outcome != OrderOutcome::NotDelivered && !worker.is_known_clock(answer.clock_ms, now) {
+            worker.clock_doubted_at = Some(now);
+        }
     }
 
     fn confirm_start(&mut self, key: WorkerKey, task: TaskRef, attempt: u32, now: Instant) {
--- a/crates/policy/src/fleet/reports.rs
+++ b/crates/policy/src/fleet/reports.rs
@@ -138,7 +138,7 @@
             worker.orphans = barriers.clone();
             worker.consecutive_failures = 0;
             if known {
-                worker.cover_orders_for_previous_incarnation(predecessor_order, &clock, lease_max);
+                worker.cover_pending_orders(predecessor_order, Some(&clock), lease_max);
                 self.report_barriers(key, &barriers, events);
                 self.drop_runs_of_previous_incarnation(key, timing, events);
                 self.block_until_barriers(&barriers, timing.received);
@@ -155,6 +155,7 @@
         worker.gauges_updated = true;
         worker.report_missed_at = worker.report_missed_at.filter(|at| *at > timing.sent);
         worker.answer_missed_at = worker.answer_missed_at.filter(|at| *at > timing.sent);
+        worker.clock_doubted_at = worker.clock_doubted_at.filter(|at| *at > timing.sent);
         let mut listed = BTreeSet::new();
         for end in &report.ended {
             listed.insert((end.task.clone(), end.attempt));
--- a/crates/policy/src/fleet/state.rs
+++ b/crates/policy/src/fleet/state.rs
@@ -339,6 +339,7 @@
             ends_to_persist: VecDeque::new(),
             report_missed_at: None,
             answer_missed_at: None,
+            clock_doubted_at: None,
             runs: BTreeSet::new(),
             reserved: ResourceVector::default(),
             orphans: BTreeMap::new(),
--- a/crates/policy/src/fleet/worker.rs
+++ b/crates/policy/src/fleet/worker.rs
@@ -126,6 +126,11 @@
     pub report_missed_at: Option<Instant>,
     /// Time at which a start got no answer; `None` once a report that was requested later has arrived.
     pub answer_missed_at: Option<Instant>,
+    /// Time at which a start was answered by another clock than [`Worker::clock`], or without one; `None` once a report that was
+    /// requested later has arrived.
+    ///
+    /// Until then the worker has most likely restarted, and orders that are computed for the known clock mean another time.
+    pub clock_doubted_at: Option<Instant>,
     /// Tasks, with their attempts, that may be running on the worker.
     pub runs: BTreeSet<(TaskRef, u32)>,
     /// Resources that [`Worker::runs`] reserve.
@@ -241,7 +246,8 @@
     /// Extends the bound on the leases by an order whose outcome has just become known.
     ///
     /// The clock in an answer is that of the incarnation that carried the order out, which need not be the one that the
-    /// owner knows.
+    /// owner knows. If it is not, that incarnation may have carried out or may still carry out all other orders for the known
+    /// one, and those of an earlier owner that arrived before.
     pub fn apply_order_outcome(
         &mut self,
         order: LeaseOrder,
@@ -251,22 +257,32 @@
     ) {
         match outcome {
             OrderOutcome::Answered(clock_ms) => {
-                let clock = ClockSample { clock_ms, received: now };
+                let clock = clock_ms.map(|clock_ms| ClockSample { clock_ms, received: now });
                 let order = LeaseOrder { arrives_by: now, ..order };
-                let expiry = order.leases_expire_by(&clock, lease_max);
+                let expiry = order.leases_expire_by(clock.as_ref(), lease_max);
                 self.leases_expire_at = self.leases_expire_at.max(expiry);
+                if !self.is_known_clock(clock_ms, now) {
+                    let arrived = LeaseOrder { until_ms: u64::MAX, arrives_by: now };
+                    self.cover_pending_orders(Some(arrived), clock.as_ref(), lease_max);
+                }
             }
             OrderOutcome::NotDelivered => {}
             OrderOutcome::Unknown => self.record_unanswered(order),
         }
     }
 
-    /// Extends the bound on the leases by the orders for the previous incarnation that the current one, with the given
-    /// clock, may have carried out or may still carry out, one of an earlier owner included.
-    pub fn cover_orders_for_previous_incarnation(
+    /// Returns whether a reading that has just arrived in an answer can be one of the clock that the owner knows.
+    pub fn is_known_clock(&self, clock_ms: Option<u64>, now: Instant) -> bool {
+        let (Some(known), Some(clock_ms)) = (&self.clock, clock_ms) else { return false };
+        known.can_be_followed_by(&ClockSample { clock_ms, received: now })
+    }
+
+    /// Extends the bound on the leases by the orders for the known incarnation that another one, with the given clock, may
+    /// have carried out or may still carry out, and by the latest order of an earlier owner.
+    pub fn cover_pending_orders(
         &mut self,
         predecessor_order: Option<LeaseOrder>,
-        clock: &ClockSample,
+        clock: Option<&ClockSample>,
         lease_max: Duration,
     ) {
         let renewal = self.renewal.map(|renewal| renewal.order);
--- a/crates/policy/tests/end_model/world.rs
+++ b/crates/policy/tests/end_model/world.rs
@@ -417,7 +417,7 @@
         let engine = &mut self.owners[number].engine;
         let outcome = match &report {
             Some(report) if delivery == Delivery::Answered => {
-                OrderOutcome::Answered(report.clock_ms)
+                OrderOutcome::Answered(Some(report.clock_ms))
             }
             _ => OrderOutcome::Unknown,
         };
--- a/crates/policy/tests/fleet_engine/restarted_worker.rs
+++ b/crates/policy/tests/fleet_engine/restarted_worker.rs
@@ -3,14 +3,15 @@
 
 use std::time::Duration;
 
+use wasabiswitch_policy::fleet::lease::WORKER_CLOCK_RATE_MIN;
 use wasabiswitch_policy::fleet::lease_bounds::OrderOutcome;
 use wasabiswitch_policy::fleet::outcomes::StartOutcome;
 use wasabiswitch_policy::fleet::plan::Order;
 use wasabiswitch_policy::fleet::reports::RunEnd;
 use wasabiswitch_policy::fleet::state::TaskRef;
-use wasabiswitch_standin::fleet_worker::FakeStart;
+use wasabiswitch_standin::fleet_worker::{FakeStart, LEASE_MAX};
 
-use crate::simulation::{Faults, Simulation, instance, step, submission};
+use crate::simulation::{Faults, Simulation, TICK, instance, step, submission};
 
 const SECOND: Duration = Duration::from_secs(1);
 /// Time after which the leases on a worker that cannot be reached have expired, whatever orders have arrived there.
@@ -232,6 +233,65 @@
     cut_off_after_a_start_on_a_restarted_worker(1.0);
 }
 
+/// Renewals that reach a restarted worker beside a start that it answers.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Renewals {
+    /// One was sent before the restart, and is delivered after the start.
+    Late,
+    /// One is sent after the answer to the start.
+    Next,
+}
+
+// A task ran twice at once: a restarted worker answered a start and was cut off before it reported; another order for its former
+// incarnation, which it carried out as well, had given it a lease of which the owner took no account.
+#[test]
+fn renewals_beside_a_start_that_a_restarted_worker_answered_are_covered() {
+    for renewals in [Renewals::Late, Renewals::Next] {
+        let mut sim = Simulation::new(3, 0, Faults::default(), 1);
+        sim.run(SECOND);
+        sim.submit(submission("a", vec![step(3, 60_000)]));
+        sim.run(SECOND);
+        assert_eq!(runs(&sim, "w0"), 1);
+        let key = sim.engine.worker_key("w0").expect("the engine knows the worker");
+        sim.workers.get_mut("w0").expect("the worker exists").crash(sim.now);
+        let late = match renewals {
+            Renewals::Late => sim.engine.begin_renewal(key, sim.now),
+            Renewals::Next => None,
+        };
+        sim.submit(submission("b", vec![step(3, 60_000)]));
+        sim.plan();
+        sim.run(SECOND / 50);
+        assert_eq!(runs(&sim, "w0"), 1, "the restarted worker carries out the start");
+        let until_ms = late.or_else(|| sim.engine.begin_renewal(key, sim.now));
+        sim.engine.end_renewal(key, OrderOutcome::Unknown, sim.now);
+        sim.engine.record_missed_report(key, sim.now);
+        sim.partitioned.insert("w0".into(), sim.now + ALL_LEASES_EXPIRED);
+        sim.run(2 * SECOND);
+        let (now, worker) = (sim.now, sim.workers.get_mut("w0").expect("the worker exists"));
+        worker.hold(sim.engine.fence, 0, until_ms, now).expect("the fence is the newest");
+        sim.run(ALL_LEASES_EXPIRED - 3 * SECOND);
+        assert_eq!(sim.violations, Vec::<String>::new(), "{renewals:?}");
+        assert_eq!(sim.starts.len(), 8, "the tasks start on the other workers ({renewals:?})");
+    }
+}
+
+// A task ran twice at once: as above, but the answer to the start had no readable clock.
+#[test]
+fn start_that_is_answered_without_a_clock_is_covered() {
+    let mut sim = Simulation::new(2, 0, Faults::default(), 1);
+    sim.run(SECOND);
+    sim.submit(submission("a", vec![step(1, 60_000)]));
+    let orders = sim.engine.plan(sim.now, &mut Vec::new());
+    let [Order::Start { worker, task, attempt, .. }] = &orders[..] else {
+        panic!("the task is started: {orders:?}");
+    };
+    let started = StartOutcome::Started.into();
+    sim.engine.apply_start_outcome(*worker, *task, *attempt, started, sim.now, &mut Vec::new());
+    let longest = LEASE_MAX.div_f64(WORKER_CLOCK_RATE_MIN);
+    assert!(!sim.engine.workers[*worker].leases_expired(sim.now + longest - TICK));
+    assert!(sim.engine.workers[*worker].leases_expired(sim.now + longest + TICK));
+}
+
 // The end of a task was lost, and the task ran again: the request for a report after an unanswered start acknowledged the ends of
 // the previous incarnation to a restarted worker, whose ends have the same numbers.
 #[test]
--- a/crates/policy/tests/fleet_engine/simulation.rs
+++ b/crates/policy/tests/fleet_engine/simulation.rs
@@ -341,7 +341,7 @@
         let report = worker.hold(self.engine.fence, acknowledged, until_ms, self.now);
         let report = report.filter(|_| self.rng.f64() >= self.faults.lost_reports);
         let outcome = match &report {
-            Some(report) => OrderOutcome::Answered(report.clock_ms),
+            Some(report) => OrderOutcome::Answered(Some(report.clock_ms)),
             None => OrderOutcome::Unknown,
         };
         self.engine.end_renewal(key, outcome, self.now);
