--- a/crates/plugins/src/fleet/directory.rs
+++ b/crates/plugins/src/fleet/directory.rs
@@ -75,12 +75,15 @@
             DirectoryItem::Listed(entry) => {
                 let worker =
                     format!("worker={} pool={} draining={}", entry.id, entry.pool, entry.draining);
+                let listed_incarnation = entry.incarnation;
                 let upserted = with_term(kernel, fence, |term| {
                     let known = term.engine.worker_key(&entry.id).is_some();
                     (known, term.engine.upsert_worker(entry, now))
                 });
                 let Some((known, key)) = upserted else { return };
-                log::info!("worker listed {worker} known={known}");
+                log::info!(
+                    "worker listed {worker} known={known} listed_incarnation={listed_incarnation}"
+                );
                 if !known {
                     workers::poll_worker(kernel, fence, tasks, key);
                 }
--- a/crates/plugins/src/fleet/takeover.rs
+++ b/crates/plugins/src/fleet/takeover.rs
@@ -255,12 +255,12 @@
     });
     let calls = orders.map(|(key, order, attempts)| async move {
         let (timing, reply) = hold_with_retries(kernel, &order, attempts).await;
-        (key, timing, reply)
+        (key, order, timing, reply)
     });
     let calls: Vec<_> = calls.collect();
     let mut events = Vec::new();
-    for (key, timing, reply) in join_all(calls).await {
-        workers::apply_reply(engine, key, timing, reply, &mut events);
+    for (key, order, timing, reply) in join_all(calls).await {
+        workers::apply_reply(engine, key, &order, timing, reply, &mut events);
     }
     // Only the number is logged: a line for each adopted run would displace the other lines of the log.
     log::info!("worker holds completed notes={}", events.len());
--- a/crates/plugins/src/fleet/workers.rs
+++ b/crates/plugins/src/fleet/workers.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::time::sleep;
 use wasabiswitch_kernel::platform::PlatformResult;
@@ -14,7 +14,7 @@
 use wasabiswitch_policy::Verdict;
 use wasabiswitch_policy::fleet::Engine;
 use wasabiswitch_policy::fleet::lease_bounds::OrderOutcome;
-use wasabiswitch_policy::fleet::outcomes::StartOutcome;
+use wasabiswitch_policy::fleet::outcomes::{StartAnswer, StartOutcome};
 use wasabiswitch_policy::fleet::ownership::may_act;
 use wasabiswitch_policy::fleet::plan::Order;
 use wasabiswitch_policy::fleet::reports::{JobEvent, ReportTiming, WorkerReport};
@@ -29,6 +29,10 @@
 const IDLE_WAIT: Duration = Duration::from_millis(1_000);
 /// Delay before the next request after a failed report.
 const REPORT_RETRY_DELAY: Duration = Duration::from_millis(200);
+/// Deviation of the clock in an answer from the clock of the known incarnation from which on the answer is logged.
+///
+/// It is longer than an answer takes; the clocks of two incarnations are rarely so close.
+const CLOCK_DEVIATION_LOGGED_MS: u64 = 1_000;
 
 /// Time of the next poll of a worker.
 enum NextPoll {
@@ -72,23 +76,17 @@
     });
     let Some(order) = order.flatten() else { return NextPoll::Never };
     let Some(order) = order else { return NextPoll::After(REPORT_RETRY_DELAY) };
-    let renewed_until_ms = order.until_ms;
-    let reply = (port(kernel).hold)(order).await;
+    let reply = (port(kernel).hold)(order.clone()).await;
     let timing = ReportTiming { sent: now, received: kernel.clock.now() };
     let mut events = Vec::new();
     let applied = with_term(kernel, fence, |term| {
-        if let (Ok(WorkerReply::Done(report)), Some(worker)) =
-            (&reply, term.engine.workers.get(key))
-        {
-            log_restart(worker, report, renewed_until_ms);
-        }
         let outcome = match &reply {
             Ok(WorkerReply::Done(report)) => OrderOutcome::Answered(report.clock_ms),
             Err(error) if error.verdict == Verdict::NotRun => OrderOutcome::NotDelivered,
             _ => OrderOutcome::Unknown,
         };
         term.engine.end_renewal(key, outcome, timing.received);
-        let applied = apply_reply(&mut term.engine, key, timing, reply, &mut events);
+        let applied = apply_reply(&mut term.engine, key, &order, timing, reply, &mut events);
         (applied, term.pressure.report_interval())
     });
     let pause = match applied {
@@ -105,20 +103,38 @@
     NextPoll::After(pause)
 }
 
-/// Logs that a worker has restarted, with the time to which the request for its report renewed its leases: a time on the
-/// clock of the previous incarnation.
-fn log_restart(worker: &Worker, report: &WorkerReport, renewed_until_ms: Option<u64>) {
-    if worker.incarnation == 0 || worker.incarnation == report.incarnation {
+/// Logs the first report of an incarnation, with what its request held for the incarnation before: the time to which it
+/// renewed leases, on the clock of that incarnation, and the number of the last end that it acknowledged.
+///
+/// The first report of a worker is logged only if another incarnation has written the worker's entry, so that a takeover of
+/// hundreds of workers does not fill the log.
+fn log_new_incarnation(
+    worker: &Worker,
+    order: &HoldOrder,
+    timing: ReportTiming,
+    report: &WorkerReport,
+) {
+    if worker.incarnation == report.incarnation || worker.is_overtaken(timing.sent, report) {
         return;
     }
-    log::info!(
-        "worker has restarted worker={} incarnation={} before={} clock_ms={} renewed_until_ms={}",
-        worker.entry.id,
-        report.incarnation,
-        worker.incarnation,
-        report.clock_ms,
-        renewed_until_ms.unwrap_or(0)
-    );
+    let (id, clock_ms) = (&worker.entry.id, report.clock_ms);
+    let (incarnation, listed_incarnation) = (report.incarnation, worker.entry.incarnation);
+    if worker.incarnation != 0 {
+        log::info!(
+            "worker has restarted worker={id} incarnation={incarnation} before={} clock_ms={clock_ms} \
+             renewed_until_ms={} acknowledged={} listed_incarnation={listed_incarnation}",
+            worker.incarnation,
+            order.until_ms.unwrap_or(0),
+            order.acknowledged
+        );
+    } else if incarnation != listed_incarnation {
+        log::info!(
+            "worker's entry is that of another incarnation worker={id} incarnation={incarnation} \
+             clock_ms={clock_ms} listed_incarnation={listed_incarnation} runs={} ends={}",
+            report.running.len(),
+            report.ended.len()
+        );
+    }
 }
 
 /// Requests a report at once, in addition to the regular request, which waits for the next end of a task.
@@ -130,7 +146,7 @@
     });
     let Some(order) = order.flatten() else { return };
     let sent = kernel.clock.now();
-    let reply = (port(kernel).hold)(order).await;
+    let reply = (port(kernel).hold)(order.clone()).await;
     let timing = ReportTiming { sent, received: kernel.clock.now() };
     // A failure is ignored, since the regular request detects it as well.
     if !matches!(reply, Ok(WorkerReply::Done(_) | WorkerReply::Fenced)) {
@@ -138,7 +154,7 @@
     }
     let mut events = Vec::new();
     let applied = with_term(kernel, fence, |term| {
-        apply_reply(&mut term.engine, key, timing, reply, &mut events)
+        apply_reply(&mut term.engine, key, &order, timing, reply, &mut events)
     });
     log_job_events(&events);
     if matches!(applied, Some(AppliedReply::Fenced)) {
@@ -154,16 +170,19 @@
     NoReport,
 }
 
-/// Applies a reply to a hold to the engine.
+/// Applies the reply to a hold to the engine.
 pub(crate) fn apply_reply(
     engine: &mut Engine,
     key: WorkerKey,
+    order: &HoldOrder,
     timing: ReportTiming,
     reply: PlatformResult<WorkerReply<WorkerReport>>,
     events: &mut Vec<JobEvent>,
 ) -> AppliedReply {
-    let id = engine.workers.get(key).map(|worker| worker.entry.id.clone());
-    let id = id.as_deref().unwrap_or("?");
+    // The worker may have been forgotten since the order was sent.
+    let id = &order.target.id;
+    let worker = engine.workers.get(key);
+    let known = worker.map_or(0, |worker| worker.incarnation);
     let outcome = match &reply {
         Ok(WorkerReply::Done(_)) => "report",
         Ok(_) => "refused",
@@ -172,12 +191,22 @@
     metrics::counter!(metric::WORKER_REPORTS, "outcome" => outcome).increment(1);
     match reply {
         Ok(WorkerReply::Done(report)) => {
-            if !engine.apply_report(key, timing, &report, events) {
+            let (incarnation, clock_ms) = (report.incarnation, report.clock_ms);
+            match worker {
+                Some(worker) => log_new_incarnation(worker, order, timing, &report),
+                None => log::info!(
+                    "report of a forgotten worker worker={id} incarnation={incarnation} \
+                     clock_ms={clock_ms} runs={} ends={}",
+                    report.running.len(),
+                    report.ended.len()
+                ),
+            }
+            let is_forgotten = worker.is_none();
+            if !engine.apply_report(key, timing, &report, events) && !is_forgotten {
                 metrics::counter!(metric::WORKER_REPORTS, "outcome" => "overtaken").increment(1);
                 log::info!(
-                    "report overtaken by a newer one worker={id} incarnation={} clock_ms={}",
-                    report.incarnation,
-                    report.clock_ms
+                    "report overtaken by a newer one worker={id} incarnation={incarnation} \
+                     clock_ms={clock_ms}"
                 );
             }
             return AppliedReply::Report;
@@ -185,14 +214,19 @@
         Ok(WorkerReply::Fenced) => return AppliedReply::Fenced,
         Ok(WorkerReply::OtherLife) => {
             engine.drop_all_runs(key, "another incarnation answered", events);
-            log::info!("worker has a new incarnation worker={id}");
+            log::info!(
+                "worker has a new incarnation worker={id} incarnation={known} address={}",
+                order.target.address
+            );
         }
         Ok(WorkerReply::Refused(reason)) => {
-            log::warn!("hold refused worker={id} reason={reason}");
+            log::warn!("hold refused worker={id} incarnation={known} reason={reason}");
         }
         Err(error) => {
             log::warn!(
-                "report not received worker={id} verdict={} reason={error}",
+                "report not received worker={id} incarnation={known} renewed_until_ms={} verdict={} \
+                 reason={error}",
+                order.until_ms.unwrap_or(0),
                 error.verdict.as_str()
             );
         }
@@ -261,6 +295,9 @@
                 if outcome == StartOutcome::Started {
                     term.pressure.record_answer(now.saturating_duration_since(sent));
                 }
+                if let Some(worker) = term.engine.workers.get(worker) {
+                    log_start_answer(worker, &name, attempt, answer, until_ms, now);
+                }
                 term.engine.apply_start_outcome(worker, task, attempt, answer, now, &mut events);
                 term.engine.holds_starts_back()
             });
@@ -281,8 +318,8 @@
             let Some(target) = order_target(kernel, fence, worker) else { return };
             let run = RunOrder { target, task: name.clone(), attempt, fence };
             let sent = kernel.clock.now();
-            let reply = (port(kernel).stop)(run).await;
-            let done = handle_order_reply(kernel, fence, "stop", &name.job, reply);
+            let reply = (port(kernel).stop)(run.clone()).await;
+            let done = handle_order_reply(kernel, fence, "stop", &run, reply);
             let now = kernel.clock.now();
             let needs_report = with_term(kernel, fence, |term| {
                 if done {
@@ -296,9 +333,9 @@
         }
         Order::Pace { worker, name, attempt, percent } => {
             let Some(target) = order_target(kernel, fence, worker) else { return };
-            let run = RunOrder { target, task: name.clone(), attempt, fence };
-            let reply = (port(kernel).pace)((run, percent)).await;
-            handle_order_reply(kernel, fence, "pace", &name.job, reply);
+            let run = RunOrder { target, task: name, attempt, fence };
+            let reply = (port(kernel).pace)((run.clone(), percent)).await;
+            handle_order_reply(kernel, fence, "pace", &run, reply);
         }
     }
 }
@@ -337,22 +374,61 @@
     kernel.wake_signals.plan.notify_one();
 }
 
-/// Handles the reply to an order; returns whether the worker has carried the order out.
+/// Logs a start that got no answer, or one whose answer has another clock than the known incarnation of the worker: then
+/// another incarnation has carried the start out, or refused it.
+fn log_start_answer(
+    worker: &Worker,
+    name: &TaskName,
+    attempt: u32,
+    answer: StartAnswer,
+    until_ms: u64,
+    now: Instant,
+) {
+    let (id, incarnation) = (&worker.entry.id, worker.incarnation);
+    let run = describe_run(name, attempt);
+    if answer.outcome == StartOutcome::Unknown {
+        log::warn!(
+            "start not answered {run} worker={id} incarnation={incarnation} until_ms={until_ms}"
+        );
+        return;
+    }
+    let (Some(clock), Some(clock_ms)) = (worker.clock, answer.clock_ms) else { return };
+    let expected_ms = clock.clock_at(now);
+    if clock_ms.abs_diff(expected_ms) > CLOCK_DEVIATION_LOGGED_MS {
+        log::info!(
+            "start answered on another clock {run} worker={id} incarnation={incarnation} outcome={:?} \
+             until_ms={until_ms} clock_ms={clock_ms} expected_ms={expected_ms}",
+            answer.outcome
+        );
+    }
+}
+
+/// Describes a run for the log by its task and attempt.
+fn describe_run(name: &TaskName, attempt: u32) -> String {
+    let TaskName { job, occurrence, step, index } = name;
+    format!("job={job} task={occurrence}.{step}.{index} attempt={attempt}")
+}
+
+/// Handles the reply to an order for a run; returns whether the worker has carried the order out.
 fn handle_order_reply(
     kernel: &Kernel,
     fence: u64,
-    order: &str,
-    job: &str,
+    kind: &str,
+    order: &RunOrder,
     reply: PlatformResult<WorkerReply<()>>,
 ) -> bool {
+    let run = || {
+        let run = describe_run(&order.task, order.attempt);
+        format!("{run} worker={}", order.target.id)
+    };
     match reply {
         Ok(WorkerReply::Done(())) => return true,
         Ok(WorkerReply::Fenced) => {
             term::end_term(kernel, fence, "a worker's answer to an order");
         }
-        Ok(WorkerReply::OtherLife) => log::info!("{order} reached another incarnation job={job}"),
-        Ok(WorkerReply::Refused(reason)) => log::warn!("{order} refused job={job} reason={reason}"),
-        Err(error) => log::warn!("{order} not answered job={job} reason={error}"),
+        Ok(WorkerReply::OtherLife) => log::info!("{kind} reached another incarnation {}", run()),
+        Ok(WorkerReply::Refused(reason)) => log::warn!("{kind} refused {} reason={reason}", run()),
+        Err(error) => log::warn!("{kind} not answered {} reason={error}", run()),
     }
     false
 }
