--- a/crates/plugins/src/fleet/term.rs
+++ b/crates/plugins/src/fleet/term.rs
@@ -132,6 +132,7 @@
             if term.engine.has_changes() {
                 kernel.wake_signals.write.notify_one();
             }
+            log_forgotten_workers(&mut term.engine, now);
             orders
         });
         let Some(orders) = orders else { return };
@@ -151,6 +152,19 @@
     }
 }
 
+/// Logs the workers that the engine has removed, with what may still reach a later incarnation under the same id.
+fn log_forgotten_workers(engine: &mut Engine, now: Instant) {
+    for worker in engine.take_forgotten_workers() {
+        log::info!(
+            "worker forgotten worker={} incarnation={} listed={} {}",
+            worker.entry.id,
+            worker.incarnation,
+            worker.listed,
+            worker.describe_orders_in_doubt(now)
+        );
+    }
+}
+
 /// Ends the term with `fence` as superseded, because `source` has shown that the fleet has a newer owner.
 pub(crate) fn end_term(kernel: &Kernel, fence: u64, source: &str) {
     let ended = with_term(kernel, fence, |term| !std::mem::replace(&mut term.superseded, true));
--- a/crates/policy/src/fleet/reports.rs
+++ b/crates/policy/src/fleet/reports.rs
@@ -8,7 +8,9 @@
 
 use super::lease::{ClockSample, LeaseOrder};
 use super::outcomes::DELIVERY_DELAY_MAX;
-use super::state::{Engine, Orphan, Phase, Run, RunState, TaskName, TaskRef, WorkerKey};
+use super::state::{
+    Engine, FORGOTTEN_WORKERS_MAX, Orphan, Phase, Run, RunState, TaskName, TaskRef, WorkerKey,
+};
 use crate::ids::{BootId, InstanceId, JobId};
 
 /// Maximum number of ended runs in one report; a report with fewer lists all of them.
@@ -285,7 +287,11 @@
             events.push(JobEvent {
                 job: name.job.clone(),
                 kind: "start in doubt at a restarted worker",
-                detail: describe_run(name, *attempt, &worker.entry.id),
+                detail: format!(
+                    "{} incarnation={}",
+                    describe_run(name, *attempt, &worker.entry.id),
+                    worker.incarnation
+                ),
             });
         }
     }
@@ -596,6 +602,9 @@
     pub(super) fn remove_worker(&mut self, key: WorkerKey) {
         if let Some(worker) = self.workers.remove(key) {
             self.worker_keys.remove(&worker.entry.id);
+            if self.forgotten_workers.len() < FORGOTTEN_WORKERS_MAX {
+                self.forgotten_workers.push(worker);
+            }
         }
     }
 
--- a/crates/policy/src/fleet/state.rs
+++ b/crates/policy/src/fleet/state.rs
@@ -70,6 +70,8 @@
     pub jobs: SlotMap<JobKey, Job>,
     /// Workers that the directory lists or that may still run tasks.
     pub workers: SlotMap<WorkerKey, Worker>,
+    /// Workers that have been removed and not taken yet, at most [`FORGOTTEN_WORKERS_MAX`].
+    pub(super) forgotten_workers: Vec<Worker>,
     /// Settings of each queue; removed queues stay, because their jobs still have to end.
     pub queues: BTreeMap<QueueId, QueueSettings>,
     /// Settings of each pool.
@@ -132,6 +134,7 @@
             fence,
             jobs: SlotMap::with_key(),
             workers: SlotMap::with_key(),
+            forgotten_workers: Vec::new(),
             queues: BTreeMap::new(),
             pools: BTreeMap::new(),
             teams: BTreeMap::new(),
@@ -188,6 +191,11 @@
         self.job_keys.get(id).copied()
     }
 
+    /// Takes the workers that have been removed since the last call, for the log.
+    pub fn take_forgotten_workers(&mut self) -> Vec<Worker> {
+        std::mem::take(&mut self.forgotten_workers)
+    }
+
     /// Looks up a worker by its id.
     pub fn worker_key(&self, id: &str) -> Option<WorkerKey> {
         self.worker_keys.get(id).copied()
@@ -435,6 +443,8 @@
     }
 }
 
+/// Maximum number of removed workers that are kept for the log.
+pub(super) const FORGOTTEN_WORKERS_MAX: usize = 256;
 /// Number of attempt numbers that each owner has for one task.
 const ATTEMPTS_PER_OWNER: u32 = 10_000;
 
--- a/crates/policy/src/fleet/worker.rs
+++ b/crates/policy/src/fleet/worker.rs
@@ -272,6 +272,19 @@
         )
     }
 
+    /// Describes for the log the orders that may still reach another incarnation of the worker at `now`, and the time for which
+    /// its leases bind.
+    pub fn describe_orders_in_doubt(&self, now: Instant) -> String {
+        let is_open = |order: &&LeaseOrder| order.arrives_by > now;
+        format!(
+            "starts_in_doubt={} renewals_in_doubt={} lease_ms={}",
+            self.starts_in_doubt.values().filter(is_open).count(),
+            usize::from(self.renewal.is_some())
+                + self.unanswered_order.iter().filter(is_open).count(),
+            self.leases_expire_at.saturating_duration_since(now).as_millis()
+        )
+    }
+
     /// Describes for the log what the known runs take of the capacity, and how many runs are not in this account.
     pub fn describe_load(&self) -> String {
         let (taken, capacity) = (&self.reserved, &self.entry.capacity);
--- a/crates/policy/tests/fleet_engine/restarted_worker.rs
+++ b/crates/policy/tests/fleet_engine/restarted_worker.rs
@@ -174,3 +174,21 @@
     );
     assert_eq!(sim.violations, Vec::<String>::new());
 }
+
+// The log did not tell a worker that was new from one that the owner had forgotten.
+#[test]
+fn forgotten_worker_is_kept_for_the_log_once() {
+    let mut sim = Simulation::new(1, 0, Faults::default(), 1);
+    sim.run(SECOND);
+    let key = sim.engine.worker_key("w0").expect("the engine knows the worker");
+    let incarnation = sim.engine.workers[key].incarnation;
+    sim.engine.mark_worker_unlisted("w0");
+    sim.now += ALL_LEASES_EXPIRED;
+    sim.engine.plan(sim.now, &mut Vec::new());
+    assert_eq!(sim.engine.worker_key("w0"), None);
+    let forgotten = sim.engine.take_forgotten_workers();
+    let ids: Vec<_> =
+        forgotten.iter().map(|worker| (&*worker.entry.id, worker.incarnation)).collect();
+    assert_eq!(ids, [("w0", incarnation)]);
+    assert!(sim.engine.take_forgotten_workers().is_empty());
+}
