--- a/crates/policy/tests/fleet_engine/restarted_worker.rs
+++ b/crates/policy/tests/fleet_engine/restarted_worker.rs
@@ -4,9 +4,11 @@
 use std::time::Duration;
 
 use wasabiswitch_policy::fleet::outcomes::StartOutcome;
+use wasabiswitch_policy::fleet::plan::Order;
+use wasabiswitch_policy::fleet::reports::ReportTiming;
 use wasabiswitch_policy::fleet::state::TaskRef;
 
-use crate::simulation::{Faults, Simulation, instance, step, submission};
+use crate::simulation::{Faults, Simulation, instance, queue_settings, step, submission};
 
 const SECOND: Duration = Duration::from_secs(1);
 /// Time after which the leases on a worker that cannot be reached have expired, whatever orders have arrived there.
@@ -206,3 +208,63 @@
     assert_eq!(ids, [("w0", incarnation)]);
     assert!(sim.engine.take_forgotten_workers().is_empty());
 }
+
+// A write that was in flight when a worker restarted acknowledged ends of the next incarnation that nobody had read.
+#[test]
+fn write_of_the_ends_of_a_previous_incarnation_confirms_none_of_the_next_one() {
+    let mut sim = Simulation::new(1, 0, Faults::default(), 1);
+    sim.submit(submission("a", vec![step(4, 50)]));
+    sim.run_without_writes(2 * SECOND);
+    let changes = sim.engine.take_changes(usize::MAX);
+    assert_eq!(changes.ends.len(), 1);
+    sim.crash("w0");
+    sim.run_without_writes(SECOND);
+    sim.engine.confirm_changes(&changes);
+    let key = sim.engine.worker_key("w0").expect("the engine knows the worker");
+    assert_eq!(sim.engine.workers[key].last_end_persisted, 0);
+    assert_eq!(sim.engine.workers[key].ack_cursor(), 0);
+}
+
+// A report that arrived after its worker had been forgotten and listed again would have been that of the new entry.
+#[test]
+fn report_requested_before_a_worker_was_forgotten_changes_nothing() {
+    let mut sim = Simulation::new(1, 0, Faults::default(), 1);
+    sim.run(SECOND);
+    let key = sim.engine.worker_key("w0").expect("the engine knows the worker");
+    let (sent, fence) = (sim.now, sim.engine.fence);
+    let worker = sim.workers.get_mut("w0").expect("the worker exists");
+    let report = worker.hold(fence, 0, None, sent).expect("the fence is the newest");
+    sim.engine.mark_worker_unlisted("w0");
+    sim.now += ALL_LEASES_EXPIRED;
+    sim.engine.plan(sim.now, &mut Vec::new());
+    let listed = sim.engine.upsert_worker(sim.workers["w0"].entry.clone(), sim.now);
+    assert_ne!(listed, key);
+    let timing = ReportTiming { sent, received: sim.now };
+    assert!(!sim.engine.apply_report(key, timing, &report, &mut Vec::new()));
+    assert_eq!(sim.engine.workers[listed].incarnation, 0);
+}
+
+// A ticket is valid for one incarnation of a worker: after the next one has refused it, the step waits for a new one.
+#[test]
+fn refused_ticket_is_requested_again_before_the_next_start() {
+    let mut sim = Simulation::new(1, 0, Faults::default(), 1);
+    sim.run(SECOND);
+    let mut queue_settings = queue_settings();
+    queue_settings.requires_advice = true;
+    sim.engine.queues.insert("q".into(), queue_settings);
+    sim.submit(submission("a", vec![step(1, 60_000)]));
+    let orders = sim.engine.plan(sim.now, &mut Vec::new());
+    assert!(matches!(orders[..], [Order::Advise { .. }]), "{orders:?}");
+    let job = sim.engine.job_key("a").expect("the job was accepted");
+    let task = TaskRef { job, occurrence: 0, step: 0, index: 0 };
+    let key = sim.engine.worker_key("w0").expect("the engine knows the worker");
+    let grants = vec![("w0".into(), "of the former incarnation".to_owned())];
+    let (now, valid) = (sim.now, 3 * SECOND);
+    sim.engine.apply_advice(&task, &[key], Some((grants, valid)), now);
+    let orders = sim.engine.plan(now, &mut Vec::new());
+    assert!(matches!(orders[..], [Order::Start { .. }]), "{orders:?}");
+    let refused = StartOutcome::NoTicket.into();
+    sim.engine.apply_start_outcome(key, task, 1, refused, now, &mut Vec::new());
+    let orders = sim.engine.plan(now, &mut Vec::new());
+    assert!(matches!(orders[..], [Order::Advise { .. }]), "{orders:?}");
+}
