--- a/crates/policy/src/fleet/worker.rs
+++ b/crates/policy/src/fleet/worker.rs
@@ -157,6 +157,12 @@
         self.clock.is_some_and(|clock| report.clock_ms < clock.clock_ms)
     }
 
+    /// Returns whether the directory names another incarnation than the last report: the worker has restarted, unless the entry is
+    /// outdated.
+    pub fn has_entry_of_another_incarnation(&self) -> bool {
+        self.incarnation != 0 && self.incarnation != self.entry.incarnation
+    }
+
     /// Returns whether all runs on the worker are known: the worker has reported, and has no orphans.
     pub fn is_reconciled(&self) -> bool {
         self.last_contact.is_some() && self.orphans.is_empty()
@@ -222,6 +228,16 @@
         self.unanswered_order = Some(merged);
     }
 
+    /// Returns whether a start or a renewal may still be delivered to the worker, or to its next incarnation.
+    ///
+    /// Until then the owner has to remember the worker, also if it is gone: one that comes back under its id is a new
+    /// incarnation, against which such an order needs a barrier or a longer bound.
+    pub fn awaits_delivery(&self, now: Instant) -> bool {
+        let renewal = self.renewal.map(|renewal| renewal.order);
+        let orders = self.starts_in_doubt.values().copied().chain(renewal);
+        orders.chain(self.unanswered_order).any(|order| order.arrives_by > now)
+    }
+
     /// Extends the bound on the leases by an order whose outcome has just become known.
     ///
     /// The clock in an answer is that of the incarnation that carried the order out, which need not be the one that the
