A soak of workers that restart under their ids and are cut off while long tasks run

Cause: the tasks of the soak lasted 0.6 s, no worker was cut off from the daemons, and no owner was killed near a restart. The output of the daemons is kept when a soak fails.

--- a/crates/daemon/tests/soak/daemons.rs
+++ b/crates/daemon/tests/soak/daemons.rs
@@ -1,5 +1,6 @@
 //! The daemon processes of the soak test, and the faults that are injected into them by signals and proxies.
 
+use std::fs::OpenOptions;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -29,6 +30,8 @@
 
 struct Daemon {
     settings: PathBuf,
+    /// File with the output of the daemon's processes.
+    output: PathBuf,
     entry: SocketAddr,
     control: SocketAddr,
     proxy: Proxy,
@@ -43,6 +46,8 @@
     client: HttpClient,
     /// Version of the operator's newest configuration.
     config_version: u64,
+    /// Whether the files with the output of the daemons are kept.
+    keeps_output: bool,
 }
 
 impl Drop for DaemonGroup {
@@ -50,6 +55,14 @@
         for daemon in &mut self.daemons {
             daemon.kill();
         }
+        if self.keeps_output || std::thread::panicking() {
+            eprintln!("output of the daemons: {:?}", self.output_files());
+            return;
+        }
+        for file in self.output_files() {
+            // A file that is left has no effect on other tests.
+            let _ = std::fs::remove_file(file);
+        }
     }
 }
 
@@ -71,8 +84,9 @@
         );
         let name = format!("wasabiswitch-soak-{}-{}.json", std::process::id(), entry.port());
         let settings = std::env::temp_dir().join(name);
+        let output = settings.with_extension(format!("d{number}.log"));
         std::fs::write(&settings, text).expect("files can be written");
-        Daemon { settings, entry, control, proxy, store_mode, child: None }
+        Daemon { settings, output, entry, control, proxy, store_mode, child: None }
     }
 
     fn is_running(&mut self) -> bool {
@@ -83,8 +97,10 @@
         if self.is_running() {
             return;
         }
+        let output = OpenOptions::new().append(true).create(true).open(&self.output);
         let mut command = Command::new(env!("CARGO_BIN_EXE_wasabiswitchd"));
-        command.arg("--settings").arg(&self.settings).stdout(Stdio::null());
+        command.arg("--settings").arg(&self.settings);
+        command.stdout(Stdio::from(output.expect("files can be written")));
         self.child = Some(command.spawn().expect("the daemon starts"));
     }
 
@@ -120,9 +136,25 @@
             daemons,
             client: HttpClient::new(Network::tcp()),
             config_version: 1,
+            keeps_output: false,
         }
     }
 
+    /// Keeps the files with the output of the daemons; returns their paths.
+    pub fn keep_output(&mut self) -> Vec<PathBuf> {
+        self.keeps_output = true;
+        self.output_files()
+    }
+
+    fn output_files(&self) -> Vec<PathBuf> {
+        self.daemons.iter().map(|daemon| daemon.output.clone()).collect()
+    }
+
+    /// Returns a caller of the daemons, which shares no connections with other callers.
+    pub fn caller(&self) -> Caller {
+        Caller { client: HttpClient::new(Network::tcp()), entries: self.entries() }
+    }
+
     /// Injects a random fault into a daemon or the platform, or ends the faults of one daemon; other faults persist.
     pub async fn inject_fault(&mut self, rng: &mut Rng) {
         let number = rng.usize(..self.daemons.len());
@@ -238,21 +270,51 @@
         path: &str,
         body: &str,
     ) -> (u16, String) {
-        let daemon = &self.daemons[daemon % self.daemons.len()];
-        let request = ClientRequest {
-            method,
-            path,
-            authorization: Some("key"),
-            headers: &[("host", "jobs.example")],
-            body: Bytes::from(body.to_owned()),
-        };
-        let response = self.client.send(daemon.entry, request);
-        match tokio::time::timeout(CALL_TIMEOUT, response).await {
-            Ok(Ok(response)) => {
-                (response.status.as_u16(), String::from_utf8_lossy(&response.body).into_owned())
-            }
-            _ => (0, String::new()),
+        let entry = self.daemons[daemon % self.daemons.len()].entry;
+        send_call(&self.client, entry, method, path, body).await
+    }
+}
+
+/// Caller of the daemons.
+pub struct Caller {
+    client: HttpClient,
+    entries: Vec<SocketAddr>,
+}
+
+impl Caller {
+    /// Sends a call to a daemon; returns status and body, with the status 0 if there was no response.
+    pub async fn call(
+        &self,
+        daemon: usize,
+        method: Method,
+        path: &str,
+        body: &str,
+    ) -> (u16, String) {
+        let entry = self.entries[daemon % self.entries.len()];
+        send_call(&self.client, entry, method, path, body).await
+    }
+}
+
+async fn send_call(
+    client: &HttpClient,
+    entry: SocketAddr,
+    method: Method,
+    path: &str,
+    body: &str,
+) -> (u16, String) {
+    let request = ClientRequest {
+        method,
+        path,
+        authorization: Some("key"),
+        headers: &[("host", "jobs.example")],
+        body: Bytes::from(body.to_owned()),
+    };
+    let response = client.send(entry, request);
+    match tokio::time::timeout(CALL_TIMEOUT, response).await {
+        Ok(Ok(response)) => {
+            (response.status.as_u16(), String::from_utf8_lossy(&response.body).into_owned())
         }
+        _ => (0, String::new()),
     }
 }
 
--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -7,7 +7,8 @@
 //! appear in the platform's lists. Every accepted job must complete or be cancelled, no task may run twice at the same time, and no worker may
 //! get more tasks than it has room for.
 //!
-//! The test in `stops` stops daemons in the planned way only, and checks that each call is answered.
+//! The test in `stops` stops daemons in the planned way only, and checks that each call is answered. The test in `restarts`
+//! restarts workers under their ids and cuts them off while long tasks run.
 //!
 //! ```text
 //! cargo test -p wasabiswitchd --test soak                        the seeds of CI
@@ -17,6 +18,7 @@
 mod callers;
 mod daemons;
 mod proxy;
+mod restarts;
 #[path = "../../../../platform/tests/wire/server.rs"]
 mod server;
 mod stops;
@@ -123,6 +125,18 @@
 /// Waits until all accepted jobs are done or, if a cancellation was sent, cancelled.
 async fn assert_jobs_complete(seed: u64, daemons: &DaemonGroup, accepted: &[AcceptedJob]) {
     assert!(!accepted.is_empty(), "seed {seed}: no job was accepted");
+    let incomplete = find_incomplete_job(seed, daemons, accepted, COMPLETION_TIMEOUT).await;
+    assert_eq!(incomplete, None, "seed {seed}: the job was accepted and is not done");
+}
+
+/// Waits for each accepted job until it is done or, if a cancellation was sent, cancelled; returns the first one that is not
+/// within `timeout`.
+async fn find_incomplete_job<'a>(
+    seed: u64,
+    daemons: &DaemonGroup,
+    accepted: &'a [AcceptedJob],
+    timeout: Duration,
+) -> Option<&'a str> {
     for AcceptedJob { path, is_cancelled } in accepted {
         let done = async {
             let mut daemon = 0;
@@ -137,9 +151,11 @@
                 tokio::time::sleep(Duration::from_millis(50)).await;
             }
         };
-        let completed = tokio::time::timeout(COMPLETION_TIMEOUT, done).await;
-        assert!(completed.is_ok(), "seed {seed}: {path} was accepted and is not done");
+        if tokio::time::timeout(timeout, done).await.is_err() {
+            return Some(path);
+        }
     }
+    None
 }
 
 fn assert_starts_are_valid(seed: u64, platform: &Platform) {
--- a/crates/daemon/tests/soak/proxy.rs
+++ b/crates/daemon/tests/soak/proxy.rs
@@ -18,6 +18,19 @@
     Stalled,
     /// Closes open connections and, at once, new ones.
     Closed,
+    /// Keeps the connections open and loses the bytes, also those that a connection gets after lost ones.
+    Lost,
+    /// Forwards requests, and loses the responses in the same way.
+    ResponsesLost,
+    /// Forwards requests, and closes a connection midway through the next response.
+    ResponsesBroken,
+}
+
+/// Direction of the bytes on a connection.
+#[derive(Clone, Copy, PartialEq)]
+enum Direction {
+    Request,
+    Response,
 }
 
 /// A running proxy, which ends with the runtime of the test.
@@ -51,8 +64,8 @@
         (stream.into_split(), upstream.into_split());
     let (request_mode, response_mode) = (mode.clone(), mode.clone());
     tokio::select! {
-        () = copy(client_in, upstream_out, request_mode) => {}
-        () = copy(upstream_in, client_out, response_mode) => {}
+        () = copy(client_in, upstream_out, Direction::Request, request_mode) => {}
+        () = copy(upstream_in, client_out, Direction::Response, response_mode) => {}
         _ = mode.wait_for(|mode| *mode == ProxyMode::Closed) => {}
     }
 }
@@ -60,17 +73,31 @@
 async fn copy(
     mut from: tokio::net::tcp::OwnedReadHalf,
     mut to: tokio::net::tcp::OwnedWriteHalf,
+    direction: Direction,
     mut mode: watch::Receiver<ProxyMode>,
 ) {
     let mut buffer = vec![0; 16 << 10];
+    let mut has_lost_bytes = false;
     loop {
         let Ok(count) = from.read(&mut buffer).await else { return };
         if count == 0 || mode.wait_for(|mode| *mode != ProxyMode::Stalled).await.is_err() {
             return;
         }
         let current = *mode.borrow();
-        if let ProxyMode::Slow(delay) = current {
-            tokio::time::sleep(delay).await;
+        let is_response = direction == Direction::Response;
+        match current {
+            ProxyMode::Slow(delay) => tokio::time::sleep(delay).await,
+            ProxyMode::Lost => has_lost_bytes = true,
+            ProxyMode::ResponsesLost if is_response => has_lost_bytes = true,
+            ProxyMode::ResponsesBroken if is_response => {
+                // A failure has the same effect as the end that follows.
+                let _ = to.write_all(&buffer[..count / 2]).await;
+                return;
+            }
+            _ => {}
+        }
+        if has_lost_bytes {
+            continue;
         }
         if to.write_all(&buffer[..count]).await.is_err() {
             return;
