Play restarted workers whose entries stay those of their former incarnations, and owners killed beside them

Cause: the successor takes a worker for an old one by its entry, which is still that of the former incarnation, and waits for 4.6 s where a renewal for the former clock has given a lease of 10 s. Why: in such a round no worker writes its entry until its cut ends, and the entry expires 4.0 to 4.5 s after the restart.

--- a/crates/daemon/tests/soak/restarts.rs
+++ b/crates/daemon/tests/soak/restarts.rs
@@ -91,6 +91,13 @@
     StartDaemons,
 }
 
+/// Restarts of workers, most of which are cut off soon after.
+struct Round {
+    at_ms: u64,
+    /// Whether the workers cannot write their entries between their restart and the end of their cut.
+    has_stale_entries: bool,
+}
+
 /// Lines with the time of day of what happened in a seed.
 #[derive(Clone, Default)]
 struct History(Arc<Mutex<Vec<String>>>);
@@ -217,11 +224,14 @@
         violations.len(),
         begin.elapsed().as_secs()
     );
-    if !violations.is_empty() {
+    if !violations.is_empty() || std::env::var_os("SOAK_KEEP").is_some() {
         platform.runs().iter().for_each(|run| history.record(&run.to_string()));
         println!("{}", violations.join("\n"));
-        println!("seed {seed}: history {:?}", history.write(seed));
-        violations.push(format!("seed {seed}: output {:?}", daemons.keep_output()));
+        let (history, output) = (history.write(seed), daemons.keep_output());
+        println!("seed {seed}: history {history:?}, output {output:?}");
+        if let Some(last) = violations.last_mut() {
+            last.push_str(&format!(" (history {history:?}, output {output:?})"));
+        }
     }
     violations
 }
@@ -273,13 +283,18 @@
     let mut free_from_ms = [0; WORKER_COUNT];
     let mut round_ms = FIRST_ROUND.as_millis() as u64;
     for _ in 0..ROUND_COUNT {
+        let round = Round { at_ms: round_ms, has_stale_entries: rng.u8(0..3) == 0 };
+        // A worker whose entry has expired would hide what an owner makes of the stale entry of another one.
+        let restarted_tenths = if round.has_stale_entries { 2 } else { [1, 4][rng.usize(..2)] };
         for (worker, free_from_ms) in free_from_ms.iter_mut().enumerate() {
-            if *free_from_ms <= round_ms && rng.u8(0..5) < 2 {
-                *free_from_ms = schedule_restart(&mut events, rng, worker, round_ms);
+            if *free_from_ms <= round_ms && rng.u8(0..10) < restarted_tenths {
+                *free_from_ms = schedule_restart(&mut events, rng, worker, &round);
             }
         }
         if scenario.has_kills && rng.u8(0..5) > 0 {
-            let mut kill_ms = round_ms + rng.u64(900..2_600);
+            // The successor reads stale entries before they expire.
+            let kill_delay_ms = if round.has_stale_entries { 1_400..2_100 } else { 900..2_600 };
+            let mut kill_ms = round_ms + rng.u64(kill_delay_ms);
             events.push((kill_ms, Event::KillOwner));
             if rng.bool() {
                 kill_ms += rng.u64(2_500..8_000);
@@ -298,13 +313,17 @@
     events: &mut Vec<(u64, Event)>,
     rng: &mut Rng,
     worker: usize,
-    round_ms: u64,
+    round: &Round,
 ) -> u64 {
+    let round_ms = round.at_ms;
     let down_ms = round_ms + rng.u64(0..200);
     let up_ms = down_ms + rng.u64(300..1_000);
-    let cut_ms = round_ms + rng.u64(2_000..3_500);
+    let cut_ms =
+        round_ms + rng.u64(if round.has_stale_entries { 1_900..2_500 } else { 2_000..3_500 });
     let joined_ms = cut_ms + rng.u64(5_000..11_000);
-    let down_mode = if rng.bool() { ProxyMode::Lost } else { ProxyMode::Closed };
+    // Refused connections show a restart at once, so that tasks start before the owner is killed.
+    let is_refused = round.has_stale_entries || rng.bool();
+    let down_mode = if is_refused { ProxyMode::Closed } else { ProxyMode::Lost };
     events.extend([
         (down_ms, Event::StopWorker(worker)),
         (down_ms, Event::SetMode(worker, down_mode)),
@@ -334,6 +353,11 @@
     let last_entry_ms = joined_ms + rng.u64(0..HEARTBEAT_MS);
     events.push((last_entry_ms, Event::WriteEntry(worker)));
     let is_cut_off_from_store = rng.u8(0..3) == 0;
+    if round.has_stale_entries {
+        let expired_ms = down_ms + ENTRY_LIFETIME_MS - rng.u64(0..HEARTBEAT_MS / 3);
+        events.push((expired_ms, Event::RemoveEntry(worker)));
+        return last_entry_ms;
+    }
     if is_cut_off_from_store {
         let expired_ms = cut_ms + ENTRY_LIFETIME_MS - rng.u64(0..HEARTBEAT_MS);
         events.push((expired_ms, Event::RemoveEntry(worker)));
