--- a/crates/plugins/src/fleet/directory.rs
+++ b/crates/plugins/src/fleet/directory.rs
@@ -79,7 +79,7 @@
                 let upserted = with_term(kernel, fence, |term| {
                     let known = term.engine.worker_key(&entry.id).is_some();
                     let key = term.engine.upsert_worker(entry, now);
-                    (known, key, term.engine.workers[key].has_entry_of_another_incarnation())
+                    (known, key, term.engine.workers[key].restart_suspected_at == Some(now))
                 });
                 let Some((known, key, restarted)) = upserted else { return };
                 log::info!(
--- a/crates/plugins/src/fleet/workers.rs
+++ b/crates/plugins/src/fleet/workers.rs
@@ -152,6 +152,8 @@
         hold_order(term.engine.workers.get(key)?, fence, None, Duration::ZERO)
     });
     let Some(order) = order.flatten() else { return };
+    // Ends are left to the regular request: the worker may have restarted.
+    let order = HoldOrder { acknowledged: 0, ..order };
     let sent = kernel.clock.now();
     let reply = (port(kernel).hold)(order.clone()).await;
     let timing = ReportTiming { sent, received: kernel.clock.now() };
@@ -307,13 +309,13 @@
                 if let Some(worker) = worker {
                     log_start_answer(worker, &name, attempt, answer, until_ms, now);
                 }
-                let is_clock_doubted =
-                    worker.is_some_and(|worker| worker.clock_doubted_at == Some(now));
-                (term.engine.holds_starts_back(), is_clock_doubted)
+                let is_restart_suspected =
+                    worker.is_some_and(|worker| worker.restart_suspected_at == Some(now));
+                (term.engine.holds_starts_back(), is_restart_suspected)
             });
             log_job_events(&events);
-            let (holds_back, is_clock_doubted) = applied.unwrap_or_default();
-            if is_clock_doubted {
+            let (holds_back, is_restart_suspected) = applied.unwrap_or_default();
+            if is_restart_suspected {
                 poll_now(kernel, fence, worker).await;
             }
             match outcome {
@@ -404,7 +406,7 @@
         log::warn!(
             "start not answered {run} worker={id} incarnation={incarnation} until_ms={until_ms}"
         );
-    } else if worker.clock_doubted_at == Some(now) {
+    } else if worker.restart_suspected_at == Some(now) {
         log::info!(
             "start answered on another clock {run} worker={id} incarnation={incarnation} outcome={:?} \
              until_ms={until_ms} clock_ms={} expected_ms={}",
--- a/crates/policy/src/fleet/lease_bounds.rs
+++ b/crates/policy/src/fleet/lease_bounds.rs
@@ -38,12 +38,12 @@
     /// Returns the time on the worker's clock to which a report that is requested now renews its leases, or
     /// `None` if they must not be renewed.
     ///
-    /// An unresponsive worker is not renewed, so that its tasks can run elsewhere in time, nor is one whose clock is in doubt.
+    /// An unresponsive worker is not renewed, so that its tasks can run elsewhere in time, nor is one that has most likely restarted.
     pub fn begin_renewal(&mut self, key: WorkerKey, now: Instant) -> Option<u64> {
         let worker = self.workers.get_mut(key).filter(|worker| !worker.runs.is_empty())?;
         let clock = worker.clock?;
         let answered = worker.last_contact?;
-        if worker.clock_doubted_at.is_some()
+        if worker.restart_suspected_at.is_some()
             || now.saturating_duration_since(answered) > UNRESPONSIVE_AFTER
         {
             return None;
--- a/crates/policy/src/fleet/outcomes.rs
+++ b/crates/policy/src/fleet/outcomes.rs
@@ -158,7 +158,7 @@
         };
         worker.apply_order_outcome(order, outcome, lease_max, now);
         if outcome != OrderOutcome::NotDelivered && !worker.is_known_clock(answer.clock_ms, now) {
-            worker.clock_doubted_at = Some(now);
+            worker.restart_suspected_at = Some(now);
         }
     }
 
--- a/crates/policy/src/fleet/placement.rs
+++ b/crates/policy/src/fleet/placement.rs
@@ -52,7 +52,7 @@
         worker.listed
             && worker.is_reconciled()
             && worker.report_missed_at.is_none()
-            && worker.clock_doubted_at.is_none()
+            && worker.restart_suspected_at.is_none()
             && !worker.entry.draining
             && worker.cordon.is_none()
             && worker.clock.is_some()
--- a/crates/policy/src/fleet/reports.rs
+++ b/crates/policy/src/fleet/reports.rs
@@ -155,9 +155,10 @@
         worker.clock = Some(clock);
         worker.last_contact = worker.last_contact.max(Some(timing.sent));
         worker.gauges_updated = true;
+        worker.first_end_listed = report.ended.iter().map(|end| end.number).min();
         worker.report_missed_at = worker.report_missed_at.filter(|at| *at > timing.sent);
         worker.answer_missed_at = worker.answer_missed_at.filter(|at| *at > timing.sent);
-        worker.clock_doubted_at = worker.clock_doubted_at.filter(|at| *at > timing.sent);
+        worker.restart_suspected_at = worker.restart_suspected_at.filter(|at| *at > timing.sent);
         let mut listed = BTreeSet::new();
         for end in &report.ended {
             listed.insert((end.task.clone(), end.attempt));
--- a/crates/policy/src/fleet/state.rs
+++ b/crates/policy/src/fleet/state.rs
@@ -327,9 +327,7 @@
     /// Inserts or updates a worker that the platform's directory lists.
     pub fn upsert_worker(&mut self, entry: WorkerEntry, now: Instant) -> WorkerKey {
         if let Some(key) = self.worker_key(&entry.id) {
-            let worker = &mut self.workers[key];
-            worker.listed = true;
-            worker.entry = entry;
+            self.workers[key].apply_entry(entry, now);
             return key;
         }
         let id = entry.id.clone();
@@ -344,10 +342,11 @@
             last_contact: None,
             last_end_received: 0,
             last_end_persisted: 0,
+            first_end_listed: None,
             ends_to_persist: VecDeque::new(),
             report_missed_at: None,
             answer_missed_at: None,
-            clock_doubted_at: None,
+            restart_suspected_at: None,
             runs: BTreeSet::new(),
             reserved: ResourceVector::default(),
             orphans: BTreeMap::new(),
--- a/crates/policy/src/fleet/worker.rs
+++ b/crates/policy/src/fleet/worker.rs
@@ -118,6 +118,8 @@
     pub last_end_received: u64,
     /// Number of the last end of a run that is persisted, as are all ends before it.
     pub last_end_persisted: u64,
+    /// Number of the first end in the last report; `None` if it listed no end.
+    pub first_end_listed: Option<u64>,
     /// Ends after [`Worker::last_end_persisted`] whose job has to be persisted, with their numbers in rising order.
     pub ends_to_persist: VecDeque<(u64, JobKey)>,
     /// Time at which a request for a report failed; `None` once a report that was requested later has arrived.
@@ -126,11 +128,11 @@
     pub report_missed_at: Option<Instant>,
     /// Time at which a start got no answer; `None` once a report that was requested later has arrived.
     pub answer_missed_at: Option<Instant>,
-    /// Time at which a start was answered by another clock than [`Worker::clock`], or without one; `None` once a report that was
-    /// requested later has arrived.
+    /// Time at which a start was answered by another clock than [`Worker::clock`] or without one, or the directory listed a new
+    /// incarnation; `None` once a report that was requested later has arrived.
     ///
-    /// Until then the worker has most likely restarted, and orders that are computed for the known clock mean another time.
-    pub clock_doubted_at: Option<Instant>,
+    /// Until then orders that are computed for the known clock may mean another time.
+    pub restart_suspected_at: Option<Instant>,
     /// Tasks, with their attempts, that may be running on the worker.
     pub runs: BTreeSet<(TaskRef, u32)>,
     /// Resources that [`Worker::runs`] reserve.
@@ -162,10 +164,16 @@
         self.clock.is_some_and(|clock| report.clock_ms < clock.clock_ms)
     }
 
-    /// Returns whether the directory names another incarnation than the last report: the worker has restarted, unless the entry is
-    /// outdated.
-    pub fn has_entry_of_another_incarnation(&self) -> bool {
-        self.incarnation != 0 && self.incarnation != self.entry.incarnation
+    /// Replaces the entry by one that the directory lists at `now`.
+    ///
+    /// A new incarnation in it shows that the worker has restarted, unless that incarnation has reported already.
+    pub fn apply_entry(&mut self, entry: WorkerEntry, now: Instant) {
+        let is_new = entry.incarnation != self.entry.incarnation;
+        if is_new && self.incarnation != 0 && entry.incarnation != self.incarnation {
+            self.restart_suspected_at = Some(now);
+        }
+        self.listed = true;
+        self.entry = entry;
     }
 
     /// Returns whether all runs on the worker are known: the worker has reported, and has no orphans.
@@ -208,16 +216,22 @@
     pub fn reset_ends(&mut self) {
         self.last_end_received = 0;
         self.last_end_persisted = 0;
+        self.first_end_listed = None;
         self.ends_to_persist.clear();
     }
 
-    /// Returns the cursor that acknowledges ends to the worker, which then discards all ends up to it.
+    /// Returns the cursor that acknowledges ends to the worker, which then discards all ends up to it; zero if it would
+    /// acknowledge nothing new.
     ///
-    /// A new incarnation numbers its ends from the start. After a missed report or answer the cursor is zero, since the
-    /// old cursor would acknowledge ends of a new incarnation that have not been processed.
+    /// A new incarnation numbers its ends from the start, so the old cursor would acknowledge ends that have not been processed.
+    /// Where the worker may have restarted the cursor is zero. A restart may still be unknown, and a request may be delivered
+    /// late, so that the cursor is sent only as long as the worker lists an end up to it.
     pub fn ack_cursor(&self) -> u64 {
-        let may_have_restarted = self.report_missed_at.is_some() || self.answer_missed_at.is_some();
-        if may_have_restarted { 0 } else { self.last_end_persisted }
+        let may_have_restarted = self.report_missed_at.is_some()
+            || self.answer_missed_at.is_some()
+            || self.restart_suspected_at.is_some();
+        let acknowledges = self.first_end_listed.is_some_and(|end| end <= self.last_end_persisted);
+        if acknowledges && !may_have_restarted { self.last_end_persisted } else { 0 }
     }
 
     /// Returns whether the leases of all runs on the worker have expired, renewals in flight included.
--- a/crates/policy/tests/fleet_engine/main.rs
+++ b/crates/policy/tests/fleet_engine/main.rs
@@ -4,6 +4,7 @@
 mod bursts;
 mod ends_on_record;
 mod fixtures;
+mod former_incarnations;
 mod head_of_line_blocking;
 mod hot_team;
 mod instance_service;
--- a/crates/policy/tests/fleet_engine/restarted_worker.rs
+++ b/crates/policy/tests/fleet_engine/restarted_worker.rs
@@ -298,7 +298,8 @@
 fn no_ends_are_acknowledged_to_a_worker_that_left_a_start_unanswered() {
     let mut sim = Simulation::new(1, 0, Faults::default(), 1);
     sim.submit(submission("a", vec![step(2, 50)]));
-    sim.run(2 * SECOND);
+    sim.run_without_writes(2 * SECOND);
+    sim.write_progress();
     let key = sim.engine.worker_key("w0").expect("the engine knows the worker");
     assert_eq!(sim.engine.workers[key].ack_cursor(), 2);
     sim.workers.get_mut("w0").expect("the worker exists").crash(sim.now);
@@ -311,8 +312,7 @@
     assert_eq!(sim.engine.workers[key].ack_cursor(), 0);
     sim.run(SECOND);
     assert_eq!(
-        sim.engine.workers[key].ack_cursor(),
-        1,
+        sim.workers["w0"].last_acknowledged_end, 1,
         "the end of the new incarnation is acknowledged"
     );
     assert_eq!(sim.violations, Vec::<String>::new());
--- a/crates/policy/tests/fleet_engine/simulation.rs
+++ b/crates/policy/tests/fleet_engine/simulation.rs
@@ -272,11 +272,21 @@
     ///
     /// The new owner assumes that its predecessor sends its last order at `predecessor_deadline`.
     pub fn take_over_with_overlap(&mut self, overlap: Duration, predecessor_deadline: Instant) {
+        self.take_over_with_overlap_and_list(overlap, predecessor_deadline, &BTreeMap::new());
+    }
+
+    /// Starts a term as [`Simulation::take_over_with_overlap`] does, of an owner that reads the given list of instances.
+    pub fn take_over_with_overlap_and_list(
+        &mut self,
+        overlap: Duration,
+        predecessor_deadline: Instant,
+        instances: &BTreeMap<InstanceId, Instance>,
+    ) {
         let engine = std::mem::replace(&mut self.engine, Engine::new(limits(), 0));
         self.engine.fence = engine.fence;
         let next_report = std::mem::take(&mut self.next_report);
         self.stale_owner = Some(StaleOwner { engine, next_report, until: self.now + overlap });
-        self.begin_term(Some(&BTreeMap::new()), predecessor_deadline);
+        self.begin_term(Some(instances), predecessor_deadline);
     }
 
     fn begin_term(
@@ -629,8 +639,10 @@
             let event =
                 format!("{job}.{index} attempt {attempt} of fence {fence} starts, late: {late}");
             self.trace_worker(id, event);
-            let key = self.engine.worker_key(id).expect("engines know all workers");
-            if late && self.engine.workers[key].incarnation != self.workers[id].entry.incarnation {
+            // An owner that has forgotten the worker has had no report of any of its incarnations.
+            let key = self.engine.worker_key(id);
+            let known = key.map_or(0, |key| self.engine.workers[key].incarnation);
+            if late && known != self.workers[id].entry.incarnation {
                 self.exempt_starts.insert((start.task.clone(), start.attempt));
             }
             self.check_start(id, start, step, late);
