--- a/crates/plugins/src/fleet/term.rs
+++ b/crates/plugins/src/fleet/term.rs
@@ -91,6 +91,7 @@
         view.config.as_ref().map_or(0, |config| config.version),
         engine.waves.len()
     );
+    engine.confirmed_sent = Some(sent);
     *kernel.tables.term.lock() = Some(Term {
         engine,
         pressure: Pressure::default(),
--- a/crates/plugins/src/fleet/writer.rs
+++ b/crates/plugins/src/fleet/writer.rs
@@ -388,6 +388,7 @@
             let mut guard = self.kernel.tables.term.lock();
             let Some(term) = guard.as_mut() else { return };
             term.confirmed_sent = sent;
+            term.engine.confirmed_sent = Some(sent);
             term.writes = self.row.writes;
             term.write_failing_since = None;
             term.last_write_duration = now.saturating_duration_since(sent);
--- a/crates/policy/src/fleet/ownership.rs
+++ b/crates/policy/src/fleet/ownership.rs
@@ -192,12 +192,17 @@
     if has_stopped { seen.last_read } else { seen.first_seen + OWNER_LEASE + OWNER_LEASE_MARGIN }
 }
 
-/// Returns whether an owner may report that a job does not exist, if it sent its last confirmed write at
-/// `confirmed_sent`.
+/// Returns whether an owner that sent its last confirmed write at `confirmed_sent` certainly had no successor at `time`.
 ///
-/// Once its row has been unchanged for [`OWNER_UNRESPONSIVE_AFTER`], a successor may have accepted the job.
+/// A successor's first write follows an observation of the unchanged row for [`OWNER_UNRESPONSIVE_AFTER`].
+pub fn precedes_successor(confirmed_sent: Instant, time: Instant) -> bool {
+    time.saturating_duration_since(confirmed_sent) < OWNER_UNRESPONSIVE_AFTER
+}
+
+/// Returns whether an owner may report that a job does not exist, if it sent its last confirmed write at
+/// `confirmed_sent`; a successor may have accepted the job.
 pub fn may_report_absence(confirmed_sent: Instant, now: Instant) -> bool {
-    now.saturating_duration_since(confirmed_sent) < OWNER_UNRESPONSIVE_AFTER
+    precedes_successor(confirmed_sent, now)
 }
 
 /// Processor capacity, in thousandths of a core, from which an instance takes over without delay if there was
--- a/crates/policy/src/fleet/placement.rs
+++ b/crates/policy/src/fleet/placement.rs
@@ -7,6 +7,7 @@
 
 use std::time::{Duration, Instant};
 
+use super::ownership::precedes_successor;
 use super::reports::CONSECUTIVE_FAILURES_MAX;
 use super::spec::Step;
 use super::state::{Engine, Job, TaskRef, Worker, WorkerKey};
@@ -48,6 +49,10 @@
     ///
     /// A worker that may be running more than the engine accounts for gets none, since not every worker refuses what
     /// exceeds its capacity. After a missed report the worker may have restarted, and starts of before may begin there.
+    ///
+    /// An incarnation gets none either while a successor may have taken over before it reported. The successor may not have called
+    /// it, so that it would carry out orders of this owner. Calls that the successor sends later reach it first, or the successor
+    /// counts it as silent.
     pub fn is_usable(&self, worker: &Worker, now: Instant) -> bool {
         worker.listed
             && worker.is_reconciled()
@@ -55,12 +60,19 @@
             && !worker.entry.draining
             && worker.cordon.is_none()
             && worker.clock.is_some()
+            && self.is_certainly_owner_at(worker.incarnation_known_since)
             && worker.quarantined_until.is_none_or(|until| until <= now)
             && worker
                 .last_contact
                 .is_some_and(|at| now.saturating_duration_since(at) <= UNRESPONSIVE_AFTER)
     }
 
+    /// Returns whether this owner certainly had no successor at a time.
+    fn is_certainly_owner_at(&self, time: Option<Instant>) -> bool {
+        let (Some(time), Some(confirmed_sent)) = (time, self.confirmed_sent) else { return true };
+        precedes_successor(confirmed_sent, time)
+    }
+
     /// Returns the worker with the lowest penalty for a task, or `None` if no candidate can take it now.
     pub fn choose_worker(
         &self,
--- a/crates/policy/src/fleet/state.rs
+++ b/crates/policy/src/fleet/state.rs
@@ -100,6 +100,8 @@
     pub instances: BTreeMap<InstanceId, Instance>,
     /// Time at which the current list of instances was requested.
     pub(super) instances_requested: Option<Instant>,
+    /// Time at which the last confirmed write of the owner's row was sent; `None` before the term begins.
+    pub confirmed_sent: Option<Instant>,
     /// Time of day at which this owner took the fleet over, in Unix milliseconds; zero if it is not known.
     pub takeover_unix_ms: u64,
     /// Latest order of an earlier owner that may still reach another incarnation of a worker; `None` without an earlier
@@ -148,6 +150,7 @@
             charges: Vec::new(),
             instances: BTreeMap::new(),
             instances_requested: None,
+            confirmed_sent: None,
             takeover_unix_ms: 0,
             predecessor_order: None,
             predecessor_calls_settled: None,
--- a/crates/policy/tests/fleet_engine/simulation.rs
+++ b/crates/policy/tests/fleet_engine/simulation.rs
@@ -14,6 +14,7 @@
 use wasabiswitch_policy::fleet::lease_bounds::OrderOutcome;
 use wasabiswitch_policy::fleet::maintenance::Instance;
 use wasabiswitch_policy::fleet::outcomes::{StartAnswer, StartOutcome};
+use wasabiswitch_policy::fleet::ownership::{OWNER_LEASE, OWNER_LEASE_MARGIN};
 use wasabiswitch_policy::fleet::plan::Order;
 use wasabiswitch_policy::fleet::progress::{JobRow, ProgressRow};
 use wasabiswitch_policy::fleet::reports::{ReportTiming, RunEnd, WorkerReport};
@@ -270,7 +271,9 @@
     ///
     /// The new owner assumes that its predecessor sends its last order at `predecessor_deadline`.
     pub fn take_over_with_overlap(&mut self, overlap: Duration, predecessor_deadline: Instant) {
-        let engine = std::mem::replace(&mut self.engine, Engine::new(limits(), 0));
+        let mut engine = std::mem::replace(&mut self.engine, Engine::new(limits(), 0));
+        // The old owner acts until its lease has expired.
+        engine.confirmed_sent = Some(self.now + overlap - OWNER_LEASE - OWNER_LEASE_MARGIN);
         self.engine.fence = engine.fence;
         let next_report = std::mem::take(&mut self.next_report);
         self.stale_owner = Some(StaleOwner { engine, next_report, until: self.now + overlap });
@@ -284,6 +287,7 @@
     ) {
         let mut engine = Engine::new(limits(), self.engine.fence + 1);
         engine.takeover_unix_ms = self.unix_ms();
+        engine.confirmed_sent = Some(self.now);
         engine.apply_config(&self.config);
         for (id, (row, progress)) in &self.stored_jobs {
             match progress {
@@ -433,6 +437,9 @@
     }
 
     fn tick(&mut self) {
+        if !self.writes_paused {
+            self.engine.confirmed_sent = Some(self.now);
+        }
         self.run_stale_owner();
         self.poll_workers();
         self.run_instance_service();
--- a/crates/policy/tests/fleet_engine/split_brain.rs
+++ b/crates/policy/tests/fleet_engine/split_brain.rs
@@ -10,9 +10,11 @@
     OWNER_LEASE, OWNER_LEASE_MARGIN, OWNER_UNRESPONSIVE_AFTER,
 };
 use wasabiswitch_policy::fleet::state::Phase;
+use wasabiswitch_standin::fleet_worker::FakeWorker;
 
-use crate::simulation::{Faults, Simulation, step, submission};
+use crate::simulation::{Faults, Simulation, step, submission, worker_entry};
 
+const SECOND: Duration = Duration::from_secs(1);
 /// Maximum time for which the old owner acts after it has been replaced.
 const OVERLAP_MAX: Duration =
     OWNER_LEASE.saturating_add(OWNER_LEASE_MARGIN).saturating_sub(OWNER_UNRESPONSIVE_AFTER);
@@ -77,3 +79,40 @@
         "no violation, although the old owner renewed leases on workers that only it reached"
     );
 }
+
+// A task ran twice at once: a replaced owner that still acted was the first to reach a worker that had restarted, which
+// therefore did not know the fence of the new owner, and started the task there.
+#[test]
+fn replaced_owner_starts_nothing_on_a_restarted_worker_that_its_successor_has_not_reached() {
+    let mut sim = Simulation::new(1, 0, Faults::default(), 1);
+    sim.submit(submission("full", vec![step(4, 60_000)]));
+    sim.run(SECOND);
+    sim.submit(submission("a", vec![step(1, 5_000)]));
+    sim.take_over_with_overlap(OVERLAP_MAX, sim.now + OVERLAP_MAX);
+    sim.unreachable_for_newest.insert("w0".into(), sim.now + 2 * SECOND);
+    sim.crash("w0");
+    let spare = FakeWorker::new(worker_entry("w9", "p"), sim.now, 1.0);
+    sim.engine.upsert_worker(spare.entry.clone(), sim.now);
+    sim.workers.insert("w9".into(), spare);
+    sim.run(SECOND);
+    assert_eq!(sim.violations, Vec::<String>::new());
+    assert_eq!(sim.starts.len(), 5, "the new owner starts the task");
+    sim.run(10 * SECOND);
+    assert_eq!(sim.violations, Vec::<String>::new());
+}
+
+// Guards against an owner whose writes fail, and which may have been replaced, that uses workers which have restarted since.
+#[test]
+fn owner_without_confirmed_writes_starts_nothing_on_a_restarted_worker_until_a_write_is_confirmed()
+{
+    let mut sim = Simulation::new(1, 0, Faults::default(), 1);
+    sim.run(SECOND);
+    sim.run_without_writes(OWNER_UNRESPONSIVE_AFTER);
+    sim.crash("w0");
+    sim.run_without_writes(SECOND);
+    sim.submit(submission("a", vec![step(1, 60_000)]));
+    sim.run_without_writes(SECOND);
+    assert_eq!(sim.starts.len(), 0, "a successor may not have reached the worker");
+    sim.run(SECOND / 10);
+    assert_eq!(sim.starts.len(), 1, "the worker stays unused after the write");
+}
