--- a/crates/plugins/src/fleet/takeover.rs
+++ b/crates/plugins/src/fleet/takeover.rs
@@ -73,7 +73,6 @@
     let (items, directory_cursor) = directory?;
     let limits = super::term::limits(kernel);
     let mut engine = Engine::new(limits, fence);
-    engine.takeover_unix_ms = kernel.clock.unix_ms();
     if let Some(config) = super::queue_calls::config(kernel) {
         engine.apply_config(&config);
     }
@@ -98,6 +97,7 @@
         engine.workers.values().filter(|worker| worker.last_contact.is_none()).count();
     let orphans: usize = engine.workers.values().map(|worker| worker.orphans.len()).sum();
     let unconfirmed = engine.mark_unconfirmed(&unlisted, predecessor_deadline, kernel.clock.now());
+    log_silent_workers(&engine, kernel.clock.now());
     log::info!(
         "fleet rebuilt fence={fence} jobs={} live={} workers={} silent={unresponsive} replaced={replaced} \
          orphans={orphans} unseen_pools={} doubted={unconfirmed} rows_ms={} took_ms={}",
@@ -111,6 +111,19 @@
     Ok(RebuiltEngine { engine, directory_cursor })
 }
 
+/// Logs each worker that did not answer the holds, with the start that its entry names and the time for which its leases bind.
+fn log_silent_workers(engine: &Engine, now: Instant) {
+    for worker in engine.workers.values().filter(|worker| worker.last_contact.is_none()) {
+        log::info!(
+            "worker silent at the takeover worker={} pool={} listed_incarnation={} wait_ms={}",
+            worker.entry.id,
+            worker.entry.pool,
+            worker.entry.incarnation,
+            worker.leases_expire_at.saturating_duration_since(now).as_millis()
+        );
+    }
+}
+
 /// Sends holds to all listed workers. A worker that a newer incarnation has replaced has most likely ended, so
 /// it gets only one.
 async fn hold_listed(
@@ -241,12 +254,12 @@
     });
     let calls = orders.map(|(key, order, attempts)| async move {
         let (timing, reply) = hold_with_retries(kernel, &order, attempts).await;
-        (key, timing, reply)
+        (key, order, timing, reply)
     });
     let calls: Vec<_> = calls.collect();
     let mut events = Vec::new();
-    for (key, timing, reply) in join_all(calls).await {
-        workers::apply_reply(engine, key, timing, reply, &mut events);
+    for (key, order, timing, reply) in join_all(calls).await {
+        workers::apply_reply(engine, key, &order, timing, reply, &mut events);
     }
     // Only the number is logged: a line for each adopted run would displace the other lines of the log.
     log::info!("worker holds completed notes={}", events.len());
--- a/crates/policy/src/fleet/lease_bounds.rs
+++ b/crates/policy/src/fleet/lease_bounds.rs
@@ -5,23 +5,20 @@
 
 use wasabiswitch_derive::derives;
 
-use super::lease::{LeaseOrder, START_VALIDITY, TASK_LEASE, longest_time_of};
+use super::lease::{LeaseOrder, TASK_LEASE, longest_time_of};
 use super::outcomes::DELIVERY_DELAY_MAX;
 use super::placement::UNRESPONSIVE_AFTER;
 use super::plan::START_ANSWER_OVERDUE;
 use super::reports::JobEvent;
 use super::state::{Engine, RunState, TaskRef, WorkerKey};
 use super::worker::Renewal;
-use crate::ids::BootId;
-
-/// Maximum deviation of a time of day that a worker or a daemon reads; the platform states that it may jump by seconds.
-const TIME_OF_DAY_DEVIATION_MAX: Duration = Duration::from_secs(5);
 
 /// Outcome of an order that extends leases.
 #[derives(value)]
 pub enum OrderOutcome {
-    /// An incarnation of the worker carried the order out; the answer has a reading of its clock, in milliseconds.
-    Answered(u64),
+    /// An incarnation of the worker carried the order out; the answer has a reading of its clock, in milliseconds, or `None`
+    /// if there was no readable one.
+    Answered(Option<u64>),
     /// The order was certainly not carried out, and will not be.
     NotDelivered,
     /// The order may have been carried out, or may still be.
@@ -41,12 +38,14 @@
     /// Returns the time on the worker's clock to which a report that is requested now renews its leases, or
     /// `None` if they must not be renewed.
     ///
-    /// An unresponsive worker is not renewed, so that its tasks can run elsewhere in time.
+    /// An unresponsive worker is not renewed, so that its tasks can run elsewhere in time, nor is one that has most likely restarted.
     pub fn begin_renewal(&mut self, key: WorkerKey, now: Instant) -> Option<u64> {
         let worker = self.workers.get_mut(key).filter(|worker| !worker.runs.is_empty())?;
         let clock = worker.clock?;
         let answered = worker.last_contact?;
-        if now.saturating_duration_since(answered) > UNRESPONSIVE_AFTER {
+        if worker.restart_suspected_at.is_some()
+            || now.saturating_duration_since(answered) > UNRESPONSIVE_AFTER
+        {
             return None;
         }
         let until_ms = clock.until(now, TASK_LEASE);
@@ -68,27 +67,19 @@
         worker.apply_order_outcome(renewal.order, outcome, lease_max, now);
     }
 
-    /// Returns the longest time, on the owner's clock, for which a lease that an earlier owner has just extended on the given
-    /// incarnation of a worker is valid.
+    /// Returns the longest time, on the owner's clock, for which a lease is valid that has just been extended by an earlier
+    /// owner, if there was one.
     ///
-    /// An order that was computed for the previous incarnation may have given it the longest lease of all. The earlier owner
-    /// sends such orders no longer than it takes the previous incarnation for responsive, and they are delivered late at
-    /// worst, so that they no longer have an effect on an incarnation that started before.
-    pub(super) fn predecessor_lease(&self, incarnation: BootId) -> Duration {
-        let longest = longest_time_of(self.limits.lease_max);
-        let effect_max = UNRESPONSIVE_AFTER + DELIVERY_DELAY_MAX + longest;
-        // Both the worker's time of day and this daemon's may deviate.
-        let effect_max = effect_max + 2 * TIME_OF_DAY_DEVIATION_MAX;
-        let settled_unix_ms = incarnation.saturating_add(effect_max.as_millis() as u64);
-        if self.fence > 1 && settled_unix_ms > self.takeover_unix_ms {
-            longest
-        } else {
-            longest_time_of(TASK_LEASE.max(START_VALIDITY))
-        }
+    /// An order that was computed for a previous incarnation of the worker may have given it the longest lease of all. Nothing
+    /// that a successor can trust shows when a worker has restarted: its entry states its own time of day, and may be that
+    /// of the previous incarnation. See docs/incidents/2026-12-two-runs-on-real-processes.md.
+    pub(super) fn predecessor_lease(&self) -> Duration {
+        let longest = if self.fence > 1 { self.limits.lease_max } else { TASK_LEASE };
+        longest_time_of(longest)
     }
 
     /// Drops the runs of workers whose leases have certainly expired, and removes such a worker if the
-    /// directory no longer lists it.
+    /// directory no longer lists it and no order to it [awaits delivery](super::worker::Worker::awaits_delivery).
     pub fn expire_leases(&mut self, now: Instant, events: &mut Vec<JobEvent>) {
         let expired: Vec<_> = self
             .workers
@@ -97,12 +88,14 @@
             .map(|(key, worker)| (key, worker.runs.iter().copied().collect::<Vec<_>>()))
             .collect();
         for (key, runs) in expired {
+            let reason = self.workers[key].describe_expired_lease(now);
             for (task, attempt) in runs {
                 if !self.may_run_on_another_incarnation(key, &task, attempt, now) {
-                    self.drop_run(key, task, attempt, "its lease has expired", events);
+                    self.drop_run(key, task, attempt, &reason, events);
                 }
             }
-            if !self.workers[key].listed && self.workers[key].runs.is_empty() {
+            let worker = &self.workers[key];
+            if !worker.listed && worker.runs.is_empty() && !worker.awaits_delivery(now) {
                 self.remove_worker(key);
             }
         }
--- a/crates/policy/src/fleet/reports.rs
+++ b/crates/policy/src/fleet/reports.rs
@@ -8,7 +8,9 @@
 
 use super::lease::{ClockSample, LeaseOrder};
 use super::outcomes::DELIVERY_DELAY_MAX;
-use super::state::{Engine, Orphan, Phase, Run, RunState, TaskName, TaskRef, WorkerKey};
+use super::state::{
+    Engine, FORGOTTEN_WORKERS_MAX, Orphan, Phase, Run, RunState, TaskName, TaskRef, WorkerKey,
+};
 use crate::ids::{BootId, InstanceId, JobId};
 
 /// Maximum number of ended runs in one report; a report with fewer lists all of them.
@@ -123,7 +125,7 @@
         events: &mut Vec<JobEvent>,
     ) -> bool {
         let (lease_max, predecessor_order) = (self.limits.lease_max, self.predecessor_order);
-        let predecessor_lease = self.predecessor_lease(report.incarnation);
+        let predecessor_lease = self.predecessor_lease();
         let Some(worker) = self.workers.get_mut(key) else { return false };
         if worker.is_overtaken(timing.sent, report) {
             return false;
@@ -138,7 +140,7 @@
             worker.orphans = barriers.clone();
             worker.consecutive_failures = 0;
             if known {
-                worker.cover_orders_for_previous_incarnation(predecessor_order, &clock, lease_max);
+                worker.cover_pending_orders(predecessor_order, Some(&clock), lease_max);
                 self.report_barriers(key, &barriers, events);
                 self.drop_runs_of_previous_incarnation(key, timing, events);
                 self.block_until_barriers(&barriers, timing.received);
@@ -153,8 +155,10 @@
         worker.clock = Some(clock);
         worker.last_contact = worker.last_contact.max(Some(timing.sent));
         worker.gauges_updated = true;
+        worker.first_end_listed = report.ended.iter().map(|end| end.number).min();
         worker.report_missed_at = worker.report_missed_at.filter(|at| *at > timing.sent);
         worker.answer_missed_at = worker.answer_missed_at.filter(|at| *at > timing.sent);
+        worker.restart_suspected_at = worker.restart_suspected_at.filter(|at| *at > timing.sent);
         let mut listed = BTreeSet::new();
         for end in &report.ended {
             listed.insert((end.task.clone(), end.attempt));
@@ -285,7 +289,11 @@
             events.push(JobEvent {
                 job: name.job.clone(),
                 kind: "start in doubt at a restarted worker",
-                detail: describe_run(name, *attempt, &worker.entry.id),
+                detail: format!(
+                    "{} incarnation={}",
+                    describe_run(name, *attempt, &worker.entry.id),
+                    worker.incarnation
+                ),
             });
         }
     }
@@ -596,17 +604,25 @@
     pub(super) fn remove_worker(&mut self, key: WorkerKey) {
         if let Some(worker) = self.workers.remove(key) {
             self.worker_keys.remove(&worker.entry.id);
+            if self.forgotten_workers.len() < FORGOTTEN_WORKERS_MAX {
+                self.forgotten_workers.push(worker);
+            }
         }
     }
 
+    /// Describes a run for the log, with the incarnation of its worker that reported last; zero before the first report.
     pub(super) fn describe(&self, key: WorkerKey, task: &TaskRef, attempt: u32) -> String {
-        let worker = self.workers.get(key).map_or("?", |worker| &worker.entry.id);
+        let worker = self.workers.get(key);
+        let (id, incarnation) =
+            worker.map_or(("?", 0), |worker| (&*worker.entry.id, worker.incarnation));
         let TaskRef { occurrence, step, index, .. } = task;
-        format!("task={occurrence}.{step}.{index} attempt={attempt} worker={worker}")
+        format!(
+            "task={occurrence}.{step}.{index} attempt={attempt} worker={id} incarnation={incarnation}"
+        )
     }
 }
 
-/// Describes a run for the log as [`Engine::describe`] does, by the name of its task.
+/// Describes a run for the log by the name of its task.
 fn describe_run(name: &TaskName, attempt: u32, worker: &InstanceId) -> String {
     let TaskName { occurrence, step, index, .. } = name;
     format!("task={occurrence}.{step}.{index} attempt={attempt} worker={worker}")
--- a/crates/policy/src/fleet/state.rs
+++ b/crates/policy/src/fleet/state.rs
@@ -70,6 +70,8 @@
     pub jobs: SlotMap<JobKey, Job>,
     /// Workers that the directory lists or that may still run tasks.
     pub workers: SlotMap<WorkerKey, Worker>,
+    /// Workers that have been removed and not taken yet, at most [`FORGOTTEN_WORKERS_MAX`].
+    pub(super) forgotten_workers: Vec<Worker>,
     /// Settings of each queue; removed queues stay, because their jobs still have to end.
     pub queues: BTreeMap<QueueId, QueueSettings>,
     /// Settings of each pool.
@@ -100,8 +102,6 @@
     pub instances: BTreeMap<InstanceId, Instance>,
     /// Time at which the current list of instances was requested.
     pub(super) instances_requested: Option<Instant>,
-    /// Time of day at which this owner took the fleet over, in Unix milliseconds; zero if it is not known.
-    pub takeover_unix_ms: u64,
     /// Latest order of an earlier owner that may still reach another incarnation of a worker; `None` without an earlier
     /// owner.
     pub(super) predecessor_order: Option<LeaseOrder>,
@@ -132,6 +132,7 @@
             fence,
             jobs: SlotMap::with_key(),
             workers: SlotMap::with_key(),
+            forgotten_workers: Vec::new(),
             queues: BTreeMap::new(),
             pools: BTreeMap::new(),
             teams: BTreeMap::new(),
@@ -148,7 +149,6 @@
             charges: Vec::new(),
             instances: BTreeMap::new(),
             instances_requested: None,
-            takeover_unix_ms: 0,
             predecessor_order: None,
             predecessor_calls_settled: None,
             waves: BTreeMap::new(),
@@ -188,6 +188,11 @@
         self.job_keys.get(id).copied()
     }
 
+    /// Takes the workers that have been removed since the last call, for the log.
+    pub fn take_forgotten_workers(&mut self) -> Vec<Worker> {
+        std::mem::take(&mut self.forgotten_workers)
+    }
+
     /// Looks up a worker by its id.
     pub fn worker_key(&self, id: &str) -> Option<WorkerKey> {
         self.worker_keys.get(id).copied()
@@ -322,9 +327,7 @@
     /// Inserts or updates a worker that the platform's directory lists.
     pub fn upsert_worker(&mut self, entry: WorkerEntry, now: Instant) -> WorkerKey {
         if let Some(key) = self.worker_key(&entry.id) {
-            let worker = &mut self.workers[key];
-            worker.listed = true;
-            worker.entry = entry;
+            self.workers[key].apply_entry(entry, now);
             return key;
         }
         let id = entry.id.clone();
@@ -339,9 +342,11 @@
             last_contact: None,
             last_end_received: 0,
             last_end_persisted: 0,
+            first_end_listed: None,
             ends_to_persist: VecDeque::new(),
             report_missed_at: None,
             answer_missed_at: None,
+            restart_suspected_at: None,
             runs: BTreeSet::new(),
             reserved: ResourceVector::default(),
             orphans: BTreeMap::new(),
@@ -435,6 +440,8 @@
     }
 }
 
+/// Maximum number of removed workers that are kept for the log.
+pub(super) const FORGOTTEN_WORKERS_MAX: usize = 256;
 /// Number of attempt numbers that each owner has for one task.
 const ATTEMPTS_PER_OWNER: u32 = 10_000;
 
--- a/crates/policy/src/fleet/worker.rs
+++ b/crates/policy/src/fleet/worker.rs
@@ -118,6 +118,8 @@
     pub last_end_received: u64,
     /// Number of the last end of a run that is persisted, as are all ends before it.
     pub last_end_persisted: u64,
+    /// Number of the first end in the last report; `None` if it listed no end.
+    pub first_end_listed: Option<u64>,
     /// Ends after [`Worker::last_end_persisted`] whose job has to be persisted, with their numbers in rising order.
     pub ends_to_persist: VecDeque<(u64, JobKey)>,
     /// Time at which a request for a report failed; `None` once a report that was requested later has arrived.
@@ -126,6 +128,11 @@
     pub report_missed_at: Option<Instant>,
     /// Time at which a start got no answer; `None` once a report that was requested later has arrived.
     pub answer_missed_at: Option<Instant>,
+    /// Time at which a start was answered by another clock than [`Worker::clock`] or without one, or the directory listed a new
+    /// incarnation; `None` once a report that was requested later has arrived.
+    ///
+    /// Until then orders that are computed for the known clock may mean another time.
+    pub restart_suspected_at: Option<Instant>,
     /// Tasks, with their attempts, that may be running on the worker.
     pub runs: BTreeSet<(TaskRef, u32)>,
     /// Resources that [`Worker::runs`] reserve.
@@ -157,6 +164,18 @@
         self.clock.is_some_and(|clock| report.clock_ms < clock.clock_ms)
     }
 
+    /// Replaces the entry by one that the directory lists at `now`.
+    ///
+    /// A new incarnation in it shows that the worker has restarted, unless that incarnation has reported already.
+    pub fn apply_entry(&mut self, entry: WorkerEntry, now: Instant) {
+        let is_new = entry.incarnation != self.entry.incarnation;
+        if is_new && self.incarnation != 0 && entry.incarnation != self.incarnation {
+            self.restart_suspected_at = Some(now);
+        }
+        self.listed = true;
+        self.entry = entry;
+    }
+
     /// Returns whether all runs on the worker are known: the worker has reported, and has no orphans.
     pub fn is_reconciled(&self) -> bool {
         self.last_contact.is_some() && self.orphans.is_empty()
@@ -197,16 +216,22 @@
     pub fn reset_ends(&mut self) {
         self.last_end_received = 0;
         self.last_end_persisted = 0;
+        self.first_end_listed = None;
         self.ends_to_persist.clear();
     }
 
-    /// Returns the cursor that acknowledges ends to the worker, which then discards all ends up to it.
+    /// Returns the cursor that acknowledges ends to the worker, which then discards all ends up to it; zero if it would
+    /// acknowledge nothing new.
     ///
-    /// A new incarnation numbers its ends from the start. After a missed report or answer the cursor is zero, since the
-    /// old cursor would acknowledge ends of a new incarnation that have not been processed.
+    /// A new incarnation numbers its ends from the start, so the old cursor would acknowledge ends that have not been processed.
+    /// Where the worker may have restarted the cursor is zero. A restart may still be unknown, and a request may be delivered
+    /// late, so that the cursor is sent only as long as the worker lists an end up to it.
     pub fn ack_cursor(&self) -> u64 {
-        let may_have_restarted = self.report_missed_at.is_some() || self.answer_missed_at.is_some();
-        if may_have_restarted { 0 } else { self.last_end_persisted }
+        let may_have_restarted = self.report_missed_at.is_some()
+            || self.answer_missed_at.is_some()
+            || self.restart_suspected_at.is_some();
+        let acknowledges = self.first_end_listed.is_some_and(|end| end <= self.last_end_persisted);
+        if acknowledges && !may_have_restarted { self.last_end_persisted } else { 0 }
     }
 
     /// Returns whether the leases of all runs on the worker have expired, renewals in flight included.
@@ -222,10 +247,21 @@
         self.unanswered_order = Some(merged);
     }
 
+    /// Returns whether a start or a renewal may still be delivered to the worker, or to its next incarnation.
+    ///
+    /// Until then the owner has to remember the worker, also if it is gone: one that comes back under its id is a new
+    /// incarnation, against which such an order needs a barrier or a longer bound.
+    pub fn awaits_delivery(&self, now: Instant) -> bool {
+        let renewal = self.renewal.map(|renewal| renewal.order);
+        let orders = self.starts_in_doubt.values().copied().chain(renewal);
+        orders.chain(self.unanswered_order).any(|order| order.arrives_by > now)
+    }
+
     /// Extends the bound on the leases by an order whose outcome has just become known.
     ///
     /// The clock in an answer is that of the incarnation that carried the order out, which need not be the one that the
-    /// owner knows.
+    /// owner knows. If it is not, that incarnation may have carried out or may still carry out all other orders for the known
+    /// one, and those of an earlier owner that arrived before.
     pub fn apply_order_outcome(
         &mut self,
         order: LeaseOrder,
@@ -235,22 +271,32 @@
     ) {
         match outcome {
             OrderOutcome::Answered(clock_ms) => {
-                let clock = ClockSample { clock_ms, received: now };
+                let clock = clock_ms.map(|clock_ms| ClockSample { clock_ms, received: now });
                 let order = LeaseOrder { arrives_by: now, ..order };
-                let expiry = order.leases_expire_by(&clock, lease_max);
+                let expiry = order.leases_expire_by(clock.as_ref(), lease_max);
                 self.leases_expire_at = self.leases_expire_at.max(expiry);
+                if !self.is_known_clock(clock_ms, now) {
+                    let arrived = LeaseOrder { until_ms: u64::MAX, arrives_by: now };
+                    self.cover_pending_orders(Some(arrived), clock.as_ref(), lease_max);
+                }
             }
             OrderOutcome::NotDelivered => {}
             OrderOutcome::Unknown => self.record_unanswered(order),
         }
     }
 
-    /// Extends the bound on the leases by the orders for the previous incarnation that the current one, with the given
-    /// clock, may have carried out or may still carry out, one of an earlier owner included.
-    pub fn cover_orders_for_previous_incarnation(
+    /// Returns whether a reading that has just arrived in an answer can be one of the clock that the owner knows.
+    pub fn is_known_clock(&self, clock_ms: Option<u64>, now: Instant) -> bool {
+        let (Some(known), Some(clock_ms)) = (&self.clock, clock_ms) else { return false };
+        known.can_be_followed_by(&ClockSample { clock_ms, received: now })
+    }
+
+    /// Extends the bound on the leases by the orders for the known incarnation that another one, with the given clock, may
+    /// have carried out or may still carry out, and by the latest order of an earlier owner.
+    pub fn cover_pending_orders(
         &mut self,
         predecessor_order: Option<LeaseOrder>,
-        clock: &ClockSample,
+        clock: Option<&ClockSample>,
         lease_max: Duration,
     ) {
         let renewal = self.renewal.map(|renewal| renewal.order);
@@ -260,6 +306,31 @@
         self.leases_expire_at = expiries.fold(self.leases_expire_at, Instant::max);
     }
 
+    /// Describes for the log why the runs on a worker are taken for ended, with the time since the worker was last in contact,
+    /// which is the longest that any of them can have outlived the owner's knowledge.
+    pub fn describe_expired_lease(&self, now: Instant) -> String {
+        let silent = self.last_contact.map(|at| now.saturating_duration_since(at).as_millis());
+        let silent_ms = silent.map_or_else(|| "never answered".to_owned(), |ms| ms.to_string());
+        format!(
+            "its lease has expired silent_ms={silent_ms} starts_in_doubt={} unanswered_order={}",
+            self.starts_in_doubt.len(),
+            self.unanswered_order.is_some()
+        )
+    }
+
+    /// Describes for the log the orders that may still reach another incarnation of the worker at `now`, and the time for which
+    /// its leases bind.
+    pub fn describe_orders_in_doubt(&self, now: Instant) -> String {
+        let is_open = |order: &&LeaseOrder| order.arrives_by > now;
+        format!(
+            "starts_in_doubt={} renewals_in_doubt={} lease_ms={}",
+            self.starts_in_doubt.values().filter(is_open).count(),
+            usize::from(self.renewal.is_some())
+                + self.unanswered_order.iter().filter(is_open).count(),
+            self.leases_expire_at.saturating_duration_since(now).as_millis()
+        )
+    }
+
     /// Describes for the log what the known runs take of the capacity, and how many runs are not in this account.
     pub fn describe_load(&self) -> String {
         let (taken, capacity) = (&self.reserved, &self.entry.capacity);
