--- a/crates/plugins/src/fleet/workers.rs
+++ b/crates/plugins/src/fleet/workers.rs
@@ -222,7 +222,8 @@
         }
         Ok(WorkerReply::Fenced) => return AppliedReply::Fenced,
         Ok(WorkerReply::OtherLife) => {
-            engine.drop_all_runs(key, "another incarnation answered", events);
+            let reason = "another incarnation answered";
+            engine.drop_runs_started_before(key, timing.sent, reason, events);
             log::info!(
                 "worker has a new incarnation worker={id} incarnation={known} address={}",
                 order.target.address
--- a/crates/policy/src/fleet/reports.rs
+++ b/crates/policy/src/fleet/reports.rs
@@ -600,6 +600,26 @@
         }
     }
 
+    /// Drops the runs that were started on a worker before a request for its report was sent, because the incarnation that the
+    /// request was meant for has ended.
+    ///
+    /// A run that was started later may be one of the next incarnation, which may have another address.
+    pub fn drop_runs_started_before(
+        &mut self,
+        key: WorkerKey,
+        requested: Instant,
+        reason: &str,
+        events: &mut Vec<JobEvent>,
+    ) {
+        let Some(worker) = self.workers.get(key) else { return };
+        let runs: Vec<_> = worker.runs.iter().copied().collect();
+        for (task, attempt) in runs {
+            if self.run(key, &task, attempt).is_some_and(|run| run.sent < requested) {
+                self.drop_run(key, task, attempt, reason, events);
+            }
+        }
+    }
+
     /// Removes a worker that is gone and has no runs.
     pub(super) fn remove_worker(&mut self, key: WorkerKey) {
         if let Some(worker) = self.workers.remove(key) {
