--- a/crates/plugins/src/fleet/takeover.rs
+++ b/crates/plugins/src/fleet/takeover.rs
@@ -93,7 +93,7 @@
         Some(instances) => reconcile_unlisted(kernel, &mut engine, instances).await,
         None => 0,
     };
-    let unlisted = engine.count_unlisted_workers(instances.as_ref());
+    let unlisted = engine.find_unlisted_workers(instances.as_ref());
     let unresponsive =
         engine.workers.values().filter(|worker| worker.last_contact.is_none()).count();
     let orphans: usize = engine.workers.values().map(|worker| worker.orphans.len()).sum();
--- a/crates/plugins/tests/fleet_takeovers.rs
+++ b/crates/plugins/tests/fleet_takeovers.rs
@@ -9,8 +9,10 @@
 use wasabiswitch_plugins::fleet::takeover::START_POOL_TABLE;
 use wasabiswitch_policy::fleet::calls::{Call, QueueOperation, Reply};
 use wasabiswitch_policy::fleet::config::FleetConfig;
+use wasabiswitch_policy::fleet::outcomes::DELIVERY_DELAY_MAX;
 use wasabiswitch_policy::fleet::spec::{Step, Submission};
 use wasabiswitch_standin::fleet::{FleetStandIn, TASK_RESOURCES, single_queue_config};
+use wasabiswitch_standin::fleet_worker::LEASE_MAX;
 use wasabiswitch_standin::{Fault, FaultTarget, Operation};
 
 const fn ms(count: u64) -> Duration {
@@ -19,6 +21,8 @@
 
 /// Time within which a daemon that has just started learns the owner, or becomes it.
 const START_TIME: Duration = ms(1_500);
+/// Time for which orders of a killed owner can have an effect on a worker whose clock is not slow.
+const PREDECESSOR_EFFECT_MAX: Duration = DELIVERY_DELAY_MAX.saturating_add(LEASE_MAX);
 /// Time limit of a call, as clients state it.
 const CALL_TIME_LIMIT: Duration = ms(3_000);
 
@@ -83,7 +87,9 @@
     tokio::time::sleep(ms(1_000)).await;
     cut_off(&platform, "w0");
     platform.kill(1, &first);
-    tokio::time::sleep(ms(12_000)).await;
+    tokio::time::sleep(PREDECESSOR_EFFECT_MAX).await;
+    assert_eq!(platform.history().starts.len(), 1, "the task restarts while it may be running");
+    tokio::time::sleep(ms(3_000)).await;
     let history = platform.history();
     assert_eq!(history.violations, Vec::<String>::new());
     assert_eq!(history.starts.len(), 2, "the task restarts in the third pool after its lease");
--- a/crates/policy/src/fleet/job.rs
+++ b/crates/policy/src/fleet/job.rs
@@ -120,8 +120,10 @@
     pub checkpoint: String,
     /// Earliest time of the next attempt.
     pub not_before: Option<Instant>,
-    /// Time until which the task is unconfirmed: an attempt that the engine does not track may be running.
-    pub unconfirmed_until: Option<Instant>,
+    /// Whether an attempt of an earlier owner may be running on a worker that was silent at the takeover.
+    pub is_unconfirmed: bool,
+    /// Time until which a start in doubt may take effect on a restarted worker that has not acknowledged the barrier.
+    pub barred_until: Option<Instant>,
     /// Workers on which attempts failed or stalled.
     pub failed_on: Vec<WorkerKey>,
     /// Attempts that may be running.
--- a/crates/policy/src/fleet/maintenance.rs
+++ b/crates/policy/src/fleet/maintenance.rs
@@ -188,6 +188,7 @@
                 }
             }
         }
+        self.identify_silent_workers(&instances, requested);
         self.instances = instances;
         self.instances_requested = Some(requested);
         self.remove_ended_workers(requested, events);
--- a/crates/policy/src/fleet/outcomes.rs
+++ b/crates/policy/src/fleet/outcomes.rs
@@ -193,7 +193,7 @@
         }
         let Some(task) = self.task_ref(name) else { return };
         if let Some(entry) = self.jobs.get_mut(task.job).and_then(|job| job.task_mut(&task)) {
-            entry.unconfirmed_until = None;
+            entry.barred_until = None;
         }
     }
 
--- a/crates/policy/src/fleet/plan.rs
+++ b/crates/policy/src/fleet/plan.rs
@@ -98,7 +98,7 @@
     /// Advances the state to `now`, and returns the orders to send.
     pub fn plan(&mut self, now: Instant, events: &mut Vec<JobEvent>) -> Vec<Order> {
         self.expire_leases(now, events);
-        self.release_expired_charges(now);
+        self.expire_silent_workers(now);
         self.open_due_occurrences(now);
         let mut orders = Vec::new();
         self.plan_stops(now, &mut orders, events);
@@ -323,11 +323,13 @@
         let job = &self.jobs[step.job];
         let Some(occurrence) = job.occurrences.get(&step.occurrence) else { return Vec::new() };
         let tasks = &occurrence.steps[step.step as usize].tasks;
+        let may_run_on_silent_worker = self.silent_workers.may_run(step.job);
         let waits = |task: &super::state::Task| {
             !task.done
                 && task.runs.is_empty()
                 && task.not_before.is_none_or(|at| at <= now)
-                && task.unconfirmed_until.is_none_or(|at| at <= now)
+                && task.barred_until.is_none_or(|at| at <= now)
+                && !(task.is_unconfirmed && may_run_on_silent_worker)
         };
         let indices = tasks.iter().enumerate().filter(|(_, task)| waits(task)).map(|(i, _)| i);
         indices.map(|index| TaskRef { index: index as u32, ..*step }).collect()
@@ -420,7 +422,8 @@
         let submission = job.submission.clone();
         let Some(entry) = job.task_mut(&task) else { return };
         entry.attempts += 1;
-        entry.unconfirmed_until = None;
+        entry.is_unconfirmed = false;
+        entry.barred_until = None;
         let checkpoint = entry.checkpoint.clone();
         let ticket = self.ticket(&task, worker);
         orders.push(Order::Start {
--- a/crates/policy/src/fleet/reports.rs
+++ b/crates/policy/src/fleet/reports.rs
@@ -146,9 +146,8 @@
         }
         let Some(worker) = self.workers.get_mut(key) else { return false };
         if worker.last_contact.is_none() {
-            // An earlier owner may have renewed the leases on this worker until just now.
-            let expiry = timing.received + predecessor_lease;
-            worker.leases_expire_at = worker.leases_expire_at.max(expiry);
+            // An earlier owner may have renewed the leases on this worker until just now, but not later.
+            worker.leases_expire_at = timing.received + predecessor_lease;
         }
         worker.clock = Some(clock);
         worker.last_contact = worker.last_contact.max(Some(timing.sent));
@@ -166,6 +165,7 @@
         }
         if report.ended.len() < ENDS_PER_REPORT_MAX {
             self.drop_unlisted_runs(key, &listed, timing, events);
+            self.confirm_silent_worker(key);
         }
         true
     }
@@ -250,7 +250,8 @@
         self.add_run(task, run);
         self.report_excess(key, &running.task.job, events);
         if let Some(entry) = self.jobs.get_mut(task.job).and_then(|job| job.task_mut(&task)) {
-            entry.unconfirmed_until = None;
+            entry.is_unconfirmed = false;
+            entry.barred_until = None;
             if wanted && running.percent >= 100 {
                 entry.last_ready = Some(timing.received);
             }
@@ -373,7 +374,8 @@
                 entry.done = true;
                 step_state.done += 1;
             }
-            entry.unconfirmed_until = None;
+            entry.is_unconfirmed = false;
+            entry.barred_until = None;
             for run in entry.runs.iter_mut().filter(|run| !run.is_stopping()) {
                 run.state = RunState::Stopping { sent: None, acknowledged: None };
             }
@@ -578,7 +580,7 @@
         for (name, _) in barriers.keys() {
             let Some(task) = self.task_ref(name) else { continue };
             if let Some(entry) = self.jobs.get_mut(task.job).and_then(|job| job.task_mut(&task)) {
-                entry.unconfirmed_until = Some(now + DELIVERY_DELAY_MAX);
+                entry.barred_until = Some(now + DELIVERY_DELAY_MAX);
             }
         }
     }
--- a/crates/policy/src/fleet/start_pools.rs
+++ b/crates/policy/src/fleet/start_pools.rs
@@ -42,6 +42,11 @@
         self.submitted_to == *pool || self.persisted.contains(pool)
     }
 
+    /// Returns all pools that the store has recorded.
+    pub fn persisted(&self) -> impl Iterator<Item = &PoolId> {
+        std::iter::once(&self.submitted_to).chain(&self.persisted)
+    }
+
     /// Returns whether the store has a row for the job.
     pub fn has_row(&self) -> bool {
         !self.persisted.is_empty()
--- a/crates/policy/src/fleet/state.rs
+++ b/crates/policy/src/fleet/state.rs
@@ -17,7 +17,7 @@
 use super::sizing::PendingMove;
 use super::spec::{ResourceVector, Submission};
 use super::start_pools::StartPools;
-use super::unconfirmed::UnconfirmedCharge;
+use super::unconfirmed::{SilentWorkers, UnconfirmedCharge};
 pub use super::worker::{Cordon, Orphan, Worker, WorkerEntry};
 use crate::ids::{InstanceId, JobId, PoolId, QueueId, TeamId};
 
@@ -94,6 +94,8 @@
     pub(super) refused: BTreeMap<JobId, Instant>,
     /// Responses of the advice service, by the first task of each step.
     pub(super) advice: BTreeMap<TaskRef, Advice>,
+    /// Workers that may be running tasks of an earlier owner.
+    pub(super) silent_workers: SilentWorkers,
     /// Resources charged to teams for unconfirmed tasks.
     pub(super) charges: Vec<UnconfirmedCharge>,
     /// Instances as the instance service listed them last; an instance outlives its workers.
@@ -147,6 +149,7 @@
             run_times: BTreeMap::new(),
             refused: BTreeMap::new(),
             advice: BTreeMap::new(),
+            silent_workers: SilentWorkers::default(),
             charges: Vec::new(),
             instances: BTreeMap::new(),
             instances_requested: None,
--- a/crates/policy/src/fleet/unconfirmed.rs
+++ b/crates/policy/src/fleet/unconfirmed.rs
@@ -1,10 +1,13 @@
 //! Tasks and workers of which a new owner does not know whether they run.
 //!
-//! A worker that does not answer, or that is not listed, may be running any task that its predecessor could start there.
-//! These tasks are unconfirmed, and wait until the worker's leases have expired; their teams are charged for them.
+//! A worker that does not answer, or that is not listed, may be running any task that the predecessor could start there, and an
+//! order of the predecessor may still reach it. These tasks are unconfirmed, and wait until the worker has reported or the last
+//! of these orders cannot have an effect any more; their teams are charged for them.
+//!
+//! A report under the new fence lists all runs of the worker, which from then on refuses orders of the predecessor.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use wasabiswitch_derive::derives;
 
@@ -12,7 +15,7 @@
 use super::maintenance::{Instance, InstanceState, PREDECESSOR_CALL_TIMEOUT};
 use super::outcomes::DELIVERY_DELAY_MAX;
 use super::spec::{ResourceVector, Step};
-use super::state::{Engine, Job, Phase, WorkerKey};
+use super::state::{Engine, Job, JobKey, Phase, WorkerKey};
 use crate::ids::{InstanceId, PoolId, TeamId};
 
 /// Resources that count as used by a team, since its tasks may be running on workers that cannot be reached.
@@ -22,15 +25,13 @@
     pub team: TeamId,
     /// Resources charged.
     pub resources: ResourceVector,
-    /// Time at which the charge ends.
-    pub until: Instant,
 }
 
 /// Workers that the directory does not list at a takeover although they may be running tasks.
 #[derives(record)]
 pub enum UnlistedWorkers {
-    /// Number of unlisted workers by pool, as the list of instances shows them.
-    InPools(BTreeMap<PoolId, u64>),
+    /// Unlisted workers with their pools, as the list of instances shows them.
+    InPools(BTreeMap<InstanceId, PoolId>),
     /// There is no list of instances, so any number of workers may be unlisted in any pool.
     Unknown,
 }
@@ -39,7 +40,9 @@
     /// Describes for the log the number of pools with unlisted workers.
     pub fn describe_pools(&self) -> String {
         match self {
-            UnlistedWorkers::InPools(counts) => counts.len().to_string(),
+            UnlistedWorkers::InPools(workers) => {
+                workers.values().collect::<BTreeSet<_>>().len().to_string()
+            }
             UnlistedWorkers::Unknown => "any".to_owned(),
         }
     }
@@ -64,33 +67,64 @@
     }
 }
 
-/// Workers on which unconfirmed tasks may be running.
+/// Workers that may be running tasks of an earlier owner and have not reported to this one, and the jobs of these tasks.
 #[derives(record)]
-struct SilentWorkers {
-    /// Time by which the leases on all workers have expired, by pool; `None` if any pool may have some workers.
-    pools: Option<BTreeMap<PoolId, Instant>>,
-    /// Latest of these times, also if any pool may have some workers.
-    until: Instant,
-    /// Sum of their capacities; `None` if it is not known.
-    capacity: Option<ResourceVector>,
+#[derive(Default)]
+pub(super) struct SilentWorkers {
+    /// The workers of each pool with their capacities, `None` where it is not known; no pool is without workers.
+    pools: BTreeMap<PoolId, BTreeMap<InstanceId, Option<ResourceVector>>>,
+    /// Whether any pool may have further workers, since there was no list of instances.
+    is_any_pool: bool,
+    /// Jobs with unconfirmed tasks, with the pools in which the earlier owner may have started them. Pools that this owner adds
+    /// to the record of a job are not among them.
+    jobs: BTreeMap<JobKey, Vec<PoolId>>,
+    /// Time at which the earlier owner sends its last order.
+    predecessor_deadline: Option<Instant>,
+    /// Time from which no run that an order of the earlier owner started or renewed is left on the workers.
+    until: Option<Instant>,
 }
 
 impl SilentWorkers {
     /// Returns whether there are none.
     fn is_empty(&self) -> bool {
-        self.pools.as_ref().is_some_and(BTreeMap::is_empty)
+        self.pools.is_empty() && !self.is_any_pool
+    }
+
+    /// Adds a worker of a pool.
+    fn insert(&mut self, pool: &PoolId, worker: &InstanceId, capacity: Option<ResourceVector>) {
+        self.pools.entry(pool.clone()).or_default().insert(worker.clone(), capacity);
+    }
+
+    /// Removes a worker; returns whether it was one of the silent workers.
+    fn remove(&mut self, worker: &InstanceId) -> bool {
+        let removed = self.pools.values_mut().any(|workers| workers.remove(worker).is_some());
+        self.pools.retain(|_, workers| !workers.is_empty());
+        removed
     }
 
-    /// Returns the time until which tasks of a job may be running on one of the workers, if they may at all.
-    fn may_run_until(&self, job: &Job) -> Option<Instant> {
-        let Some(pools) = &self.pools else { return Some(self.until) };
-        let of_job = pools.iter().filter(|(pool, _)| job.start_pools.is_persisted(pool));
-        of_job.map(|(_, until)| *until).max()
+    /// Returns whether the workers may be running tasks of a job that the earlier owner may have started in `pools`.
+    fn may_run_in(&self, pools: &[PoolId]) -> bool {
+        self.is_any_pool || pools.iter().any(|pool| self.pools.contains_key(pool))
+    }
+
+    /// Returns whether the workers may be running unconfirmed tasks of a job.
+    pub(super) fn may_run(&self, job: JobKey) -> bool {
+        self.jobs.get(&job).is_some_and(|pools| self.may_run_in(pools))
+    }
+
+    /// Returns the sum of the workers' capacities; `None` if it is not known.
+    fn capacity(&self) -> Option<ResourceVector> {
+        let mut capacities = self.pools.values().flat_map(BTreeMap::values);
+        let sum = |sum: ResourceVector, capacity: &Option<ResourceVector>| {
+            Some(sum.plus(capacity.as_ref()?))
+        };
+        let known = capacities.try_fold(ResourceVector::default(), sum);
+        known.filter(|_| !self.is_any_pool)
     }
 
     /// Returns the resources that tasks on the workers can use at once.
     fn limit(&self, tasks: &TaskSum) -> ResourceVector {
-        let reserved = match &self.capacity {
+        let reserved = match &self.capacity() {
             Some(capacity) => tasks.reserved.component_min(capacity),
             None => tasks.reserved,
         };
@@ -115,18 +149,14 @@
         .collect()
     }
 
-    /// Counts the [unlisted workers](Engine::unlisted_workers) by pool, or returns that they are unknown without a list of
-    /// instances.
-    pub fn count_unlisted_workers(
+    /// Returns the [unlisted workers](Engine::unlisted_workers), or that they are unknown without a list of instances.
+    pub fn find_unlisted_workers(
         &self,
         instances: Option<&BTreeMap<InstanceId, Instance>>,
     ) -> UnlistedWorkers {
         let Some(instances) = instances else { return UnlistedWorkers::Unknown };
-        let mut counts: BTreeMap<PoolId, u64> = BTreeMap::new();
-        for pool in self.unlisted_workers(instances).into_values() {
-            *counts.entry(pool.clone()).or_default() += 1;
-        }
-        UnlistedWorkers::InPools(counts)
+        let unlisted = self.unlisted_workers(instances).into_iter();
+        UnlistedWorkers::InPools(unlisted.map(|(id, pool)| (id.clone(), pool.clone())).collect())
     }
 
     /// Returns the workers that have not answered and no longer run on any instance.
@@ -159,7 +189,7 @@
     }
 
     /// Marks as unconfirmed the tasks that may be running on workers that have not answered a new owner, or on
-    /// `unlisted` workers. Returns the number of these tasks.
+    /// `unlisted` workers, and charges their teams for them. Returns the number of these tasks.
     ///
     /// The predecessor sends its last order at `predecessor_deadline` at the latest.
     pub fn mark_unconfirmed(
@@ -175,93 +205,138 @@
             let arrives_by = predecessor_deadline + DELIVERY_DELAY_MAX;
             self.predecessor_order = Some(LeaseOrder { until_ms: u64::MAX, arrives_by });
         }
-        let unresponsive = self.workers.iter().filter(|(_, worker)| worker.last_contact.is_none());
-        let leases: Vec<(WorkerKey, Duration)> = unresponsive
-            .map(|(key, worker)| (key, self.predecessor_lease(worker.entry.incarnation)))
-            .collect();
-        for (key, lease) in leases {
-            self.workers[key].leases_expire_at = predecessor_deadline + lease;
+        // An order that is delivered late may give a worker that has restarted the longest lease of all.
+        let until =
+            predecessor_deadline + DELIVERY_DELAY_MAX + longest_time_of(self.limits.lease_max);
+        for worker in self.workers.values_mut().filter(|worker| worker.last_contact.is_none()) {
+            worker.leases_expire_at = until;
         }
-        let silent = self.silent_workers(unlisted, predecessor_deadline);
-        if silent.is_empty() { 0 } else { self.mark_tasks_unconfirmed(&silent) }
-    }
-
-    /// Returns the workers that have not answered together with the `unlisted` ones.
-    fn silent_workers(
-        &self,
-        unlisted: &UnlistedWorkers,
-        predecessor_deadline: Instant,
-    ) -> SilentWorkers {
-        // Nothing shows when an unlisted worker has started.
-        let longest = predecessor_deadline + longest_time_of(self.limits.lease_max);
-        let UnlistedWorkers::InPools(unlisted) = unlisted else {
-            return SilentWorkers { pools: None, until: longest, capacity: None };
+        self.silent_workers = SilentWorkers {
+            until: Some(until),
+            predecessor_deadline: Some(predecessor_deadline),
+            ..self.find_silent_workers(unlisted)
         };
-        let unresponsive = self.workers.values().filter(|worker| worker.last_contact.is_none());
-        let mut pools: BTreeMap<PoolId, Instant> =
-            unlisted.keys().map(|pool| (pool.clone(), longest)).collect();
-        let mut capacity = ResourceVector::default();
-        for worker in unresponsive {
-            let until = pools.entry(worker.entry.pool.clone()).or_insert(worker.leases_expire_at);
-            *until = worker.leases_expire_at.max(*until);
-            capacity = capacity.plus(&worker.entry.capacity);
+        if self.silent_workers.is_empty() {
+            return 0;
         }
-        // The capacity of an unlisted worker is not known; without any listed worker there is nothing to compare it with.
-        let capacity = match (self.largest_worker(), unlisted.values().sum()) {
-            (_, 0) => Some(capacity),
-            (Some(largest), count) => Some(capacity.plus(&largest.times(count))),
-            (None, _) => None,
-        };
-        let until = pools.values().copied().max().unwrap_or(predecessor_deadline);
-        SilentWorkers { pools: Some(pools), until, capacity }
+        let unconfirmed = self.mark_tasks_unconfirmed();
+        self.update_unconfirmed_charges();
+        unconfirmed
     }
 
-    /// Ends the charges for unconfirmed tasks whose leases have all expired.
-    pub(super) fn release_expired_charges(&mut self, now: Instant) {
-        let (expired, open): (Vec<_>, Vec<_>) =
-            std::mem::take(&mut self.charges).into_iter().partition(|charge| charge.until <= now);
-        self.charges = open;
-        for charge in expired {
-            if let Some(team) = self.teams.get_mut(&charge.team) {
-                team.used = team.used.saturating_sub(&charge.resources);
+    /// Returns the workers that have not answered together with the `unlisted` ones.
+    fn find_silent_workers(&self, unlisted: &UnlistedWorkers) -> SilentWorkers {
+        let mut silent = SilentWorkers::default();
+        for worker in self.workers.values().filter(|worker| worker.last_contact.is_none()) {
+            let entry = &worker.entry;
+            silent.insert(&entry.pool, &entry.id, Some(entry.capacity));
+        }
+        match unlisted {
+            UnlistedWorkers::InPools(unlisted) => {
+                // Without any listed worker there is nothing to compare the capacity of an unlisted one with.
+                let largest = self.largest_worker();
+                for (id, pool) in unlisted {
+                    silent.insert(pool, id, largest);
+                }
             }
+            UnlistedWorkers::Unknown => silent.is_any_pool = true,
         }
+        silent
     }
 
-    /// Marks as unconfirmed the unfinished tasks that may be running on `silent` workers, and charges their teams for
-    /// them.
+    /// Marks as unconfirmed the unfinished tasks that may be running on silent workers, and returns their number.
     ///
-    /// Such a worker may run any of these tasks until its leases have expired, so they are not started before; all other
-    /// tasks proceed. Each team is charged for its own tasks, but for no more than the capacity of the workers and its fillers.
-    fn mark_tasks_unconfirmed(&mut self, silent: &SilentWorkers) -> usize {
+    /// Such a worker may run any of these tasks, so they are not started before; all other tasks proceed.
+    fn mark_tasks_unconfirmed(&mut self) -> usize {
         let mut unconfirmed = 0;
-        let mut charges: BTreeMap<TeamId, TaskSum> = BTreeMap::new();
         for key in self.live.union(&self.retiring) {
             // Runs of a job that was ended early may still be stopping; a completed job has none.
             let open = |job: &&mut Job| job.phase != Phase::Done;
             let Some(job) = self.jobs.get_mut(*key).filter(open) else { continue };
-            let Some(until) = silent.may_run_until(job) else { continue };
-            let submission = job.submission.clone();
-            let charge = charges.entry(submission.team.clone()).or_default();
-            let steps = job
-                .occurrences
-                .values_mut()
-                .flat_map(|o| submission.steps.iter().zip(&mut o.steps));
+            let pools: Vec<PoolId> = job.start_pools.persisted().cloned().collect();
+            if !self.silent_workers.may_run_in(&pools) {
+                continue;
+            }
+            self.silent_workers.jobs.insert(*key, pools);
+            let steps = job.occurrences.values_mut().flat_map(|o| &mut o.steps);
+            let tasks = steps.flat_map(|step| &mut step.tasks);
+            for task in tasks.filter(|task| !task.done && task.runs.is_empty()) {
+                task.is_unconfirmed = true;
+                unconfirmed += 1;
+            }
+        }
+        unconfirmed
+    }
+
+    /// Ends the wait for a worker that has reported under this owner's fence: its tasks are known, and it refuses orders of
+    /// the predecessor.
+    pub(super) fn confirm_silent_worker(&mut self, key: WorkerKey) {
+        let Some(worker) = self.workers.get(key) else { return };
+        if self.silent_workers.remove(&worker.entry.id) {
+            self.update_unconfirmed_charges();
+        }
+    }
+
+    /// Ends the wait for any worker if there was no list of instances at the takeover, and waits for those that the given one
+    /// shows, which was requested at `requested`.
+    ///
+    /// An instance runs one worker at a time, so that a worker that no instance has any more has ended with all its runs.
+    pub(super) fn identify_silent_workers(
+        &mut self,
+        instances: &BTreeMap<InstanceId, Instance>,
+        requested: Instant,
+    ) {
+        let silent = &self.silent_workers;
+        let is_recent = silent.predecessor_deadline.is_some_and(|deadline| requested >= deadline);
+        let has_workers = instances.values().any(|instance| instance.worker.is_some());
+        if !silent.is_any_pool || !is_recent || !has_workers {
+            return;
+        }
+        let mut found = self.find_silent_workers(&self.find_unlisted_workers(Some(instances)));
+        for id in self.replaced_workers(instances).iter().map(|key| &self.workers[*key].entry.id) {
+            found.remove(id);
+        }
+        self.silent_workers.pools = found.pools;
+        self.silent_workers.is_any_pool = false;
+        self.update_unconfirmed_charges();
+    }
+
+    /// Ends the wait for all silent workers once no order of the predecessor can have an effect any more.
+    pub(super) fn expire_silent_workers(&mut self, now: Instant) {
+        if self.silent_workers.until.is_some_and(|until| until <= now) {
+            self.silent_workers = SilentWorkers::default();
+            self.update_unconfirmed_charges();
+        }
+    }
+
+    /// Charges each team for its unconfirmed tasks, but for no more than the capacity of the silent workers and its fillers.
+    fn update_unconfirmed_charges(&mut self) {
+        for charge in std::mem::take(&mut self.charges) {
+            if let Some(team) = self.teams.get_mut(&charge.team) {
+                team.used = team.used.saturating_sub(&charge.resources);
+            }
+        }
+        let silent = &self.silent_workers;
+        let mut sums: BTreeMap<TeamId, TaskSum> = BTreeMap::new();
+        let jobs = silent.jobs.keys().filter(|key| silent.may_run(**key));
+        for job in jobs.filter_map(|key| self.jobs.get(*key)) {
+            let sum = sums.entry(job.submission.team.clone()).or_default();
+            let occurrences = job.occurrences.values();
+            let steps = occurrences.flat_map(|o| job.submission.steps.iter().zip(&o.steps));
             for (step, step_state) in steps {
-                for task in
-                    step_state.tasks.iter_mut().filter(|task| !task.done && task.runs.is_empty())
-                {
-                    task.unconfirmed_until = Some(until);
-                    unconfirmed += 1;
-                    charge.add(step);
+                let tasks = step_state.tasks.iter();
+                for _ in tasks.filter(|task| task.is_unconfirmed && task.runs.is_empty()) {
+                    sum.add(step);
                 }
             }
         }
-        for (team, tasks) in charges {
+        let charges = sums.into_iter().map(|(team, tasks)| {
             let resources = silent.limit(&tasks);
-            self.charge(&team, &resources);
-            self.charges.push(UnconfirmedCharge { team, resources, until: silent.until });
+            UnconfirmedCharge { team, resources }
+        });
+        self.charges = charges.collect();
+        for charge in self.charges.clone() {
+            self.charge(&charge.team, &charge.resources);
         }
-        unconfirmed
     }
 }
--- a/crates/policy/tests/fleet_engine/fixtures.rs
+++ b/crates/policy/tests/fleet_engine/fixtures.rs
@@ -4,11 +4,15 @@
 
 use wasabiswitch_policy::fleet::Limits;
 use wasabiswitch_policy::fleet::maintenance::{Instance, InstanceState};
+use wasabiswitch_policy::fleet::outcomes::DELIVERY_DELAY_MAX;
 use wasabiswitch_policy::fleet::spec::{ResourceVector, Step, Submission};
 use wasabiswitch_policy::fleet::state::{QueueSettings, WorkerEntry};
 use wasabiswitch_standin::fleet::single_queue_config;
 use wasabiswitch_standin::fleet_worker::LEASE_MAX;
 
+/// Time for which orders of a predecessor can have an effect, on a worker whose clock is not slow.
+pub const PREDECESSOR_EFFECT_MAX: Duration = DELIVERY_DELAY_MAX.saturating_add(LEASE_MAX);
+
 /// Returns the limits that the users' platform specifies.
 pub fn limits() -> Limits {
     Limits {
--- a/crates/policy/tests/fleet_engine/regressions.rs
+++ b/crates/policy/tests/fleet_engine/regressions.rs
@@ -12,6 +12,7 @@
 use wasabiswitch_policy::ids::InstanceId;
 use wasabiswitch_standin::fleet_worker::LEASE_MAX;
 
+use crate::fixtures::PREDECESSOR_EFFECT_MAX;
 use crate::simulation::{Faults, Simulation, instance, queue_settings, step, submission};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -139,7 +140,7 @@
     let unknown = BTreeMap::from([("m9".into(), instance("w9", "p"))]);
     let unlisted = sim.engine.unlisted_workers(&unknown);
     assert_eq!(unlisted, BTreeMap::from([(&"w9".into(), &"p".into())]));
-    let counted = sim.engine.count_unlisted_workers(Some(&unknown));
+    let counted = sim.engine.find_unlisted_workers(Some(&unknown));
     assert_eq!(sim.engine.mark_unconfirmed(&counted, sim.now, sim.now), 2);
 }
 
@@ -387,7 +388,7 @@
         sim.take_over_with(Some(&instances));
         sim.run(SECOND);
         assert_eq!(sim.starts.len(), if replaced { 3 } else { 0 }, "replaced: {replaced}");
-        sim.run(5 * SECOND);
+        sim.run(PREDECESSOR_EFFECT_MAX);
         assert_eq!(
             sim.starts.len(),
             3,
--- a/crates/policy/tests/fleet_engine/restarted_worker.rs
+++ b/crates/policy/tests/fleet_engine/restarted_worker.rs
@@ -118,6 +118,52 @@
     tasks_move_once_the_leases_have_expired(&mut sim);
 }
 
+// A task ran twice at once: renewals of the predecessor were delivered seconds late to a restarted worker that did not answer
+// the successor, which waited as if none were.
+#[test]
+fn successor_waits_for_late_renewals_of_its_predecessor_at_a_worker_that_does_not_answer() {
+    let mut sim = two_workers_with_long_tasks();
+    let predecessor = sim.engine.fence;
+    let until_ms = sim.workers["w0"].clock_ms(sim.now) + 4_500;
+    sim.crash("w0");
+    sim.run(SECOND);
+    assert_eq!(runs(&sim, "w0"), 2, "the tasks start on the restarted worker");
+    sim.partitioned.insert("w0".into(), sim.now + ALL_LEASES_EXPIRED);
+    sim.take_over();
+    for delay in [4, 8] {
+        sim.run(delay * SECOND);
+        let (now, worker) = (sim.now, sim.workers.get_mut("w0").expect("the worker exists"));
+        worker.hold(predecessor, 0, Some(until_ms), now).expect("no newer fence has arrived");
+        assert_eq!(runs(&sim, "w0"), 2, "the leases have been renewed");
+    }
+    tasks_move_once_the_leases_have_expired(&mut sim);
+}
+
+// A task ran twice at once: as above, but the late order was a start.
+#[test]
+fn successor_waits_for_a_late_start_of_its_predecessor_at_a_worker_that_does_not_answer() {
+    let mut sim = Simulation::new(2, 0, Faults::default(), 1);
+    sim.run(SECOND);
+    sim.submit(submission("a", vec![step(1, 60_000)]));
+    sim.faults.late_orders = 1.0;
+    sim.plan();
+    sim.faults.late_orders = 0.0;
+    let mut workers = sim.engine.workers.values();
+    let worker = workers.find(|worker| !worker.starts_in_doubt.is_empty());
+    let worker = worker.expect("the start is under way").entry.id.clone();
+    sim.crash(&worker);
+    sim.unreachable_for_newest.insert(worker.clone(), sim.now + ALL_LEASES_EXPIRED);
+    sim.take_over();
+    let taken_over = sim.now;
+    while sim.starts.len() < 2 && sim.now < taken_over + ALL_LEASES_EXPIRED {
+        sim.run(SECOND / 100);
+    }
+    let started: Vec<_> = sim.starts.iter().map(|(_, worker, _, _)| worker).collect();
+    assert_eq!(started.len(), 2, "the task does not start elsewhere");
+    assert_eq!(*started[0], worker, "the task starts elsewhere before the late start");
+    assert_eq!(runs(&sim, &worker), 0, "the task starts elsewhere while it runs");
+}
+
 /// Starts a task on a worker that has just restarted, cuts the worker off before it reports, and checks that the task starts
 /// elsewhere without breaking a rule.
 fn cut_off_after_a_start_on_a_restarted_worker(lost_acks: f64) {
--- a/crates/policy/tests/fleet_engine/simulation.rs
+++ b/crates/policy/tests/fleet_engine/simulation.rs
@@ -314,7 +314,7 @@
         if let Some(instances) = instances {
             self.engine.remove_replaced_workers(instances);
         }
-        let unlisted = self.engine.count_unlisted_workers(instances);
+        let unlisted = self.engine.find_unlisted_workers(instances);
         self.engine.mark_unconfirmed(&unlisted, predecessor_deadline, self.now);
     }
 
--- a/crates/policy/tests/fleet_engine/split_brain.rs
+++ b/crates/policy/tests/fleet_engine/split_brain.rs
@@ -6,12 +6,14 @@
 use std::time::Duration;
 
 use fastrand::Rng;
+use wasabiswitch_policy::fleet::lease::{TASK_LEASE, longest_time_of};
 use wasabiswitch_policy::fleet::ownership::{
     OWNER_LEASE, OWNER_LEASE_MARGIN, OWNER_UNRESPONSIVE_AFTER,
 };
 use wasabiswitch_policy::fleet::state::Phase;
 use wasabiswitch_standin::fleet_worker::FakeWorker;
 
+use crate::fixtures::PREDECESSOR_EFFECT_MAX;
 use crate::simulation::{Faults, Simulation, step, submission, worker_entry};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -25,8 +27,8 @@
 
 /// Runs a history in which every owner is replaced while it acts.
 ///
-/// A successor bounds the leases on workers that it cannot reach from the last order that its predecessor can
-/// send if `counts_overlap` is set, and from its own first write otherwise.
+/// A successor bounds the effects of orders on workers that it cannot reach from the last order that its predecessor can
+/// send if `counts_overlap` is set. Otherwise it waits only for leases that were renewed before its own first write.
 fn run_history(seed: u64, counts_overlap: bool) -> Simulation {
     let mut choices = Rng::with_seed(seed ^ 0x01d);
     let faults = Faults {
@@ -50,7 +52,11 @@
         }
         if round % 3 == 2 {
             let overlap = OVERLAP_MAX.mul_f64(choices.f64());
-            let predecessor_deadline = if counts_overlap { sim.now + OVERLAP_MAX } else { sim.now };
+            let predecessor_deadline = if counts_overlap {
+                sim.now + OVERLAP_MAX
+            } else {
+                sim.now + longest_time_of(TASK_LEASE) - PREDECESSOR_EFFECT_MAX
+            };
             sim.take_over_with_overlap(overlap, predecessor_deadline);
         }
         sim.run(Duration::from_millis(choices.u64(500..3_000)));
@@ -72,7 +78,7 @@
 }
 
 #[test]
-fn checker_detects_a_successor_that_ignores_the_overlap() {
+fn checker_detects_a_successor_that_waits_only_for_leases_of_orders_before_its_first_write() {
     let violating = (0..60).filter(|seed| !run_history(*seed, false).violations.is_empty()).count();
     assert!(
         violating > 0,
--- a/crates/policy/tests/fleet_engine/successor.rs
+++ b/crates/policy/tests/fleet_engine/successor.rs
@@ -1,5 +1,6 @@
 //! Decisions of a new owner on what its predecessor did before the state changed from which the new owner decides.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use wasabiswitch_policy::fleet::config::FleetConfig;
@@ -7,8 +8,9 @@
 use wasabiswitch_policy::fleet::start_pools::StartPoolsRow;
 use wasabiswitch_policy::fleet::state::Phase;
 use wasabiswitch_standin::fleet::single_queue_config;
-use wasabiswitch_standin::fleet_worker::{FakeWorker, LEASE_MAX};
+use wasabiswitch_standin::fleet_worker::FakeWorker;
 
+use crate::fixtures::PREDECESSOR_EFFECT_MAX;
 use crate::simulation::{Faults, Simulation, instance, step, submission, worker_entry};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -55,7 +57,7 @@
     sim.apply_config(config_with_pool(2, "p2"));
     sim.run(SECOND);
     take_over_without(&mut sim, "w-p");
-    sim.run(10 * SECOND);
+    sim.run(PREDECESSOR_EFFECT_MAX + SECOND);
     assert_eq!(sim.violations, Vec::<String>::new());
     assert_eq!(started_on(&sim), ["w-p", "w-p2"], "the task does not restart after its lease");
 }
@@ -73,7 +75,7 @@
     assert_eq!(started_on(&sim), ["w-p", "w-p2"]);
     sim.apply_config(config_with_pool(3, "p3"));
     take_over_without(&mut sim, "w-p2");
-    sim.run(10 * SECOND);
+    sim.run(PREDECESSOR_EFFECT_MAX + SECOND);
     assert_eq!(sim.violations, Vec::<String>::new());
     assert_eq!(started_on(&sim), ["w-p", "w-p2", "w-p3"]);
 }
@@ -210,7 +212,7 @@
     sim.apply_config(config);
     sim.workers.remove("w-p");
     sim.take_over_with(None);
-    sim.run(LEASE_MAX);
+    sim.run(PREDECESSOR_EFFECT_MAX);
     assert_eq!(
         started_on(&sim),
         ["w-p"],
@@ -268,6 +270,100 @@
     );
     assert_eq!(sim.violations, Vec::<String>::new());
     assert_eq!(sim.starts.len(), 2, "the task restarts while it may be running");
-    sim.run(5 * SECOND);
+    sim.run(PREDECESSOR_EFFECT_MAX - 2 * SECOND);
+    assert_eq!(sim.starts.len(), 2, "the task restarts while it may be running");
+    sim.run(SECOND);
     assert_eq!(sim.starts.len(), 3, "the task does not restart after the lease");
 }
+
+/// Submits a job with one task, and starts the term of a new owner before the task has started, while `silent` workers of two do
+/// not answer for the given times.
+fn take_over_with_silent_workers(silent: &[(&str, Duration)]) -> Simulation {
+    let entries = vec![worker_entry("w0", "p"), worker_entry("w1", "p"), worker_entry("w2", "p")];
+    let config = single_queue_config("spare", 100_000);
+    let mut sim = Simulation::with_workers(config, entries, Faults::default(), 1);
+    sim.run(SECOND);
+    sim.submit(submission("a", vec![step(1, 60_000)]));
+    for (worker, time) in silent {
+        sim.partitioned.insert((*worker).into(), sim.now + *time);
+    }
+    sim.take_over();
+    assert_eq!(sim.engine.teams["t"].used.cpu_milli, 1_000, "the unconfirmed task is charged");
+    sim
+}
+
+// Guards against a pool that waits for the leases of a worker that has reported meanwhile.
+#[test]
+fn tasks_of_a_pool_start_once_its_silent_workers_have_reported() {
+    let mut sim = take_over_with_silent_workers(&[("w0", SECOND), ("w1", 3 * SECOND)]);
+    sim.run(3 * SECOND - SECOND / 10);
+    assert_eq!(started_on(&sim), Vec::<&str>::new(), "the task starts while it may be running");
+    sim.run(SECOND);
+    assert_eq!(sim.starts.len(), 1, "the task waits for workers that have reported");
+    assert_eq!(sim.engine.teams["t"].used.cpu_milli, 1_000, "the charge outlives the doubt");
+    assert_eq!(sim.violations, Vec::<String>::new());
+}
+
+// Guards against a pool that waits for the runs of an incarnation that the worker's next incarnation shows to have ended.
+#[test]
+fn tasks_of_a_pool_start_once_a_silent_worker_has_reported_as_another_incarnation() {
+    let mut sim = take_over_with_silent_workers(&[("w0", 3 * SECOND)]);
+    sim.run(SECOND);
+    sim.crash("w0");
+    sim.run(3 * SECOND);
+    assert_eq!(sim.starts.len(), 1, "the task waits for a worker that has reported");
+}
+
+// Guards against a task that runs twice because a worker was released from the doubt with one that has reported.
+#[test]
+fn tasks_of_a_pool_wait_for_each_of_its_silent_workers() {
+    let silent = [("w0", SECOND), ("w1", 60 * SECOND)];
+    let mut sim = take_over_with_silent_workers(&silent);
+    sim.run(PREDECESSOR_EFFECT_MAX);
+    assert_eq!(started_on(&sim), Vec::<&str>::new(), "the task starts while it may be running");
+    sim.run(SECOND);
+    assert_eq!(sim.starts.len(), 1, "the task does not start after the leases");
+    assert_eq!(sim.engine.teams["t"].used.cpu_milli, 1_000, "the charge outlives the doubt");
+}
+
+// Guards against a pool that waits for an unlisted worker after the directory has listed it and it has reported.
+#[test]
+fn tasks_of_a_pool_start_once_an_unlisted_worker_has_reported() {
+    let mut sim = one_worker_per_pool();
+    sim.run(SECOND);
+    sim.submit(submission("a", vec![long_running_step()]));
+    sim.workers.insert("w9".into(), FakeWorker::new(worker_entry("w9", "p"), sim.now, 1.0));
+    let instances = sim.workers.keys().map(|id| (id.clone(), instance(id, "p"))).collect();
+    sim.unlisted.insert("w9".into());
+    sim.take_over_with(Some(&instances));
+    sim.run(2 * SECOND);
+    assert_eq!(started_on(&sim), Vec::<&str>::new(), "the task starts while it may be running");
+    sim.list_all_workers();
+    sim.run(SECOND);
+    assert_eq!(sim.starts.len(), 1, "the task waits for a worker that has reported");
+}
+
+// Guards against tasks that wait for any worker after a list of instances has shown that all workers have reported.
+#[test]
+fn tasks_start_once_a_later_list_of_instances_shows_that_all_workers_have_reported() {
+    for missing in [None, Some("w9")] {
+        let mut sim = one_worker_per_pool();
+        sim.run(SECOND);
+        sim.submit(submission("a", vec![long_running_step()]));
+        // The directory still lists a worker that its instance has replaced.
+        let gone = FakeWorker::new(worker_entry("w8", "p"), sim.now, 1.0);
+        sim.workers.insert("w8".into(), gone);
+        sim.partitioned.insert("w8".into(), sim.now + 60 * SECOND);
+        sim.take_over_with(None);
+        sim.workers.remove("w8");
+        sim.run(SECOND);
+        assert_eq!(started_on(&sim), Vec::<&str>::new(), "the task starts while it may be running");
+        let workers = sim.workers.values().map(|worker| &worker.entry);
+        let mut instances: BTreeMap<_, _> =
+            workers.map(|entry| (entry.id.clone(), instance(&entry.id, &entry.pool))).collect();
+        instances.extend(missing.map(|worker| (worker.into(), instance(worker, "p"))));
+        sim.engine.apply_instance_list(instances, sim.now, sim.now, &mut Vec::new());
+        sim.run(SECOND);
+        assert_eq!(sim.starts.len(), usize::from(missing.is_none()), "missing: {missing:?}");
+    }
+}
