--- a/crates/policy/tests/fleet_engine/fixtures.rs
+++ b/crates/policy/tests/fleet_engine/fixtures.rs
@@ -4,14 +4,14 @@
 
 use wasabiswitch_policy::fleet::Limits;
 use wasabiswitch_policy::fleet::maintenance::{Instance, InstanceState};
+use wasabiswitch_policy::fleet::outcomes::DELIVERY_DELAY_MAX;
 use wasabiswitch_policy::fleet::spec::{ResourceVector, Step, Submission};
 use wasabiswitch_policy::fleet::state::{QueueSettings, WorkerEntry};
 use wasabiswitch_standin::fleet::single_queue_config;
 use wasabiswitch_standin::fleet_worker::LEASE_MAX;
 
-/// Time after a takeover by which a silent worker holds no lease any more that the predecessor extended, with the time to start
-/// its tasks elsewhere.
-pub const PREDECESSOR_LEASES_EXPIRED: Duration = LEASE_MAX.saturating_add(Duration::from_secs(1));
+/// Time for which orders of a predecessor can have an effect, on a worker whose clock is not slow.
+pub const PREDECESSOR_EFFECT_MAX: Duration = DELIVERY_DELAY_MAX.saturating_add(LEASE_MAX);
 
 /// Returns the limits that the users' platform specifies.
 pub fn limits() -> Limits {
--- a/crates/policy/tests/fleet_engine/former_incarnations.rs
+++ b/crates/policy/tests/fleet_engine/former_incarnations.rs
@@ -217,7 +217,7 @@
     sim.engine.apply_instance_list(list, now, now, &mut Vec::new());
     let entry = sim.engine.jobs[task.job].task(&task).expect("the task is open");
     assert!(
-        !entry.runs.is_empty() || entry.unconfirmed_until.is_some_and(|until| until > now),
+        !entry.runs.is_empty() || entry.barred_until.is_some_and(|until| until > now),
         "the start may still begin on the next incarnation"
     );
 }
