--- a/crates/policy/tests/fleet_engine/restarted_worker.rs
+++ b/crates/policy/tests/fleet_engine/restarted_worker.rs
@@ -1,11 +1,13 @@
 //! Regression tests for the leases of workers that restart under their id: an order that was computed for the clock of one
 //! incarnation extends leases of the next one to another time.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-use wasabiswitch_policy::fleet::lease::WORKER_CLOCK_RATE_MIN;
+use wasabiswitch_policy::fleet::lease::{ClockSample, WORKER_CLOCK_RATE_MIN};
 use wasabiswitch_policy::fleet::lease_bounds::OrderOutcome;
-use wasabiswitch_policy::fleet::outcomes::StartOutcome;
+use wasabiswitch_policy::fleet::maintenance::Wave;
+use wasabiswitch_policy::fleet::outcomes::{StartAnswer, StartOutcome};
 use wasabiswitch_policy::fleet::plan::Order;
 use wasabiswitch_policy::fleet::reports::{ReportTiming, RunEnd};
 use wasabiswitch_policy::fleet::state::TaskRef;
@@ -395,3 +397,102 @@
     let orders = sim.engine.plan(now, &mut Vec::new());
     assert!(matches!(orders[..], [Order::Advise { .. }]), "{orders:?}");
 }
+
+// A task ran twice at once: a restarted worker carried out a start and the renewals that followed it, all answers were lost, and
+// the owner bounded the lease by the start alone.
+#[test]
+#[ignore = "known to fail, see KNOWN-RED.txt"]
+fn renewals_after_an_unanswered_start_at_a_restarted_worker_are_covered() {
+    let mut sim = Simulation::new(3, 0, Faults::default(), 1);
+    sim.run(SECOND);
+    sim.submit(submission("a", vec![step(3, 60_000)]));
+    sim.run(SECOND);
+    assert_eq!(runs(&sim, "w0"), 1);
+    sim.submit(submission("b", vec![step(3, 60_000)]));
+    sim.workers.get_mut("w0").expect("the worker exists").crash(sim.now);
+    sim.faults.lost_acks = 1.0;
+    sim.plan();
+    sim.faults.lost_reports = 1.0;
+    sim.run(17 * SECOND / 10);
+    sim.faults = Faults::default();
+    assert_eq!(runs(&sim, "w0"), 1, "the restarted worker carries out the start");
+    sim.partitioned.insert("w0".into(), sim.now + ALL_LEASES_EXPIRED);
+    sim.run(ALL_LEASES_EXPIRED - SECOND);
+    assert_eq!(sim.violations, Vec::<String>::new());
+}
+
+// A task ran twice at once: the owner ordered a run to be stopped whose start had got no answer, and no longer took account of a
+// restarted worker that had carried out the start.
+#[test]
+#[ignore = "known to fail, see KNOWN-RED.txt"]
+fn unanswered_start_that_is_to_be_stopped_at_a_restarted_worker_is_waited_for() {
+    let mut sim = Simulation::new(2, 0, Faults::default(), 1);
+    sim.run(SECOND);
+    let mut lasting = step(1, 60_000);
+    lasting.long_running = true;
+    sim.submit(submission("a", vec![lasting]));
+    sim.faults.lost_acks = 1.0;
+    sim.plan();
+    let busy = sim.engine.workers.values().find(|worker| !worker.runs.is_empty());
+    let id = busy.expect("the task is started").entry.id.clone();
+    sim.workers.get_mut(&id).expect("the worker exists").crash(sim.now);
+    sim.run(SECOND / 50);
+    sim.faults.lost_acks = 0.0;
+    assert_eq!(runs(&sim, &id), 1, "the restarted worker carries out the start");
+    sim.partitioned.insert(id.clone(), sim.now + ALL_LEASES_EXPIRED);
+    // A wave is about to take the instance down.
+    let instances: BTreeMap<_, _> =
+        sim.workers.keys().map(|id| (id.clone(), instance(id, "p"))).collect();
+    sim.engine.apply_instance_list(instances, sim.now, sim.now, &mut Vec::new());
+    sim.engine.waves.insert(1, Wave::new(vec![id.clone()], 1, sim.now + ALL_LEASES_EXPIRED));
+    sim.engine.plan_waves(sim.now);
+    sim.run(ALL_LEASES_EXPIRED - SECOND);
+    assert_eq!(sim.violations, Vec::<String>::new());
+    assert_eq!(sim.starts.len(), 2, "the task starts on the other worker");
+}
+
+// A task ran twice at once: the clock of a restarted worker read two seconds less than that of its former incarnation, and an
+// order without an answer lasted longer there than the owner had computed.
+#[test]
+#[ignore = "known to fail, see KNOWN-RED.txt"]
+fn renewal_is_covered_if_the_clock_of_a_restarted_worker_is_close_to_the_former_one() {
+    let mut sim = two_workers_with_long_tasks();
+    let key = sim.engine.worker_key("w0").expect("the engine knows the worker");
+    let until_ms = sim.engine.begin_renewal(key, sim.now).expect("the worker is busy");
+    sim.engine.end_renewal(key, OrderOutcome::Unknown, sim.now);
+    sim.submit(submission("b", vec![step(4, 60_000)]));
+    let orders = sim.engine.plan(sim.now, &mut Vec::new());
+    let task = orders.iter().find_map(|order| match order {
+        Order::Start { worker, task, .. } if *worker == key => Some(*task),
+        _ => None,
+    });
+    let task = task.expect("a task is started on the worker");
+    let known = sim.engine.workers[key].clock.expect("the worker has reported");
+    let clock_ms = known.clock_at(sim.now) - 1_900;
+    let answer = StartAnswer { outcome: StartOutcome::Started, clock_ms: Some(clock_ms) };
+    sim.engine.apply_start_outcome(key, task, 1, answer, sim.now, &mut Vec::new());
+    let clock = ClockSample { clock_ms, received: sim.now };
+    assert!(!sim.engine.workers[key].leases_expired(clock.latest_time_of(until_ms) - TICK));
+}
+
+// Tasks waited for the longest lease although no order could have given one: the order that found the restarted worker had no
+// effect on its clock, and there was no earlier owner.
+#[test]
+#[ignore = "known to fail, see KNOWN-RED.txt"]
+fn restart_without_an_order_that_lasts_does_not_hold_tasks_back() {
+    let mut sim = two_workers_with_long_tasks();
+    sim.crash("w0");
+    sim.run(30 * SECOND);
+    assert_eq!(sim.engine.fence, 1);
+    let before = sim.workers["w0"].clock_ms(sim.now);
+    sim.crash("w0");
+    assert!(sim.workers["w0"].clock_ms(sim.now) > before + 10_000);
+    sim.run(SECOND);
+    let moved = runs(&sim, "w0");
+    assert!(moved > 0, "tasks start on the restarted worker");
+    let starts = sim.starts.len();
+    sim.partitioned.insert("w0".into(), sim.now + ALL_LEASES_EXPIRED);
+    sim.run(11 * SECOND / 2);
+    assert_eq!(sim.violations, Vec::<String>::new());
+    assert_eq!(sim.starts.len(), starts + moved, "the tasks start on the other worker");
+}
