--- a/crates/policy/src/fleet/lease_bounds.rs
+++ b/crates/policy/src/fleet/lease_bounds.rs
@@ -103,6 +103,8 @@
 
     /// Returns whether a run whose start got no answer may have begun on an incarnation of its worker that has not reported,
     /// and whose lease is then measured on an unknown clock.
+    ///
+    /// That incarnation also carries out the renewals that are sent until the worker counts as unresponsive.
     fn may_run_on_another_incarnation(
         &self,
         key: WorkerKey,
@@ -110,9 +112,21 @@
         attempt: u32,
         now: Instant,
     ) -> bool {
-        let Some(run) = self.run(key, task, attempt) else { return false };
-        let is_unanswered = matches!(run.state, RunState::Starting | RunState::Unconfirmed);
+        let (Some(run), Some(worker)) = (self.run(key, task, attempt), self.workers.get(key))
+        else {
+            return false;
+        };
+        let is_unanswered = match run.state {
+            RunState::Starting | RunState::Unconfirmed => true,
+            // The order to stop it need not have reached the incarnation that carried out the start.
+            RunState::Stopping { acknowledged: None, .. } => self
+                .task_name(task)
+                .is_some_and(|name| worker.starts_in_doubt.contains_key(&(name, attempt))),
+            _ => false,
+        };
+        let last_renewal = worker.last_contact.map(|at| at + UNRESPONSIVE_AFTER);
+        let last_order = last_renewal.map_or(run.sent, |at| at.max(run.sent));
         let lease_max = longest_time_of(self.limits.lease_max);
-        is_unanswered && now < run.sent + START_ANSWER_OVERDUE + lease_max
+        is_unanswered && now < last_order + START_ANSWER_OVERDUE + lease_max
     }
 }
--- a/crates/policy/tests/fleet_engine/restarted_worker.rs
+++ b/crates/policy/tests/fleet_engine/restarted_worker.rs
@@ -401,7 +401,6 @@
 // A task ran twice at once: a restarted worker carried out a start and the renewals that followed it, all answers were lost, and
 // the owner bounded the lease by the start alone.
 #[test]
-#[ignore = "known to fail, see KNOWN-RED.txt"]
 fn renewals_after_an_unanswered_start_at_a_restarted_worker_are_covered() {
     let mut sim = Simulation::new(3, 0, Faults::default(), 1);
     sim.run(SECOND);
@@ -424,7 +423,6 @@
 // A task ran twice at once: the owner ordered a run to be stopped whose start had got no answer, and no longer took account of a
 // restarted worker that had carried out the start.
 #[test]
-#[ignore = "known to fail, see KNOWN-RED.txt"]
 fn unanswered_start_that_is_to_be_stopped_at_a_restarted_worker_is_waited_for() {
     let mut sim = Simulation::new(2, 0, Faults::default(), 1);
     sim.run(SECOND);
