--- a/crates/policy/src/fleet/state.rs
+++ b/crates/policy/src/fleet/state.rs
@@ -102,6 +102,8 @@
     pub instances: BTreeMap<InstanceId, Instance>,
     /// Time at which the current list of instances was requested.
     pub(super) instances_requested: Option<Instant>,
+    /// Time at which the last confirmed write of the owner's row was sent; `None` before the term begins.
+    pub confirmed_sent: Option<Instant>,
     /// Latest order of an earlier owner that may still reach another incarnation of a worker; `None` without an earlier
     /// owner.
     pub(super) predecessor_order: Option<LeaseOrder>,
@@ -149,6 +151,7 @@
             charges: Vec::new(),
             instances: BTreeMap::new(),
             instances_requested: None,
+            confirmed_sent: None,
             predecessor_order: None,
             predecessor_calls_settled: None,
             waves: BTreeMap::new(),
