--- a/crates/policy/tests/fleet_engine/simulation.rs
+++ b/crates/policy/tests/fleet_engine/simulation.rs
@@ -26,9 +26,7 @@
 use wasabiswitch_standin::fleet_worker::{FakeStart, FakeWorker};
 
 use self::checks::cap_milli;
-pub use crate::fixtures::{
-    PREDECESSOR_LEASES_EXPIRED, instance, limits, queue_settings, step, submission, worker_entry,
-};
+pub use crate::fixtures::{instance, limits, queue_settings, step, submission, worker_entry};
 use crate::instance_service::InstanceService;
 
 /// Length of one simulation step.
@@ -325,7 +323,7 @@
         if let Some(instances) = instances {
             self.engine.remove_replaced_workers(instances);
         }
-        let unlisted = self.engine.count_unlisted_workers(instances);
+        let unlisted = self.engine.find_unlisted_workers(instances);
         self.engine.mark_unconfirmed(&unlisted, predecessor_deadline, self.now);
     }
 
--- a/crates/policy/tests/fleet_engine/split_brain.rs
+++ b/crates/policy/tests/fleet_engine/split_brain.rs
@@ -6,13 +6,14 @@
 use std::time::Duration;
 
 use fastrand::Rng;
-use wasabiswitch_policy::fleet::lease::TASK_LEASE;
+use wasabiswitch_policy::fleet::lease::{TASK_LEASE, longest_time_of};
 use wasabiswitch_policy::fleet::ownership::{
     OWNER_LEASE, OWNER_LEASE_MARGIN, OWNER_UNRESPONSIVE_AFTER,
 };
 use wasabiswitch_policy::fleet::state::Phase;
-use wasabiswitch_standin::fleet_worker::{FakeWorker, LEASE_MAX};
+use wasabiswitch_standin::fleet_worker::FakeWorker;
 
+use crate::fixtures::PREDECESSOR_EFFECT_MAX;
 use crate::simulation::{Faults, Simulation, step, submission, worker_entry};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -26,9 +27,8 @@
 
 /// Runs a history in which every owner is replaced while it acts.
 ///
-/// A successor bounds the leases on workers that it cannot reach from the last order that its predecessor can
-/// send if `counts_overlap` is set. Otherwise it takes them for those of a renewal that was sent with its own first write, so
-/// that nothing but the lease of a renewal is left of its bound, the longest lease.
+/// A successor bounds the effects of orders on workers that it cannot reach from the last order that its predecessor can
+/// send if `counts_overlap` is set. Otherwise it waits only for leases that were renewed before its own first write.
 fn run_history(seed: u64, counts_overlap: bool) -> Simulation {
     let mut choices = Rng::with_seed(seed ^ 0x01d);
     let faults = Faults {
@@ -52,9 +52,10 @@
         }
         if round % 3 == 2 {
             let overlap = OVERLAP_MAX.mul_f64(choices.f64());
-            let predecessor_deadline = match counts_overlap {
-                true => sim.now + OVERLAP_MAX,
-                false => sim.now - (LEASE_MAX - TASK_LEASE),
+            let predecessor_deadline = if counts_overlap {
+                sim.now + OVERLAP_MAX
+            } else {
+                sim.now + longest_time_of(TASK_LEASE) - PREDECESSOR_EFFECT_MAX
             };
             sim.take_over_with_overlap(overlap, predecessor_deadline);
         }
@@ -77,7 +78,7 @@
 }
 
 #[test]
-fn checker_detects_a_successor_that_ignores_the_overlap() {
+fn checker_detects_a_successor_that_waits_only_for_leases_of_orders_before_its_first_write() {
     let violating = (0..60).filter(|seed| !run_history(*seed, false).violations.is_empty()).count();
     assert!(
         violating > 0,
