--- a/crates/policy/src/fleet/unconfirmed.rs
+++ b/crates/policy/src/fleet/unconfirmed.rs
@@ -210,7 +210,8 @@
                 Some(now.max(predecessor_deadline) + PREDECESSOR_CALL_TIMEOUT);
             // The clock for which the predecessor computed its orders is not known here.
             let arrives_by = predecessor_deadline + DELIVERY_DELAY_MAX;
-            self.predecessor_order = Some(LeaseOrder { until_ms: u64::MAX, arrives_by });
+            self.predecessor_order =
+                Some(LeaseOrder { until_ms: u64::MAX, sent: predecessor_deadline, arrives_by });
         }
         // An order that is delivered late may give a worker that has restarted the longest lease of all.
         let until =
