--- a/crates/plugins/src/fleet/takeover.rs
+++ b/crates/plugins/src/fleet/takeover.rs
@@ -17,6 +17,7 @@
 use wasabiswitch_policy::fleet::maintenance::{Instance, MaintenanceStage, Wave, WaveProgress};
 use wasabiswitch_policy::fleet::progress::{JobRow, ProgressRow};
 use wasabiswitch_policy::fleet::reports::{ReportTiming, WorkerReport};
+use wasabiswitch_policy::fleet::silent_records::StoredSilentWorker;
 use wasabiswitch_policy::fleet::state::{WorkerEntry, WorkerKey};
 use wasabiswitch_policy::ids::InstanceId;
 use wasabiswitch_wire::codec::WireType;
@@ -30,6 +31,8 @@
 pub const PROGRESS_TABLE: &str = "progress";
 /// The table of the pools in which a job's tasks may have been started.
 pub const START_POOL_TABLE: &str = "start_pools";
+/// The table of the workers that get no starts because they do not answer.
+pub const SILENT_WORKER_TABLE: &str = "silent_workers";
 /// The table of the waves' progress.
 pub const WAVE_TABLE: &str = "waves";
 /// Time limit for a worker's answer at a takeover. A worker without load answers within milliseconds; a
@@ -58,13 +61,14 @@
     predecessor_deadline: Instant,
 ) -> PlatformResult<RebuiltEngine> {
     let started_at = kernel.clock.now();
-    let (operator, directory, instances, jobs, progress, start_pools, waves) = tokio::join!(
+    let (operator, directory, instances, jobs, progress, start_pools, silent, waves) = tokio::join!(
         (port(kernel).read_operator)(()),
         (port(kernel).read_directory)(()),
         (port(kernel).list_instances)(()),
         read_rows(kernel, JOB_TABLE),
         read_rows(kernel, PROGRESS_TABLE),
         read_rows(kernel, START_POOL_TABLE),
+        read_rows(kernel, SILENT_WORKER_TABLE),
         read_rows(kernel, WAVE_TABLE),
     );
     // This daemon's feed may be late. The predecessor has acted by the rows that the store had at the takeover.
@@ -78,6 +82,7 @@
     }
     restore_jobs(kernel, &mut engine, &jobs?, &progress?);
     restore_start_pools(&mut engine, &start_pools?);
+    let recorded = restore_silent_records(&mut engine, &silent?);
     restore_waves(kernel, &mut engine, &waves?);
     for entry in items.into_iter().filter_map(listed_entry) {
         engine.upsert_worker(entry, kernel.clock.now());
@@ -97,10 +102,13 @@
         engine.workers.values().filter(|worker| worker.last_contact.is_none()).count();
     let orphans: usize = engine.workers.values().map(|worker| worker.orphans.len()).sum();
     let unconfirmed = engine.mark_unconfirmed(&unlisted, predecessor_deadline, kernel.clock.now());
+    if let Some(instances) = &instances {
+        engine.locate_silent_workers(instances);
+    }
     log_silent_workers(&engine, kernel.clock.now());
     log::info!(
         "fleet rebuilt fence={fence} jobs={} live={} workers={} silent={unresponsive} replaced={replaced} \
-         orphans={orphans} unseen_pools={} doubted={unconfirmed} rows_ms={} took_ms={}",
+         orphans={orphans} unseen_pools={} recorded={recorded} doubted={unconfirmed} rows_ms={} took_ms={}",
         engine.jobs.len(),
         engine.live.len(),
         engine.workers.len(),
@@ -209,7 +217,9 @@
     for row in jobs {
         let progress_row = progress.remove(row.key.as_str());
         if let Some(job) = decode_row::<JobRow>(JOB_TABLE, row) {
+            let id = job.submission.job.clone();
             engine.restore(job, progress_row, now, unix_ms);
+            engine.restore_row_version(&id, row.version);
         }
     }
     for (job, row) in progress {
@@ -230,6 +240,21 @@
     }
 }
 
+/// Restores the records of workers that get no starts, after the jobs; returns their number.
+///
+/// A record that cannot be decoded leaves its worker without one, so that all tasks of the worker's pool wait.
+fn restore_silent_records(engine: &mut Engine, rows: &[TableRow]) -> usize {
+    let records = rows.iter().filter_map(|row| {
+        let content = decode_row(SILENT_WORKER_TABLE, row)?;
+        let worker = row.key.as_str().into();
+        Some(StoredSilentWorker { worker, version: row.version, row: content })
+    });
+    let records: Vec<StoredSilentWorker> = records.collect();
+    let count = records.len();
+    engine.restore_silent_records(records);
+    count
+}
+
 fn restore_waves(kernel: &Kernel, engine: &mut Engine, rows: &[TableRow]) {
     let known = kernel.tables.fleet.lock().waves.clone();
     for (number, (request, seen)) in known {
--- a/crates/plugins/src/fleet/writer.rs
+++ b/crates/plugins/src/fleet/writer.rs
@@ -25,7 +25,9 @@
 
 use super::ownership::owner_row_name;
 use super::port;
-use super::takeover::{JOB_TABLE, PROGRESS_TABLE, START_POOL_TABLE, WAVE_TABLE};
+use super::takeover::{
+    JOB_TABLE, PROGRESS_TABLE, SILENT_WORKER_TABLE, START_POOL_TABLE, WAVE_TABLE,
+};
 use super::term::STORE_OUTAGE_MAX;
 
 /// Time that progress waits for more progress, so that one write contains both.
@@ -164,7 +166,7 @@
         // The owner's row counts twice, since it is both expected and put.
         let mut rows_left = ROWS_MAX.saturating_sub(2 + waves.len() + accepts.len());
         let changes = term.engine.take_changes(rows_left);
-        rows_left -= changes.jobs.len() + changes.start_pools.len();
+        rows_left -= changes.rows();
         // Flush waiters are notified only by the write that contains the last of the pending progress.
         let is_complete = !term.engine.has_changes();
         let retired = term.engine.retirable_jobs(rows_left.min(REMOVES_MAX));
@@ -327,6 +329,10 @@
         for (_, job, pools) in &batch.changes.start_pools {
             puts.push((row_name(START_POOL_TABLE, job.to_string()), Bytes::from(encode(pools))));
         }
+        for (worker, record) in &batch.changes.silent_workers {
+            let row = row_name(SILENT_WORKER_TABLE, worker.to_string());
+            puts.push((row, Bytes::from(encode(record))));
+        }
         for (number, progress) in &batch.waves {
             puts.push((row_name(WAVE_TABLE, number.to_string()), Bytes::from(encode(progress))));
         }
@@ -334,7 +340,9 @@
         let expired = batch.expired.iter().map(|job| row_name(PROGRESS_TABLE, job.to_string()));
         let unused = batch.unused_start_pools.iter();
         let unused = unused.map(|job| row_name(START_POOL_TABLE, job.to_string()));
-        let removes = retired.chain(unused).chain(expired).collect();
+        let answering = batch.changes.answering_workers.iter();
+        let answering = answering.map(|id| row_name(SILENT_WORKER_TABLE, id.to_string()));
+        let removes = retired.chain(unused).chain(expired).chain(answering).collect();
         RowTx { expected: vec![(owner, self.version)], puts, removes }
     }
 
@@ -381,6 +389,7 @@
     }
 
     fn complete_write(&mut self, batch: Batch, version: Version, sent: Instant) {
+        log_silent_records(&batch.changes);
         self.version = version;
         self.confirmed_sent = sent;
         let (now, unix_ms) = (self.kernel.clock.now(), self.kernel.clock.unix_ms());
@@ -426,6 +435,17 @@
     }
 }
 
+/// Logs the workers whose records have been written or removed.
+fn log_silent_records(changes: &ProgressChanges) {
+    for (worker, record) in &changes.silent_workers {
+        let tasks = record.tasks.as_ref().map_or_else(|| "any".to_owned(), |t| t.len().to_string());
+        log::info!("unresponsive worker recorded worker={worker} possible_tasks={tasks}");
+    }
+    for worker in &changes.answering_workers {
+        log::info!("record of an unresponsive worker removed worker={worker}");
+    }
+}
+
 fn record_write_metrics(outcome: &PlatformResult<RowTxOutcome>, took: Duration) {
     let outcome = match outcome {
         Ok(RowTxOutcome::Committed(_)) => "committed",
--- a/crates/policy/src/fleet/job.rs
+++ b/crates/policy/src/fleet/job.rs
@@ -7,6 +7,7 @@
 use wasabiswitch_derive::derives;
 
 use super::settings::QueueSettings;
+use super::silent_records::RowVersion;
 use super::spec::{Step, Submission};
 use super::start_pools::StartPools;
 use super::state::{JobKey, WorkerKey};
@@ -238,9 +239,33 @@
     pub occurrences_persisted: u32,
     /// Time at which the first occurrence is due.
     pub first_due: Instant,
+    /// Version of the job's row in the store, if a successor has read it; otherwise zero.
+    pub row_version: RowVersion,
 }
 
 impl Job {
+    /// Returns all tasks of the open occurrences with their references.
+    pub(super) fn tasks(&self, job: JobKey) -> impl Iterator<Item = (TaskRef, &Task)> {
+        self.occurrences.iter().flat_map(move |(occurrence, entry)| {
+            let steps = entry.steps.iter().zip(0..);
+            steps.flat_map(move |(step_state, step)| {
+                let task_ref = move |index| TaskRef { job, occurrence: *occurrence, step, index };
+                step_state.tasks.iter().zip(0..).map(move |(task, i)| (task_ref(i), task))
+            })
+        })
+    }
+
+    /// Returns all tasks of the open occurrences, to be changed, with their references.
+    pub(super) fn tasks_mut(&mut self, job: JobKey) -> impl Iterator<Item = (TaskRef, &mut Task)> {
+        self.occurrences.iter_mut().flat_map(move |(occurrence, entry)| {
+            let steps = entry.steps.iter_mut().zip(0..);
+            steps.flat_map(move |(step_state, step)| {
+                let task_ref = move |index| TaskRef { job, occurrence: *occurrence, step, index };
+                step_state.tasks.iter_mut().zip(0..).map(move |(task, i)| (task_ref(i), task))
+            })
+        })
+    }
+
     /// Returns the total number of occurrences, which is one without a schedule.
     pub fn occurrences_total(&self) -> u32 {
         self.submission.repeats.max(1)
--- a/crates/policy/src/fleet/mod.rs
+++ b/crates/policy/src/fleet/mod.rs
@@ -21,6 +21,7 @@
 //! | [`pressure`] | bounds on reports, plans and starts, which follow the load of the owner's processor and link |
 //! | [`start_pools`] | record of the pools in which the tasks of a job may have been started |
 //! | [`progress`] | progress of jobs in the store, and its recovery by a new owner |
+//! | [`silent_records`] | records of the workers that do not answer, and of the tasks that they may be running |
 //! | [`unconfirmed`] | tasks and workers of which a new owner does not know whether they run |
 //! | [`advice`] | workers that the advice service allows for a step |
 //! | [`admission`] | refusal of jobs at submission |
@@ -53,6 +54,7 @@
 pub mod progress;
 pub mod reports;
 pub mod settings;
+pub mod silent_records;
 pub mod sizing;
 pub mod spec;
 pub mod start_pools;
--- a/crates/policy/src/fleet/placement.rs
+++ b/crates/policy/src/fleet/placement.rs
@@ -61,6 +61,7 @@
             && !worker.entry.draining
             && worker.cordon.is_none()
             && worker.clock.is_some()
+            && !self.has_silent_record(&worker.entry.id)
             && self.is_certainly_owner_at(worker.incarnation_known_since)
             && worker.quarantined_until.is_none_or(|until| until <= now)
             && worker
--- a/crates/policy/src/fleet/plan.rs
+++ b/crates/policy/src/fleet/plan.rs
@@ -99,6 +99,7 @@
     pub fn plan(&mut self, now: Instant, events: &mut Vec<JobEvent>) -> Vec<Order> {
         self.expire_leases(now, events);
         self.expire_silent_workers(now);
+        self.request_silent_records(now);
         self.open_due_occurrences(now);
         let mut orders = Vec::new();
         self.plan_stops(now, &mut orders, events);
@@ -323,15 +324,16 @@
         let job = &self.jobs[step.job];
         let Some(occurrence) = job.occurrences.get(&step.occurrence) else { return Vec::new() };
         let tasks = &occurrence.steps[step.step as usize].tasks;
-        let may_run_on_silent_worker = self.silent_workers.may_run(step.job);
-        let waits = |task: &super::state::Task| {
+        let may_run_on_silent_worker =
+            |index: u32| self.silent_workers.may_run(&TaskRef { index, ..*step }, job.row_version);
+        let waits = |index: usize, task: &super::state::Task| {
             !task.done
                 && task.runs.is_empty()
                 && task.not_before.is_none_or(|at| at <= now)
                 && task.barred_until.is_none_or(|at| at <= now)
-                && !(task.is_unconfirmed && may_run_on_silent_worker)
+                && !(task.is_unconfirmed && may_run_on_silent_worker(index as u32))
         };
-        let indices = tasks.iter().enumerate().filter(|(_, task)| waits(task)).map(|(i, _)| i);
+        let indices = tasks.iter().enumerate().filter(|(i, task)| waits(*i, task)).map(|(i, _)| i);
         indices.map(|index| TaskRef { index: index as u32, ..*step }).collect()
     }
 
--- a/crates/policy/src/fleet/progress.rs
+++ b/crates/policy/src/fleet/progress.rs
@@ -9,10 +9,11 @@
 
 use wasabiswitch_derive::derives;
 
+use super::silent_records::SilentWorkerRow;
 use super::spec::Submission;
 use super::start_pools::StartPoolsRow;
 use super::state::{Engine, Job, JobKey, Occurrence, Phase, QueueSettings, WorkerKey};
-use crate::ids::{BootId, JobId};
+use crate::ids::{BootId, InstanceId, JobId};
 
 /// Row of a job; it is written once.
 #[derives(record)]
@@ -65,14 +66,30 @@
     pub jobs: Vec<(JobKey, JobId, ProgressRow)>,
     /// Jobs with their new rows of start pools; tasks start in these pools once the rows have been written.
     pub start_pools: Vec<(JobKey, JobId, StartPoolsRow)>,
+    /// Workers that get no starts, with their new records.
+    pub silent_workers: Vec<(InstanceId, SilentWorkerRow)>,
+    /// Workers whose records are to be removed.
+    pub answering_workers: Vec<InstanceId>,
     /// Last ended run that may be acknowledged after the write, by worker and incarnation.
     pub ends: Vec<(WorkerKey, BootId, u64)>,
 }
 
+impl ProgressChanges {
+    /// Returns the number of rows that the batch puts or removes.
+    pub fn rows(&self) -> usize {
+        self.jobs.len()
+            + self.start_pools.len()
+            + self.silent_workers.len()
+            + self.answering_workers.len()
+    }
+}
+
 impl Engine {
     /// Returns whether there is progress to persist.
     pub fn has_changes(&self) -> bool {
-        !self.unpersisted.is_empty() || !self.unpersisted_start_pools.is_empty()
+        !self.unpersisted.is_empty()
+            || !self.unpersisted_start_pools.is_empty()
+            || self.has_silent_record_changes()
     }
 
     /// Takes progress that has not been persisted, for at most `rows_max` rows.
@@ -82,14 +99,22 @@
     pub fn take_changes(&mut self, rows_max: usize) -> ProgressChanges {
         // After a change of a route many jobs need a row of start pools, which must not delay all progress.
         let start_pools = self.take_start_pools(rows_max / 2);
-        let jobs_max = rows_max - start_pools.len();
+        let (silent_workers, answering_workers) =
+            self.take_silent_records((rows_max - start_pools.len()) / 2);
+        let records = silent_workers.len() + answering_workers.len();
+        let jobs_max = rows_max - start_pools.len() - records;
         let mut keys: Vec<JobKey> = self.unpersisted.iter().copied().collect();
         if keys.len() > jobs_max {
             let ended = |key: &JobKey| self.jobs.get(*key).is_some_and(|job| job.phase.is_ended());
             keys.sort_by_key(|key| !ended(key));
             keys.truncate(jobs_max);
         }
-        let mut changes = ProgressChanges { start_pools, ..ProgressChanges::default() };
+        let mut changes = ProgressChanges {
+            start_pools,
+            silent_workers,
+            answering_workers,
+            ..ProgressChanges::default()
+        };
         for key in keys {
             self.unpersisted.remove(&key);
             let Some(job) = self.jobs.get_mut(key) else { continue };
@@ -120,6 +145,7 @@
         for (key, _, row) in &changes.start_pools {
             self.confirm_start_pools(*key, row);
         }
+        self.confirm_silent_records(&changes.silent_workers, &changes.answering_workers);
         for (key, incarnation, number) in &changes.ends {
             if let Some(worker) = self.workers.get_mut(*key)
                 && worker.incarnation == *incarnation
--- a/crates/policy/src/fleet/state.rs
+++ b/crates/policy/src/fleet/state.rs
@@ -14,6 +14,7 @@
 use super::offered_load::OfferedLoad;
 use super::pressure::StartWindow;
 pub use super::settings::{Limits, PoolSettings, QueueSettings, Team};
+use super::silent_records::{PossibleTasks, SilentRecord};
 use super::sizing::PendingMove;
 use super::spec::{ResourceVector, Submission};
 use super::start_pools::StartPools;
@@ -98,6 +99,10 @@
     pub(super) advice: BTreeMap<TaskRef, Advice>,
     /// Workers that may be running tasks of an earlier owner.
     pub(super) silent_workers: SilentWorkers,
+    /// Workers that get no starts until the store has confirmed the removal of their records.
+    pub(super) silent_records: BTreeMap<InstanceId, SilentRecord>,
+    /// Tasks that may be running on workers of which an earlier owner has left a record.
+    pub(super) restored_silent_records: BTreeMap<InstanceId, PossibleTasks>,
     /// Resources charged to teams for unconfirmed tasks.
     pub(super) charges: Vec<UnconfirmedCharge>,
     /// Instances as the instance service listed them last; an instance outlives its workers.
@@ -151,6 +156,8 @@
             refused: BTreeMap::new(),
             advice: BTreeMap::new(),
             silent_workers: SilentWorkers::default(),
+            silent_records: BTreeMap::new(),
+            restored_silent_records: BTreeMap::new(),
             charges: Vec::new(),
             instances: BTreeMap::new(),
             instances_requested: None,
@@ -272,6 +279,7 @@
             next_occurrence: 0,
             occurrences_persisted: 0,
             first_due,
+            row_version: 0,
         };
         let opens_scheduled = open_occurrences(&mut job, now) && scheduled;
         let key = self.jobs.insert(job);
--- a/crates/policy/src/fleet/unconfirmed.rs
+++ b/crates/policy/src/fleet/unconfirmed.rs
@@ -1,7 +1,8 @@
 //! Tasks and workers of which a new owner does not know whether they run.
 //!
 //! A worker that does not answer, or that is not listed, may be running any task that the predecessor could start there, and an
-//! order of the predecessor may still reach it. These tasks are unconfirmed, and wait until the worker has reported or the last
+//! order of the predecessor may still reach it, unless the predecessor has [recorded](super::silent_records) the tasks that it
+//! may be running. These tasks are unconfirmed, and wait until the worker has reported or the last
 //! of these orders cannot have an effect any more; their teams are charged for them.
 //!
 //! A report under the new fence lists all runs of the worker, which from then on refuses orders of the predecessor.
@@ -14,8 +15,9 @@
 use super::lease::{LeaseOrder, longest_time_of};
 use super::maintenance::{Instance, InstanceState, PREDECESSOR_CALL_TIMEOUT};
 use super::outcomes::DELIVERY_DELAY_MAX;
+use super::silent_records::{PossibleTasks, RowVersion};
 use super::spec::{ResourceVector, Step};
-use super::state::{Engine, Job, JobKey, Phase, WorkerKey};
+use super::state::{Engine, Job, JobKey, Phase, TaskRef, WorkerKey};
 use crate::ids::{InstanceId, PoolId, TeamId};
 
 /// Resources that count as used by a team, since its tasks may be running on workers that cannot be reached.
@@ -67,12 +69,23 @@
     }
 }
 
+/// A worker that may be running tasks of an earlier owner.
+#[derives(record)]
+struct SilentWorker {
+    /// Capacity of the worker; `None` if it is not known.
+    capacity: Option<ResourceVector>,
+    /// Tasks that may be running on the worker.
+    tasks: PossibleTasks,
+}
+
 /// Workers that may be running tasks of an earlier owner and have not reported to this one, and the jobs of these tasks.
 #[derives(record)]
 #[derive(Default)]
 pub(super) struct SilentWorkers {
-    /// The workers of each pool with their capacities, `None` where it is not known; no pool is without workers.
-    pools: BTreeMap<PoolId, BTreeMap<InstanceId, Option<ResourceVector>>>,
+    /// The workers of each pool; no pool is without workers.
+    pools: BTreeMap<PoolId, BTreeMap<InstanceId, SilentWorker>>,
+    /// Instance of each worker that a list of instances has shown.
+    hosts: BTreeMap<InstanceId, InstanceId>,
     /// Whether any pool may have further workers, since there was no list of instances.
     is_any_pool: bool,
     /// Jobs with unconfirmed tasks, with the pools in which the earlier owner may have started them. Pools that this owner adds
@@ -91,8 +104,13 @@
     }
 
     /// Adds a worker of a pool.
-    fn insert(&mut self, pool: &PoolId, worker: &InstanceId, capacity: Option<ResourceVector>) {
-        self.pools.entry(pool.clone()).or_default().insert(worker.clone(), capacity);
+    fn insert(&mut self, pool: &PoolId, id: &InstanceId, worker: SilentWorker) {
+        self.pools.entry(pool.clone()).or_default().insert(id.clone(), worker);
+    }
+
+    /// Returns the ids of the workers.
+    pub(super) fn ids(&self) -> impl Iterator<Item = &InstanceId> {
+        self.pools.values().flat_map(BTreeMap::keys)
     }
 
     /// Removes a worker; returns whether it was one of the silent workers.
@@ -107,9 +125,12 @@
         self.is_any_pool || pools.iter().any(|pool| self.pools.contains_key(pool))
     }
 
-    /// Returns whether the workers may be running unconfirmed tasks of a job.
-    pub(super) fn may_run(&self, job: JobKey) -> bool {
-        self.jobs.get(&job).is_some_and(|pools| self.may_run_in(pools))
+    /// Returns whether the workers may be running an unconfirmed task, given the version of its job's row.
+    pub(super) fn may_run(&self, task: &TaskRef, job_version: RowVersion) -> bool {
+        let Some(pools) = self.jobs.get(&task.job) else { return false };
+        let workers = pools.iter().filter_map(|pool| self.pools.get(pool));
+        let mut workers = workers.flat_map(BTreeMap::values);
+        self.is_any_pool || workers.any(|worker| worker.tasks.contain(task, job_version))
     }
 
     /// Returns whether the earlier owner sends no orders from a time on.
@@ -121,11 +142,10 @@
 
     /// Returns the sum of the workers' capacities; `None` if it is not known.
     fn capacity(&self) -> Option<ResourceVector> {
-        let mut capacities = self.pools.values().flat_map(BTreeMap::values);
-        let sum = |sum: ResourceVector, capacity: &Option<ResourceVector>| {
-            Some(sum.plus(capacity.as_ref()?))
-        };
-        let known = capacities.try_fold(ResourceVector::default(), sum);
+        let mut workers = self.pools.values().flat_map(BTreeMap::values);
+        let sum =
+            |sum: ResourceVector, worker: &SilentWorker| Some(sum.plus(worker.capacity.as_ref()?));
+        let known = workers.try_fold(ResourceVector::default(), sum);
         known.filter(|_| !self.is_any_pool)
     }
 
@@ -237,14 +257,18 @@
         let mut silent = SilentWorkers::default();
         for worker in self.workers.values().filter(|worker| worker.last_contact.is_none()) {
             let entry = &worker.entry;
-            silent.insert(&entry.pool, &entry.id, Some(entry.capacity));
+            silent.insert(
+                &entry.pool,
+                &entry.id,
+                self.silent_worker(&entry.id, Some(entry.capacity)),
+            );
         }
         match unlisted {
             UnlistedWorkers::InPools(unlisted) => {
                 // Without any listed worker there is nothing to compare the capacity of an unlisted one with.
                 let largest = self.largest_worker();
                 for (id, pool) in unlisted {
-                    silent.insert(pool, id, largest);
+                    silent.insert(pool, id, self.silent_worker(id, largest));
                 }
             }
             UnlistedWorkers::Unknown => silent.is_any_pool = true,
@@ -252,6 +276,11 @@
         silent
     }
 
+    fn silent_worker(&self, id: &InstanceId, capacity: Option<ResourceVector>) -> SilentWorker {
+        let recorded = self.restored_silent_records.get(id).cloned();
+        SilentWorker { capacity, tasks: recorded.unwrap_or(PossibleTasks::Any) }
+    }
+
     /// Marks as unconfirmed the unfinished tasks that may be running on silent workers, and returns their number.
     ///
     /// Such a worker may run any of these tasks, so they are not started before; all other tasks proceed.
@@ -266,12 +295,13 @@
                 continue;
             }
             self.silent_workers.jobs.insert(*key, pools);
-            let steps = job.occurrences.values_mut().flat_map(|o| &mut o.steps);
-            let tasks = steps.flat_map(|step| &mut step.tasks);
+            let (silent, version) = (&self.silent_workers, job.row_version);
             // The predecessor may see the end of an adopted run first, and start its task again.
-            for task in tasks.filter(|task| !task.done) {
-                task.is_unconfirmed = true;
-                unconfirmed += usize::from(task.runs.is_empty());
+            for (task, entry) in job.tasks_mut(*key).filter(|(_, entry)| !entry.done) {
+                if silent.may_run(&task, version) {
+                    entry.is_unconfirmed = true;
+                    unconfirmed += usize::from(entry.runs.is_empty());
+                }
             }
         }
         unconfirmed
@@ -286,6 +316,50 @@
         }
     }
 
+    /// Notes the instance of each silent worker that a list of instances shows.
+    pub fn locate_silent_workers(&mut self, instances: &BTreeMap<InstanceId, Instance>) {
+        let silent: BTreeSet<InstanceId> = self.silent_workers.ids().cloned().collect();
+        for (id, instance) in instances {
+            if let Some(worker) = instance.worker.as_ref().filter(|worker| silent.contains(*worker))
+            {
+                self.silent_workers.hosts.insert(worker.clone(), id.clone());
+            }
+        }
+    }
+
+    /// Ends the wait for the silent workers whose instance runs another worker according to a list that was requested at
+    /// `requested`.
+    ///
+    /// An instance runs one worker at a time, so such a worker has ended with all its runs. A list that lacks a worker without
+    /// showing another one on its instance is no evidence, since the worker may be restarting under its id.
+    fn forget_replaced_silent_workers(
+        &mut self,
+        instances: &BTreeMap<InstanceId, Instance>,
+        requested: Instant,
+    ) {
+        if !self.silent_workers.has_predecessor_ended(requested) {
+            return;
+        }
+        let present: BTreeSet<&InstanceId> =
+            instances.values().filter_map(|instance| instance.worker.as_ref()).collect();
+        let is_replaced = |worker: &&InstanceId| {
+            let host = self.silent_workers.hosts.get(*worker).and_then(|id| instances.get(id));
+            !present.contains(worker) && host.is_some_and(|instance| instance.worker.is_some())
+        };
+        let replaced: Vec<InstanceId> =
+            self.silent_workers.ids().filter(is_replaced).cloned().collect();
+        for id in &replaced {
+            self.silent_workers.remove(id);
+            if let Some(key) = self.worker_key(id) {
+                self.workers[key].listed = false;
+                self.remove_worker(key);
+            }
+        }
+        if !replaced.is_empty() {
+            self.update_unconfirmed_charges();
+        }
+    }
+
     /// Ends the wait for any worker if there was no list of instances at the takeover, and waits for those that the given one
     /// shows, which was requested at `requested`.
     ///
@@ -295,6 +369,8 @@
         instances: &BTreeMap<InstanceId, Instance>,
         requested: Instant,
     ) {
+        self.locate_silent_workers(instances);
+        self.forget_replaced_silent_workers(instances, requested);
         let silent = &self.silent_workers;
         let is_recent = silent.predecessor_deadline.is_some_and(|deadline| requested >= deadline);
         let has_workers = instances.values().any(|instance| instance.worker.is_some());
@@ -327,16 +403,16 @@
         }
         let silent = &self.silent_workers;
         let mut sums: BTreeMap<TeamId, TaskSum> = BTreeMap::new();
-        let jobs = silent.jobs.keys().filter(|key| silent.may_run(**key));
-        for job in jobs.filter_map(|key| self.jobs.get(*key)) {
+        let jobs = silent.jobs.iter().filter(|(_, pools)| silent.may_run_in(pools));
+        for (key, job) in jobs.filter_map(|(key, _)| Some((*key, self.jobs.get(*key)?))) {
             let sum = sums.entry(job.submission.team.clone()).or_default();
-            let occurrences = job.occurrences.values();
-            let steps = occurrences.flat_map(|o| job.submission.steps.iter().zip(&o.steps));
-            for (step, step_state) in steps {
-                let tasks = step_state.tasks.iter();
-                for _ in tasks.filter(|task| task.is_unconfirmed && task.runs.is_empty()) {
-                    sum.add(step);
-                }
+            let unconfirmed = job.tasks(key).filter(|(task, entry)| {
+                entry.is_unconfirmed
+                    && entry.runs.is_empty()
+                    && silent.may_run(task, job.row_version)
+            });
+            for (task, _) in unconfirmed {
+                sum.add(&job.submission.steps[task.step as usize]);
             }
         }
         let charges = sums.into_iter().map(|(team, tasks)| {
--- a/crates/policy/tests/fleet_engine/main.rs
+++ b/crates/policy/tests/fleet_engine/main.rs
@@ -13,6 +13,7 @@
 mod random_faults;
 mod regressions;
 mod restarted_worker;
+mod silent_records;
 mod simulation;
 mod sizing;
 mod slow_store;
--- a/crates/policy/tests/fleet_engine/simulation.rs
+++ b/crates/policy/tests/fleet_engine/simulation.rs
@@ -18,6 +18,7 @@
 use wasabiswitch_policy::fleet::plan::Order;
 use wasabiswitch_policy::fleet::progress::{JobRow, ProgressRow};
 use wasabiswitch_policy::fleet::reports::{ReportTiming, RunEnd, WorkerReport};
+use wasabiswitch_policy::fleet::silent_records::{RowVersion, SilentWorkerRow, StoredSilentWorker};
 use wasabiswitch_policy::fleet::spec::{Step, Submission};
 use wasabiswitch_policy::fleet::start_pools::StartPoolsRow;
 use wasabiswitch_policy::fleet::state::{TaskName, TaskRef, WorkerEntry, WorkerKey};
@@ -126,6 +127,12 @@
     stored_jobs: BTreeMap<JobId, (JobRow, Option<ProgressRow>)>,
     /// Rows of start pools in the store.
     stored_start_pools: BTreeMap<JobId, StartPoolsRow>,
+    /// Versions of the jobs' rows in the store.
+    job_versions: BTreeMap<JobId, RowVersion>,
+    /// Records of silent workers in the store, with their versions.
+    stored_silent_workers: BTreeMap<InstanceId, (RowVersion, SilentWorkerRow)>,
+    /// Version of the last write to the store.
+    store_version: RowVersion,
     /// Objective of each job, kept here because the engine drops the submission of a finished job.
     objectives: BTreeMap<JobId, Instant>,
     /// Jobs of which the store has only the progress row.
@@ -185,6 +192,9 @@
             replaced_caps: Vec::new(),
             stored_jobs: BTreeMap::new(),
             stored_start_pools: BTreeMap::new(),
+            job_versions: BTreeMap::new(),
+            stored_silent_workers: BTreeMap::new(),
+            store_version: 0,
             objectives: BTreeMap::new(),
             retired: BTreeSet::new(),
             deliveries: Vec::new(),
@@ -210,6 +220,8 @@
             accepted_fence: fence,
         };
         self.stored_jobs.insert(submission.job.clone(), (row, None));
+        self.store_version += 1;
+        self.job_versions.insert(submission.job.clone(), self.store_version);
         let job = submission.job.clone();
         self.engine.accept(submission, queue_settings, self.now, 0);
         let key = self.engine.job_key(&job).expect("the job was accepted");
@@ -309,6 +321,14 @@
         for (id, row) in &self.stored_start_pools {
             engine.restore_start_pools(id, row);
         }
+        for (id, version) in &self.job_versions {
+            engine.restore_row_version(id, *version);
+        }
+        let records = self.stored_silent_workers.iter().map(|(worker, (version, row))| {
+            let (worker, version, row) = (worker.clone(), *version, row.clone());
+            StoredSilentWorker { worker, version, row }
+        });
+        engine.restore_silent_records(records.collect());
         let listed = self.workers.values().filter(|w| !self.unlisted.contains(&w.entry.id));
         for worker in listed {
             engine.upsert_worker(worker.entry.clone(), self.now);
@@ -502,6 +522,13 @@
         for (_, job, row) in &changes.start_pools {
             self.stored_start_pools.insert(job.clone(), row.clone());
         }
+        self.store_version += 1;
+        for (worker, row) in &changes.silent_workers {
+            self.stored_silent_workers.insert(worker.clone(), (self.store_version, row.clone()));
+        }
+        for worker in &changes.answering_workers {
+            self.stored_silent_workers.remove(worker);
+        }
         self.engine.confirm_changes(&changes);
         let retired = self.engine.retirable_jobs(usize::MAX);
         self.retired.extend(retired.iter().map(|(_, id)| id.clone()));
--- a/crates/wire/src/fleet_types.rs
+++ b/crates/wire/src/fleet_types.rs
@@ -10,9 +10,10 @@
 use wasabiswitch_policy::fleet::maintenance::WaveProgress;
 use wasabiswitch_policy::fleet::ownership::{OwnerRow, SteppedDown};
 use wasabiswitch_policy::fleet::progress::{JobRow, OccurrenceProgress, ProgressRow, StepProgress};
+use wasabiswitch_policy::fleet::silent_records::SilentWorkerRow;
 use wasabiswitch_policy::fleet::spec::{ResourceVector, Step, Submission};
 use wasabiswitch_policy::fleet::start_pools::StartPoolsRow;
-use wasabiswitch_policy::fleet::state::{Phase, QueueSettings};
+use wasabiswitch_policy::fleet::state::{Phase, QueueSettings, TaskName};
 
 use crate::{wire_enum, wire_struct};
 
@@ -50,6 +51,8 @@
 wire_struct!(OccurrenceProgress { number, steps });
 wire_struct!(ProgressRow { phase, next_occurrence, occurrences });
 wire_struct!(StartPoolsRow { pools });
+wire_struct!(TaskName { job, occurrence, step, index });
+wire_struct!(SilentWorkerRow { tasks });
 wire_struct!(WaveProgress { begun });
 wire_struct!(OwnerRow { daemon, incarnation, address, fence, writes, released, processor_milli });
 
