--- a/crates/plugins/src/fleet/queue_calls.rs
+++ b/crates/plugins/src/fleet/queue_calls.rs
@@ -285,6 +285,18 @@
             );
             return SubmissionState::Answered(Reply::Invalid(reason.to_owned()));
         }
+        Admission::Evacuated { retry_after } => {
+            log::info!(
+                "submission refused request={request:016x} job={} queue={} reason=evacuated \
+                 retry_after_ms={}",
+                submission.job,
+                submission.queue,
+                retry_after.as_millis()
+            );
+            record_refusal(term, request, now);
+            let reason = "the only workers that could run the job are in an evacuated data centre";
+            return SubmissionState::Answered(Reply::refused(reason, retry_after));
+        }
         Admission::TooLate { estimate, retry_after } => {
             log::info!(
                 "submission refused request={request:016x} job={} queue={} reason=too late estimate_ms={} \
--- a/crates/policy/src/fleet/admission.rs
+++ b/crates/policy/src/fleet/admission.rs
@@ -53,6 +53,11 @@
     Accept,
     /// No worker is large enough for one of its tasks.
     TooLarge,
+    /// Only workers of evacuated data centres could run the job.
+    Evacuated {
+        /// Time after which the caller may retry.
+        retry_after: Duration,
+    },
     /// The job would complete too late.
     TooLate {
         /// Estimated time until its completion.
@@ -76,6 +81,9 @@
         if !submission.steps.iter().all(|step| fits(step.reserved())) {
             return Admission::TooLarge;
         }
+        if self.needs_evacuated_workers(submission) {
+            return Admission::Evacuated { retry_after: RETRY_AFTER_MAX };
+        }
         if submission.is_long_running() || submission.repeats > 0 {
             return Admission::Accept;
         }
@@ -164,6 +172,7 @@
             instance.pool == standby
                 && instance.state == InstanceState::Up
                 && !self.pending_moves.contains_key(*id)
+                && !self.is_instance_evacuated(id, instance)
         });
         let count = available.count().min(self.moves_per_second());
         count as u64 * self.instance_milli() as u64
@@ -185,7 +194,9 @@
     /// Returns the processors of a pool's workers, or of its target number of instances if that is more, in
     /// thousandths of a core.
     pub(super) fn pool_capacity_milli(&self, pool: &PoolId) -> u64 {
-        let listed = self.workers.values().filter(|w| w.listed && w.entry.pool == *pool);
+        let listed = self.workers.values().filter(|worker| {
+            worker.listed && worker.entry.pool == *pool && !self.is_evacuated(worker)
+        });
         let listed_milli: u64 = listed.map(|worker| worker.entry.capacity.cpu_milli).sum();
         let target_milli =
             self.targets.get(pool).copied().unwrap_or(0) as f64 * self.instance_milli();
--- a/crates/policy/src/fleet/maintenance.rs
+++ b/crates/policy/src/fleet/maintenance.rs
@@ -191,6 +191,7 @@
         self.identify_silent_workers(&instances, requested);
         self.instances = instances;
         self.instances_requested = Some(requested);
+        self.record_data_centres();
         self.remove_ended_workers(requested, events);
     }
 
@@ -387,7 +388,7 @@
         unavailable.count() < step.unavailable_max as usize
     }
 
-    fn stop_run(&mut self, task: &TaskRef, attempt: u32, key: WorkerKey) {
+    pub(super) fn stop_run(&mut self, task: &TaskRef, attempt: u32, key: WorkerKey) {
         let entry = self.jobs.get_mut(task.job).and_then(|job| job.task_mut(task));
         let runs = entry.into_iter().flat_map(|entry| &mut entry.runs);
         for run in runs.filter(|run| run.attempt == attempt && run.worker == key) {
--- a/crates/policy/src/fleet/mod.rs
+++ b/crates/policy/src/fleet/mod.rs
@@ -29,6 +29,7 @@
 //! | [`config`] | the configuration, and the queue and team of a call |
 //! | [`pace`] | throttling of filler tasks beside tasks with a latency target |
 //! | [`maintenance`] | order of the instances in a maintenance wave |
+//! | [`evacuation`] | evacuation of data centres, and the return of their workers |
 //! | [`offered_load`] | measurement of the work that arrives for a pool |
 //! | [`sizing`] | moves of instances between pools |
 //! | [`ownership`] | election and takeover of the fleet's owner |
@@ -38,6 +39,7 @@
 pub mod advice;
 pub mod calls;
 pub mod config;
+pub mod evacuation;
 pub mod fairness;
 pub mod job;
 pub mod lease;
--- a/crates/policy/src/fleet/placement.rs
+++ b/crates/policy/src/fleet/placement.rs
@@ -60,6 +60,7 @@
             && worker.restart_suspected_at.is_none()
             && !worker.entry.draining
             && worker.cordon.is_none()
+            && !self.is_barred_by_evacuation(worker, now)
             && worker.clock.is_some()
             && self.is_certainly_owner_at(worker.incarnation_known_since)
             && worker.quarantined_until.is_none_or(|until| until <= now)
@@ -160,7 +161,7 @@
 }
 
 /// Returns whether a worker has the label that a step requires and is below its limit per worker.
-fn satisfies_constraints(
+pub(super) fn satisfies_constraints(
     step: &Step,
     worker: &Worker,
     key: WorkerKey,
--- a/crates/policy/src/fleet/plan.rs
+++ b/crates/policy/src/fleet/plan.rs
@@ -100,6 +100,7 @@
         self.expire_leases(now, events);
         self.expire_silent_workers(now);
         self.open_due_occurrences(now);
+        self.plan_evacuations(now);
         let mut orders = Vec::new();
         self.plan_stops(now, &mut orders, events);
         let mut budget = match self.start_window.limit() {
--- a/crates/policy/src/fleet/sizing.rs
+++ b/crates/policy/src/fleet/sizing.rs
@@ -394,6 +394,9 @@
         let mut pools: BTreeMap<PoolId, PoolState> =
             self.pools.keys().map(|id| (id.clone(), PoolState::default())).collect();
         for (id, instance) in &self.instances {
+            if self.is_instance_evacuated(id, instance) {
+                continue;
+            }
             if let Some(moving) = self.pending_moves.get(id) {
                 if let Some(state) = pools.get_mut(&moving.to) {
                     state.instances += 1;
@@ -415,6 +418,7 @@
             }
             self.classify_instance(id, worker, in_standby, state, now);
         }
+        self.take_unknown_data_centres_last(&mut pools);
         pools
     }
 
--- a/crates/policy/src/fleet/state.rs
+++ b/crates/policy/src/fleet/state.rs
@@ -8,6 +8,7 @@
 use wasabiswitch_derive::derives;
 
 use super::advice::Advice;
+use super::evacuation::Evacuations;
 pub use super::job::{Job, Occurrence, Phase, Run, RunState, StepState, Task, TaskName, TaskRef};
 use super::lease::LeaseOrder;
 use super::maintenance::{Instance, Wave, WaveNumber};
@@ -122,6 +123,8 @@
     pub(super) targets: BTreeMap<PoolId, usize>,
     /// Time since which a pool has had more instances than its target.
     pub(super) surplus_since: BTreeMap<PoolId, Instant>,
+    /// Evacuated data centres, and those whose workers return.
+    pub(super) evacuations: Evacuations,
     /// Bound on the starts that are under way.
     pub(super) start_window: StartWindow,
     /// Whether the last plan held back tasks until starts under way are answered.
@@ -162,6 +165,7 @@
             offered_loads: BTreeMap::new(),
             targets: BTreeMap::new(),
             surplus_since: BTreeMap::new(),
+            evacuations: Evacuations::default(),
             start_window: StartWindow::default(),
             starts_held_back: false,
         }
--- a/crates/policy/tests/fleet_engine/main.rs
+++ b/crates/policy/tests/fleet_engine/main.rs
@@ -3,6 +3,7 @@
 
 mod bursts;
 mod ends_on_record;
+mod evacuation;
 mod fixtures;
 mod former_incarnations;
 mod head_of_line_blocking;
--- a/crates/standin/src/fleet_worker.rs
+++ b/crates/standin/src/fleet_worker.rs
@@ -67,6 +67,8 @@
     pub ends: Vec<EndEntry>,
     /// Highest number of an ended run that the owner has acknowledged.
     pub last_acknowledged_end: u64,
+    /// Checkpoint that the worker reports for each run; empty for none.
+    pub checkpoint: String,
     started_at: Instant,
     restarts: u64,
     // Reading of the clock at the start; the clock of each incarnation starts anywhere.
@@ -90,6 +92,7 @@
             runs: Vec::new(),
             ends: Vec::new(),
             last_acknowledged_end: 0,
+            checkpoint: String::new(),
             started_at: now,
             clock_rate,
             fence: 0,
@@ -148,7 +151,7 @@
             task: run.task.clone(),
             attempt: run.attempt,
             end,
-            checkpoint: String::new(),
+            checkpoint: self.checkpoint.clone(),
         });
     }
 
@@ -221,7 +224,7 @@
         let running = self.runs.iter().map(|run| RunningEntry {
             task: run.task.clone(),
             attempt: run.attempt,
-            checkpoint: String::new(),
+            checkpoint: self.checkpoint.clone(),
             percent: percent(run, now),
             gauge: 0.0,
         });
