--- a/crates/kernel/src/metric.rs
+++ b/crates/kernel/src/metric.rs
@@ -113,6 +113,12 @@
         "Terms in which this daemon owned the fleet.";
     INSTANCE_CALLS = "wasabiswitch_instance_calls_total", Counter,
         "Moves and upkeep that were asked of the machine service, by outcome.";
+    EVACUATIONS = "wasabiswitch_evacuations", Gauge,
+        "Evacuations of data centres that are in force here.";
+    EVACUATED_TASKS = "wasabiswitch_evacuated_tasks", Gauge,
+        "Tasks that may still run in evacuated data centres, at the owner.";
+    EVACUATION_RETURNS = "wasabiswitch_evacuation_returns_total", Counter,
+        "Workers that have returned after an evacuation was lifted, at the owner.";
     ENTRIES_REJECTED = "wasabiswitch_entries_rejected_total", Counter,
         "Invalid entries of the platform's lists that were skipped, by list.";
     TASK_PANICS = "wasabiswitch_task_panics_total", Counter,
--- a/crates/kernel/src/platform/fleet.rs
+++ b/crates/kernel/src/platform/fleet.rs
@@ -17,7 +17,7 @@
 use wasabiswitch_policy::fleet::outcomes::StartAnswer;
 use wasabiswitch_policy::fleet::reports::WorkerReport;
 use wasabiswitch_policy::fleet::state::{TaskName, WorkerEntry};
-use wasabiswitch_policy::ids::{BootId, DaemonId, InstanceId, PoolId};
+use wasabiswitch_policy::ids::{BootId, DaemonId, DataCentre, InstanceId, PoolId};
 
 use super::{PlatformFn, Version};
 
@@ -115,6 +115,13 @@
     Config(Arc<FleetConfig>),
     /// A maintenance wave.
     Wave(WaveRequest),
+    /// An evacuation of a data centre.
+    Evacuation {
+        /// Data centre in which no task may be started.
+        data_centre: DataCentre,
+        /// Whether the evacuation is in force; `false` if its row has been removed.
+        active: bool,
+    },
 }
 
 /// Row of the directory of workers.
--- a/crates/kernel/src/tables/fleet.rs
+++ b/crates/kernel/src/tables/fleet.rs
@@ -13,9 +13,9 @@
 use wasabiswitch_policy::fleet::ownership::OwnerHeartbeat;
 use wasabiswitch_policy::fleet::pressure::Pressure;
 use wasabiswitch_policy::fleet::progress::JobRow;
-use wasabiswitch_policy::ids::{DaemonId, JobId};
+use wasabiswitch_policy::ids::{DaemonId, DataCentre, JobId};
 
-use crate::platform::fleet::WaveRequest;
+use crate::platform::fleet::{Cursor, WaveRequest};
 
 /// The newest owner of the fleet that this daemon knows.
 #[derive(Clone, Debug, PartialEq)]
@@ -35,6 +35,10 @@
     pub config: Option<Arc<FleetConfig>>,
     /// Maintenance waves that the operator has requested, each with the time when it was first seen.
     pub waves: BTreeMap<WaveNumber, (WaveRequest, Instant)>,
+    /// Evacuated data centres, as of [`FleetView::operator_cursor`].
+    pub evacuations: BTreeSet<DataCentre>,
+    /// Position in the feed of the operator's rows up to which the evacuations are known.
+    pub operator_cursor: Cursor,
     /// Newest known owner.
     pub owner: Option<KnownOwner>,
     /// Last heartbeat of the owner.
--- a/crates/plugins/src/fleet/configuration.rs
+++ b/crates/plugins/src/fleet/configuration.rs
@@ -7,14 +7,14 @@
 
 use futures_util::FutureExt as _;
 use wasabiswitch_kernel::Kernel;
-use wasabiswitch_kernel::platform::fleet::{OperatorItem, WatchResult, WaveRequest};
+use wasabiswitch_kernel::platform::fleet::{Cursor, OperatorItem, WatchResult, WaveRequest};
 use wasabiswitch_kernel::plugin::{PeriodicTask, PlatformKind, Plugin, Registration};
 use wasabiswitch_kernel::tables::FleetView;
 use wasabiswitch_policy::fleet::Engine;
 use wasabiswitch_policy::fleet::config::FleetConfig;
 use wasabiswitch_policy::fleet::maintenance::{Wave, WaveNumber};
 
-use super::port;
+use super::{evacuation, port};
 
 /// Delay before the operator's rows are read again after a failure.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
@@ -43,11 +43,12 @@
             return;
         }
     };
-    apply_items(kernel, items);
+    apply_read(kernel, items, cursor);
     loop {
         match (port(kernel).watch_operator)(cursor).await {
             Ok(WatchResult::Changes(items, next)) => {
                 cursor = cursor.max(next);
+                evacuation::apply_changes(kernel, &items, cursor);
                 apply_items(kernel, items);
             }
             Ok(WatchResult::HistoryGone) => {
@@ -62,27 +63,36 @@
     }
 }
 
-/// Applies rows of the operator to the view, and to the term if there is one; older ones than known change nothing.
-pub(super) fn apply_items(kernel: &Arc<Kernel>, items: Vec<OperatorItem>) {
+/// Applies all rows of the operator, which were read at `cursor`, to the view, and to the term if there is one.
+pub(super) fn apply_read(kernel: &Arc<Kernel>, items: Vec<OperatorItem>, cursor: Cursor) {
+    evacuation::apply_read(kernel, &items, cursor);
+    apply_items(kernel, items);
+}
+
+/// Applies the configurations and waves among rows of the operator; older ones than known change nothing.
+fn apply_items(kernel: &Arc<Kernel>, items: Vec<OperatorItem>) {
     for item in items {
         match item {
             OperatorItem::Config(config) => adopt(kernel, config),
             OperatorItem::Wave(wave) => add_wave(kernel, wave),
+            // The set of evacuations is applied as a whole.
+            OperatorItem::Evacuation { .. } => {}
         }
     }
 }
 
-/// Applies the configuration and the waves of the view to the engine of a new term.
+/// Applies the configuration, the waves and the evacuations of the view to the engine of a new term.
 ///
 /// The caller holds the lock of the view until the term is in its table. What this daemon reads before is then in the view,
 /// and what it reads later reaches the term, so that nothing read during a takeover is missed.
-pub(super) fn apply_view(view: &FleetView, engine: &mut Engine) {
+pub(super) fn apply_view(kernel: &Kernel, view: &FleetView, engine: &mut Engine) {
     if let Some(config) = &view.config {
         engine.apply_config(config);
     }
     for (number, (request, seen)) in &view.waves {
         add_wave_to_engine(engine, *number, request, *seen);
     }
+    evacuation::apply_view(kernel, view, engine);
 }
 
 /// Adds a wave that was first read at `seen`, unless the engine has it.
--- a/crates/plugins/src/fleet/instances.rs
+++ b/crates/plugins/src/fleet/instances.rs
@@ -13,7 +13,7 @@
 use wasabiswitch_policy::ids::{InstanceId, PoolId};
 
 use super::term::with_term;
-use super::{log_job_events, port, term};
+use super::{evacuation, log_job_events, port, term};
 
 /// Interval between two plans of waves and moves.
 const PLAN_INTERVAL: Duration = Duration::from_millis(100);
@@ -39,6 +39,7 @@
         if plans.is_multiple_of(PLANS_PER_LOG_LINE) {
             log_pools(&kernel, fence);
         }
+        evacuation::report(&kernel, fence);
         for order in plan(&kernel, fence) {
             let kernel = kernel.clone();
             tasks.spawn("instance order", async move { execute(&kernel, fence, order).await });
--- a/crates/plugins/src/fleet/mod.rs
+++ b/crates/plugins/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 //! | module | what it does |
 //! |---|---|
 //! | [`configuration`] | applies the operator's configuration and waves |
+//! | `evacuation` | applies the evacuations of data centres, and reports their progress |
 //! | [`queue_calls`] | answers calls to queues, or forwards them to the owner |
 //! | `owner_calls` | sends requests about the ownership to the owner and other daemons |
 //! | [`ownership`] | probes the owner, takes the fleet over, hands it over |
@@ -19,6 +20,7 @@
 
 pub mod configuration;
 pub mod directory;
+mod evacuation;
 pub mod instances;
 mod owner_calls;
 pub mod ownership;
--- a/crates/plugins/src/fleet/takeover.rs
+++ b/crates/plugins/src/fleet/takeover.rs
@@ -68,8 +68,8 @@
         read_rows(kernel, WAVE_TABLE),
     );
     // This daemon's feed may be late. The predecessor has acted by the rows that the store had at the takeover.
-    let (operator_items, _) = operator?;
-    configuration::apply_items(kernel, operator_items);
+    let (operator_items, operator_cursor) = operator?;
+    configuration::apply_read(kernel, operator_items, operator_cursor);
     let (items, directory_cursor) = directory?;
     let limits = super::term::limits(kernel);
     let mut engine = Engine::new(limits, fence);
--- a/crates/plugins/src/fleet/term.rs
+++ b/crates/plugins/src/fleet/term.rs
@@ -15,7 +15,7 @@
 
 use super::takeover::RebuiltEngine;
 use super::writer::Writer;
-use super::{configuration, directory, instances, log_job_events, takeover, workers};
+use super::{configuration, directory, evacuation, instances, log_job_events, takeover, workers};
 
 /// Time limit for the tasks of a term to end; orders in flight end by their own timeouts.
 const JOIN_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -77,6 +77,7 @@
     let joined = tasks.join(JOIN_TIMEOUT).await;
     // Dropping the term closes the channels of all waiting callers, whose outcome is then in doubt.
     drop(kernel.tables.term.lock().take());
+    evacuation::end_report();
     log::info!("term ended fence={fence} reason={reason} joined={joined}");
 }
 
@@ -84,7 +85,7 @@
 fn begin(kernel: &Kernel, mut engine: Engine, row: &OwnerRow, sent: Instant) {
     // The view stays locked until the term is in its table, see `apply_view`.
     let view = kernel.tables.fleet.lock();
-    configuration::apply_view(&view, &mut engine);
+    configuration::apply_view(kernel, &view, &mut engine);
     log::info!(
         "term begins fence={} config_version={} waves={}",
         row.fence,
--- a/crates/plugins/src/fleet/view.rs
+++ b/crates/plugins/src/fleet/view.rs
@@ -1,4 +1,4 @@
-//! Shows operators the fleet: its owner, pools, moves, waves, teams and workers, and a job's tasks.
+//! Shows operators the fleet: its owner, pools, moves, waves, evacuations, teams and workers, and a job's tasks.
 //!
 //! Only the owner has this state. Any other daemon forwards the request to the owner; a forwarded request is
 //! not forwarded again.
@@ -15,6 +15,7 @@
 use wasabiswitch_kernel::http::problem::{Code, NO_OWNER, NOT_FOUND, Problem};
 use wasabiswitch_kernel::plugin::{PlatformKind, Plugin, Registration};
 use wasabiswitch_policy::fleet::Engine;
+use wasabiswitch_policy::fleet::evacuation::EvacuationView;
 use wasabiswitch_policy::fleet::spec::ResourceVector;
 use wasabiswitch_policy::fleet::state::Worker;
 use wasabiswitch_policy::fleet::view::{
@@ -131,6 +132,7 @@
         "pools": list(engine.view_pools(now).iter().map(pool_json).collect()),
         "moves": list(engine.view_moves(now).iter().map(move_json).collect()),
         "waves": list(engine.view_waves(now).iter().map(wave_json).collect()),
+        "evacuations": list(engine.view_evacuations(now).iter().map(evacuation_json).collect()),
         "teams": list(engine.view_teams().iter().map(team_json).collect()),
         "workers": list(engine.workers.values().map(worker_json).collect()),
     })
@@ -165,6 +167,17 @@
     })
 }
 
+fn evacuation_json(view: &EvacuationView) -> Value {
+    json!({
+        "data_centre": &*view.data_centre,
+        "state": if view.in_force { "in force" } else { "returning" },
+        "workers": view.workers,
+        "tasks": view.tasks,
+        "returned": view.returned,
+        "age_ms": view.age_ms,
+    })
+}
+
 fn amount_json(amount: &ResourceVector) -> Value {
     json!({
         "cpu_milli": amount.cpu_milli,
--- a/crates/plugins/tests/fleet_fault_matrix.rs
+++ b/crates/plugins/tests/fleet_fault_matrix.rs
@@ -328,6 +328,82 @@
     assert!(failed.is_empty(), "{}", failed.join("\n"));
 }
 
+/// Calls into which a fault is injected during a takeover with an evacuation.
+const EVACUATION_OPERATIONS: [Operation; 6] = [
+    Operation::Commit,
+    Operation::Read,
+    Operation::WatchOperator,
+    Operation::ReadDirectory,
+    Operation::Start,
+    Operation::Hold,
+];
+
+/// Runs a history in which the operator evacuates a data centre while its owner ends, with a fault from then on; returns the
+/// violations.
+///
+/// The operator lifts the evacuation after ten seconds. Jobs arrive throughout.
+async fn run_evacuation(operation: Operation, fault: Fault, times: u32) -> Vec<String> {
+    let pools = [("p", POOL_INSTANCES), ("standby", STANDBY_INSTANCES)];
+    let platform = FleetStandIn::new(&pools, TEAM_CAP_MILLI);
+    platform.assign_data_centre(&["p-0", "p-1", "standby-0"], "east");
+    platform.put_config(single_queue_config("standby", TEAM_CAP_MILLI));
+    let first = platform.start(1).await;
+    tokio::time::sleep(ms(1_500)).await;
+    let second = platform.start(2).await;
+    tokio::time::sleep(ms(1_500)).await;
+    let mut submissions = Vec::new();
+    let mut jobs = Vec::new();
+    for number in 0..60 {
+        match number {
+            6 => {
+                platform.evacuate("east", true);
+                inject(&platform, operation, fault, if times == 0 { u32::MAX } else { times });
+                platform.kill(1, &first);
+            }
+            16 => platform.faults().clear(),
+            40 => platform.evacuate("east", false),
+            _ => {}
+        }
+        let id = format!("job-{number}");
+        submissions.push(tokio::spawn(submit(second.clone(), job(&id, 400, &[4, 1]))));
+        jobs.push(id);
+        tokio::time::sleep(ms(300)).await;
+    }
+    tokio::time::sleep(SETTLE_TIME).await;
+    let mut violations = platform.history().violations;
+    for submission in submissions {
+        if !submission.await.expect("the caller does not panic") {
+            violations.push("a submission was never accepted".to_owned());
+        }
+    }
+    for id in jobs {
+        let reply = call_queue(&second, QueueOperation::State(id.as_str().into())).await;
+        if reply != Reply::State(Phase::Done) {
+            violations.push(format!("{id} is {reply:?}"));
+        }
+    }
+    violations.extend(platform.running().into_iter().map(|task| format!("{task:?} still runs")));
+    second.stop().await;
+    violations
+}
+
+// Guards against a successor that starts tasks in a data centre whose evacuation its predecessor had, or had not yet, put into
+// force, with a fault in each kind of call that the takeover makes.
+#[tokio::test(start_paused = true)]
+async fn evacuation_during_a_takeover() {
+    fastrand::seed(31);
+    let mut failed = Vec::new();
+    for operation in EVACUATION_OPERATIONS {
+        for (name, fault, times) in FAULTS {
+            let violations = run_evacuation(operation, fault, times).await;
+            if !violations.is_empty() {
+                failed.push(format!("{operation:?}, {name}: {violations:#?}"));
+            }
+        }
+    }
+    assert!(failed.is_empty(), "{}", failed.join("\n"));
+}
+
 /// The operations to which random faults apply.
 const FAULTED_OPERATIONS: [Operation; 9] = [
     Operation::Commit,
--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -38,6 +38,9 @@
 pub const WORKER_CAPACITY: ResourceVector =
     ResourceVector { cpu_milli: 2_000, memory_mib: 4_000, accelerators: 0 };
 
+/// Data centre of every instance that is not assigned to another one.
+const DATA_CENTRE: &str = "dc";
+
 /// Returns a configuration with the queue `q` in the pool `p`, a standby pool, and the team `t` with a cap on its CPU.
 pub fn single_queue_config(standby: &str, cap_milli: u64) -> FleetConfig {
     let queue_settings = QueueSettings {
@@ -85,7 +88,7 @@
         for (pool, count) in pools {
             for number in 0..*count {
                 let id: InstanceId = format!("{pool}-{number}").as_str().into();
-                let worker = state.add_worker((*pool).into());
+                let worker = state.add_worker((*pool).into(), DATA_CENTRE.into());
                 let listed = Instance {
                     pool: (*pool).into(),
                     state: InstanceState::Up,
@@ -94,6 +97,7 @@
                 };
                 let record = InstanceRecord {
                     listed,
+                    data_centre: DATA_CENTRE.into(),
                     fence: 0,
                     scheduled_return: None,
                     maintenance_waves: Vec::new(),
@@ -165,6 +169,39 @@
         incarnation
     }
 
+    /// Assigns instances to a data centre, and lists their workers there.
+    pub fn assign_data_centre(&self, instances: &[&str], data_centre: &str) {
+        let mut guard = self.state();
+        let state = &mut *guard;
+        for id in instances {
+            let record = state.instances.get_mut(*id).expect("the instance exists");
+            record.data_centre = data_centre.into();
+            let worker = record.listed.worker.as_ref().and_then(|id| state.workers.get_mut(id));
+            let worker = worker.expect("the instance has a worker");
+            worker.entry.data_centre = data_centre.into();
+            state.directory.push(DirectoryItem::Listed(worker.entry.clone()));
+        }
+    }
+
+    /// Sets or lifts the evacuation of a data centre; starts there are checked from then on.
+    pub fn evacuate(&self, data_centre: &str, active: bool) {
+        let mut state = self.state();
+        let now = state.now;
+        match active {
+            true => state.evacuations.insert(data_centre.into(), now),
+            false => state.evacuations.remove(data_centre),
+        };
+        let data_centre = data_centre.into();
+        state.operator.push(OperatorItem::Evacuation { data_centre, active });
+    }
+
+    /// Counts the runs on the workers of a data centre.
+    pub fn running_in(&self, data_centre: &str) -> usize {
+        let state = self.state();
+        let workers = state.workers.values().filter(|w| *w.entry.data_centre == *data_centre);
+        workers.map(|worker| worker.runs.len()).sum()
+    }
+
     /// Appends an item to the operator's rows.
     pub fn put_operator_item(&self, item: OperatorItem) {
         self.state().operator.push(item);
--- a/crates/standin/src/fleet/state.rs
+++ b/crates/standin/src/fleet/state.rs
@@ -13,7 +13,7 @@
 use wasabiswitch_policy::fleet::outcomes::{StartAnswer, StartOutcome};
 use wasabiswitch_policy::fleet::reports::{RunEnd, WorkerReport};
 use wasabiswitch_policy::fleet::state::{TaskName, WorkerEntry};
-use wasabiswitch_policy::ids::{InstanceId, PoolId};
+use wasabiswitch_policy::ids::{DataCentre, InstanceId, PoolId};
 
 use super::{TASK_RESOURCES, WORKER_CAPACITY};
 use crate::fleet_worker::{FakeStart, FakeWorker};
@@ -22,11 +22,14 @@
 const MOVE_TIME: Duration = Duration::from_millis(1_500);
 /// Time for which an instance is down during maintenance.
 const MAINTENANCE_TIME: Duration = Duration::from_secs(2);
+/// Time after the operator's write from which no task may start in an evacuated data centre.
+const EVACUATE_TIME: Duration = Duration::from_secs(5);
 
 /// An instance, with the orders carried out on it.
 #[derive(Debug)]
 pub(super) struct InstanceRecord {
     pub(super) listed: Instance,
+    pub(super) data_centre: DataCentre,
     /// Highest fencing token of an order that was admitted.
     pub(super) fence: u64,
     /// Time at which the instance is up again, and its pool from then on; `None` while it is up.
@@ -51,6 +54,8 @@
     pub(super) workers_created: usize,
     pub(super) history: History,
     pub(super) waves_done: BTreeSet<WaveNumber>,
+    /// Evacuated data centres, each with the time of the operator's write.
+    pub(super) evacuations: BTreeMap<DataCentre, Instant>,
 }
 
 /// The history of starts, and the violations that the checks found.
@@ -78,18 +83,19 @@
             workers_created: 0,
             history: History::default(),
             waves_done: BTreeSet::new(),
+            evacuations: BTreeMap::new(),
         }
     }
 
-    /// Creates a worker in a pool and appends it to the directory.
-    pub(super) fn add_worker(&mut self, pool: PoolId) -> InstanceId {
+    /// Creates a worker in a pool and a data centre, and appends it to the directory.
+    pub(super) fn add_worker(&mut self, pool: PoolId, data_centre: DataCentre) -> InstanceId {
         let id: InstanceId = format!("w{}", self.workers_created).as_str().into();
         self.workers_created += 1;
         let entry = WorkerEntry {
             id: id.clone(),
             address: "10.9.0.2:1".into(),
             pool,
-            data_centre: "dc".into(),
+            data_centre,
             draining: false,
             capacity: WORKER_CAPACITY,
             labels: Vec::new(),
@@ -120,7 +126,8 @@
             let scheduled =
                 self.instances.get_mut(&id).and_then(|record| record.scheduled_return.take());
             let Some((_, pool)) = scheduled else { continue };
-            let worker = self.add_worker(pool.clone());
+            let data_centre = self.instances[&id].data_centre.clone();
+            let worker = self.add_worker(pool.clone(), data_centre);
             let listed =
                 &mut self.instances.get_mut(&id).expect("the instance was found above").listed;
             *listed = Instance {
@@ -204,11 +211,25 @@
         let answer = StartAnswer { outcome, clock_ms: Some(worker.clock_ms(self.now)) };
         if worker.runs.len() > before {
             let runs = worker.runs.len() as u64;
+            let data_centre = worker.entry.data_centre.clone();
+            self.check_data_centre(&order.task, &data_centre);
             self.check_start(&order.task, runs, cap_milli);
         }
         answer
     }
 
+    /// Checks that a data centre in which `task` has just started has not been evacuated for too long.
+    fn check_data_centre(&mut self, task: &TaskName, data_centre: &DataCentre) {
+        let Some(since) = self.evacuations.get(data_centre) else { return };
+        let since = self.now.saturating_duration_since(*since);
+        if since > EVACUATE_TIME {
+            self.history.violations.push(format!(
+                "{task:?} starts in {data_centre} {} ms after the evacuation",
+                since.as_millis()
+            ));
+        }
+    }
+
     /// Checks all runs after a start of `task` on a worker that now has `runs` runs.
     fn check_start(&mut self, task: &TaskName, runs: u64, cap_milli: u64) {
         let running = self.workers.values().flat_map(|worker| &worker.runs);
