--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -33,6 +33,7 @@
     Team(TeamCommand),
     Daemon(DaemonCommand),
     Fleet(FleetCommand),
+    Evacuation(EvacuationCommand),
     Report(ReportCommand),
     Explain(ExplainCommand),
 }
@@ -339,13 +340,14 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "show")]
 pub(crate) struct FleetShow {
-    /// part: owner, pools, moves, waves, teams or workers (default owner)
+    /// part: owner, pools, moves, waves, evacuations, teams or workers (default owner)
     #[argh(positional, default = "FLEET_PARTS[0].to_owned()")]
     pub(crate) part: String,
 }
 
 /// Parts of the state that `fleet show` accepts; the first is the default.
-pub(crate) const FLEET_PARTS: [&str; 6] = ["owner", "pools", "moves", "waves", "teams", "workers"];
+pub(crate) const FLEET_PARTS: [&str; 7] =
+    ["owner", "pools", "moves", "waves", "evacuations", "teams", "workers"];
 
 /// Show the steps of a job and where its tasks run.
 #[derive(FromArgs)]
@@ -356,6 +358,58 @@
     pub(crate) id: String,
 }
 
+/// Evacuate data centres of the users' platform; writes to the platform's store, without a daemon.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "evacuation")]
+pub(crate) struct EvacuationCommand {
+    #[argh(subcommand)]
+    pub(crate) action: EvacuationAction,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub(crate) enum EvacuationAction {
+    Set(EvacuationSet),
+    Lift(EvacuationLift),
+    List(EvacuationList),
+}
+
+/// Evacuate a data centre: no task is started there until the evacuation is lifted.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "set")]
+pub(crate) struct EvacuationSet {
+    /// name of the data centre
+    #[argh(positional)]
+    pub(crate) data_centre: String,
+    /// address of the platform's store
+    #[argh(option)]
+    pub(crate) store: SocketAddr,
+    /// accept a name that no listed worker has as its data centre
+    #[argh(switch)]
+    pub(crate) unlisted: bool,
+}
+
+/// Lift the evacuation of a data centre.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "lift")]
+pub(crate) struct EvacuationLift {
+    /// name of the data centre
+    #[argh(positional)]
+    pub(crate) data_centre: String,
+    /// address of the platform's store
+    #[argh(option)]
+    pub(crate) store: SocketAddr,
+}
+
+/// List the evacuated data centres.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "list")]
+pub(crate) struct EvacuationList {
+    /// address of the platform's store
+    #[argh(option)]
+    pub(crate) store: SocketAddr,
+}
+
 /// Print reports.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "report")]
--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -31,7 +31,7 @@
     }
 }
 
-fn exit_for_verdict(verdict: Verdict) -> Exit {
+pub(crate) fn exit_for_verdict(verdict: Verdict) -> Exit {
     match verdict {
         Verdict::NotRun => Exit::NotRun,
         Verdict::MayHaveRun | Verdict::Ran => Exit::MayHaveRun,
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -11,6 +11,7 @@
 mod arguments;
 mod client;
 mod config;
+mod evacuation;
 mod output;
 mod run;
 
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -13,7 +13,7 @@
 };
 use crate::client::{CommandError, DaemonClient};
 use crate::output::{print_list, print_object};
-use crate::{Exit, config};
+use crate::{Exit, config, evacuation};
 
 /// Time between two requests for the state of a job with `--wait`.
 const JOB_POLL_INTERVAL: Duration = Duration::from_millis(200);
@@ -41,6 +41,7 @@
         Command::Instance(command) => run_instance(&daemon, json, &command.action).await?,
         Command::Wave(command) => run_wave(&daemon, json, &command.action).await?,
         Command::Fleet(command) => run_fleet(&daemon, json, &command.action).await?,
+        Command::Evacuation(command) => evacuation::run(json, &command.action).await?,
         Command::Report(command) => run_report(&daemon, json, &command.action).await?,
         Command::Explain(command) => explain(&daemon, json, command).await?,
         Command::Job(command) => {
--- a/crates/cli/tests/process.rs
+++ b/crates/cli/tests/process.rs
@@ -1,7 +1,10 @@
 //! Exit codes and output of `wasabictl` as a process, without a daemon.
 
-use std::net::TcpListener;
+use std::io::{BufRead as _, BufReader, Read as _, Write as _};
+use std::net::{TcpListener, TcpStream};
 use std::process::{Command, Output};
+use std::sync::{Arc, Mutex};
+use std::thread;
 
 fn wasabictl(arguments: &[&str]) -> Output {
     let mut command = Command::new(env!("CARGO_BIN_EXE_wasabictl"));
@@ -21,12 +24,15 @@
 #[test]
 fn exit_codes_distinguish_success_not_run_and_bad_input() {
     let unused = unused_address();
-    let cases: [(&[&str], i32); 7] = [
+    let cases: [(&[&str], i32); 10] = [
         (&["key", "new", "press"], 0),
         (&["--server", &unused, "pool", "list"], 1),
         (&["--server", &unused, "fleet", "job", "00000000000000aa"], 1),
         (&["fleet", "show", "racks"], 2),
         (&["pool", "lost"], 2),
+        (&["evacuation", "set", "dc"], 2),
+        (&["evacuation", "set", "dc", "--store", &unused], 1),
+        (&["evacuation", "list", "--store", &unused], 1),
         (&["config", "check", "/nowhere"], 2),
         (&["--help"], 0),
     ];
@@ -73,3 +79,80 @@
     let printed = key["digest"].as_str().and_then(wasabiswitch_kernel::keys::parse_digest);
     assert_eq!(printed, Some(digest));
 }
+
+/// Serves a store with one worker in the data centre `dc-1` until the process ends; returns its address and the log of requests.
+fn serve_store() -> (String, Arc<Mutex<Vec<String>>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback can be bound");
+    let address = listener.local_addr().expect("the listener has an address").to_string();
+    let requests = Arc::new(Mutex::new(Vec::new()));
+    let log = requests.clone();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = BufReader::new(stream.expect("a connection arrives"));
+            while let Some(request) = read_request(&mut stream) {
+                let body = answer(&request);
+                log.lock().expect("the lock is not poisoned").push(request);
+                let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
+                let written = stream.get_mut().write_all(format!("{head}{body}").as_bytes());
+                written.expect("the client reads");
+            }
+        }
+    });
+    (address, requests)
+}
+
+/// Reads the first line and the body of a request; returns `None` at the end of the connection.
+fn read_request(stream: &mut BufReader<TcpStream>) -> Option<String> {
+    let (mut first, mut length) = (String::new(), 0);
+    stream.read_line(&mut first).ok().filter(|count| *count > 0)?;
+    loop {
+        let mut line = String::new();
+        stream.read_line(&mut line).ok()?;
+        match line.trim().to_ascii_lowercase().strip_prefix("content-length:") {
+            Some(value) => length = value.trim().parse().expect("a number"),
+            None if line.trim().is_empty() => break,
+            None => {}
+        }
+    }
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).ok()?;
+    Some(format!("{} {}", first.trim(), lossy_utf8(&body)))
+}
+
+fn answer(request: &str) -> String {
+    // The value is {"service":"p","addr":"127.0.0.1:1","zone":"dc-1","state":"ready","capacity":{}} in base64.
+    const WORKER: &str = "eyJzZXJ2aWNlIjoicCIsImFkZHIiOiIxMjcuMC4wLjE6MSIsInpvbmUiOiJkYy0xIiwic3RhdGUiOiJyZWFkeSIsImNhcGFjaXR5Ijp7fX0=";
+    match request {
+        request if request.contains("table=servers") => {
+            format!(r#"{{"rows":[{{"key":"w","value":"{WORKER}","ver":1}}],"ver":1}}"#)
+        }
+        request if request.contains("table=op") => {
+            r#"{"rows":[{"key":"evacuate/dc-9","value":"e30=","ver":1}],"ver":1}"#.to_owned()
+        }
+        _ => r#"{"ver":2}"#.to_owned(),
+    }
+}
+
+// Guards against a mistyped name that evacuates nothing, or that an operator believes to be lifted.
+#[test]
+fn evacuation_with_a_wrong_name_changes_nothing() {
+    let (store, requests) = serve_store();
+    let cases: [(&[&str], i32, &str, usize); 6] = [
+        (&["set", "dc-2"], 2, "no listed worker is in the data centre dc-2", 0),
+        (&["lift", "dc-1"], 2, "the data centre dc-1 is not evacuated", 0),
+        (&["list"], 0, "dc-9", 0),
+        (&["set", "dc-1"], 0, "evacuated: true", 1),
+        (&["set", "dc-2", "--unlisted"], 0, "evacuated: true", 1),
+        (&["lift", "dc-9"], 0, "evacuated: false", 1),
+    ];
+    for (arguments, code, text, writes) in cases {
+        requests.lock().expect("the lock is not poisoned").clear();
+        let output = wasabictl(&[&["evacuation"], arguments, &["--store", &store]].concat());
+        let printed = lossy_utf8(&output.stdout) + &lossy_utf8(&output.stderr);
+        assert_eq!(output.status.code(), Some(code), "{arguments:?}: {printed}");
+        assert!(printed.contains(text), "{arguments:?}: {printed}");
+        let requests = requests.lock().expect("the lock is not poisoned");
+        let sent = requests.iter().filter(|request| request.contains("rows-tx")).count();
+        assert_eq!(sent, writes, "{arguments:?}: {requests:?}");
+    }
+}
