--- a/crates/policy/src/fleet/placement.rs
+++ b/crates/policy/src/fleet/placement.rs
@@ -60,6 +60,7 @@
             && worker.restart_suspected_at.is_none()
             && !worker.entry.draining
             && worker.cordon.is_none()
+            && !self.is_barred_by_evacuation(worker, now)
             && worker.clock.is_some()
             && !self.has_silent_record(&worker.entry.id)
             && self.is_certainly_owner_at(worker.incarnation_known_since)
@@ -161,7 +162,7 @@
 }
 
 /// Returns whether a worker has the label that a step requires and is below its limit per worker.
-fn satisfies_constraints(
+pub(super) fn satisfies_constraints(
     step: &Step,
     worker: &Worker,
     key: WorkerKey,
--- a/crates/policy/src/fleet/plan.rs
+++ b/crates/policy/src/fleet/plan.rs
@@ -101,6 +101,7 @@
         self.expire_silent_workers(now);
         self.request_silent_records(now);
         self.open_due_occurrences(now);
+        self.plan_evacuations(now);
         let mut orders = Vec::new();
         self.plan_stops(now, &mut orders, events);
         let mut budget = match self.start_window.limit() {
