--- a/crates/plugins/src/fleet/writer.rs
+++ b/crates/plugins/src/fleet/writer.rs
@@ -124,12 +124,13 @@
         }
     }
 
-    /// Returns whether a caller, a handover or a stop waits for a write.
+    /// Returns whether a caller, a worker that answers again, a handover or a stop waits for a write.
     fn is_urgent(&self) -> bool {
         let guard = self.kernel.tables.term.lock();
         let has_waiters = guard.as_ref().is_some_and(|term| {
             !term.accepts.is_empty()
                 || !term.flush_waiters.is_empty()
+                || term.engine.has_record_removals()
                 || term.superseded
                 || term.hand_over_requested
         });
--- a/crates/policy/src/fleet/silent_records.rs
+++ b/crates/policy/src/fleet/silent_records.rs
@@ -94,14 +94,12 @@
         self.silent_records.contains_key(worker)
     }
 
-    /// Requests a record of each worker that has become unresponsive, and of each that has not answered this owner.
+    /// Requests a record of each worker that has become unresponsive, and of each that has been silent since the takeover.
+    ///
+    /// A worker that was listed later and has not answered yet has had no owner that could have started tasks there.
     pub(super) fn request_silent_records(&mut self, now: Instant) {
-        let is_silent = |last_contact: Option<Instant>| match last_contact {
-            Some(at) => now.saturating_duration_since(at) > UNRESPONSIVE_AFTER,
-            // The first owner has no predecessor whose tasks could be running anywhere.
-            None => self.fence > 1,
-        };
-        let workers = self.workers.values().filter(|worker| is_silent(worker.last_contact));
+        let is_silent = |at: Instant| now.saturating_duration_since(at) > UNRESPONSIVE_AFTER;
+        let workers = self.workers.values().filter(|w| w.last_contact.is_some_and(is_silent));
         let mut silent: Vec<InstanceId> = workers.map(|worker| worker.entry.id.clone()).collect();
         silent.extend(self.silent_workers.ids().cloned());
         for worker in silent {
@@ -124,6 +122,13 @@
         })
     }
 
+    /// Returns whether a worker that answers again waits for the removal of its record.
+    pub fn has_record_removals(&self) -> bool {
+        self.silent_records.iter().any(|(worker, record)| {
+            record.state == RecordState::Stored && self.is_record_unneeded(worker, record)
+        })
+    }
+
     /// Returns whether a worker has answered since its record was requested, or is on no instance any more.
     fn is_record_unneeded(&self, worker: &InstanceId, record: &SilentRecord) -> bool {
         match self.worker_key(worker).and_then(|key| self.workers.get(key)) {
