Forecast the demand of pools, and release instances by it

Cause: a pool follows its offered load, so each recurring peak begins without the instances that it needs, for one move time, and its instances stay for 1.5 s of uninterrupted surplus after it. Instances that another pool releases go to standby and come from there again.

Change: demand_forecast keeps the arrivals of all pools in bins, finds the shift by which they recur, and forecasts the load of one period before; sizing adds it to the wanted instances one move time ahead. surplus keeps the targets of the last 1.5 s: what exceeded all of them is released, after 0.4 s if the forecast or a large fall makes the fall certain. Settled surplus goes to other pools before those of the standby pool. Workers of surplus instances get new tasks last.

--- a/crates/kernel/src/metric.rs
+++ b/crates/kernel/src/metric.rs
@@ -113,6 +113,10 @@
         "Terms in which this daemon owned the fleet.";
     INSTANCE_CALLS = "wasabiswitch_instance_calls_total", Counter,
         "Moves and upkeep that were asked of the machine service, by outcome.";
+    FORECAST_PERIOD_SECONDS = "wasabiswitch_forecast_period_seconds", Gauge,
+        "Period of the pools' demand that the forecast uses; zero without a forecast.";
+    FORECASTS_WRONG = "wasabiswitch_forecasts_wrong_total", Counter,
+        "Times at which a pool's forecast was set aside because it was wrong twice, by pool.";
     ENTRIES_REJECTED = "wasabiswitch_entries_rejected_total", Counter,
         "Invalid entries of the platform's lists that were skipped, by list.";
     TASK_PANICS = "wasabiswitch_task_panics_total", Counter,
--- a/crates/plugins/src/fleet/instances.rs
+++ b/crates/plugins/src/fleet/instances.rs
@@ -8,6 +8,7 @@
 use wasabiswitch_kernel::tables::Term;
 use wasabiswitch_kernel::tasks::TaskTree;
 use wasabiswitch_kernel::{Kernel, metric};
+use wasabiswitch_policy::fleet::demand_forecast::ForecastEvent;
 use wasabiswitch_policy::fleet::maintenance::{FleetOrder, FleetOutcome, WaveNumber};
 use wasabiswitch_policy::fleet::ownership::may_act;
 use wasabiswitch_policy::ids::{InstanceId, PoolId};
@@ -89,9 +90,33 @@
         kernel.wake_signals.plan.notify_one();
         orders
     });
+    log_forecast(kernel, fence);
     orders.unwrap_or_default()
 }
 
+fn log_forecast(kernel: &Kernel, fence: u64) {
+    let events = with_term(kernel, fence, |term| term.engine.demand_forecast.take_events());
+    for event in events.into_iter().flatten() {
+        match event {
+            ForecastEvent::Learned { period, similarity } => {
+                let period_ms = period.as_millis();
+                metrics::gauge!(metric::FORECAST_PERIOD_SECONDS).set(period.as_secs_f64());
+                log::info!(
+                    "demand forecast learned period_ms={period_ms} similarity={similarity:.2}"
+                );
+            }
+            ForecastEvent::Lost => {
+                metrics::gauge!(metric::FORECAST_PERIOD_SECONDS).set(0.0);
+                log::info!("demand forecast lost");
+            }
+            ForecastEvent::Wrong { pool } => {
+                metrics::counter!(metric::FORECASTS_WRONG, "pool" => pool.to_string()).increment(1);
+                log::info!("demand forecast wrong pool={pool}");
+            }
+        }
+    }
+}
+
 async fn execute(kernel: &Arc<Kernel>, fence: u64, order: FleetOrder) {
     match order {
         FleetOrder::Maintain { instance, wave } => {
--- a/crates/policy/src/fleet/offered_load.rs
+++ b/crates/policy/src/fleet/offered_load.rs
@@ -13,6 +13,9 @@
 /// Number of jobs in the fast estimate from which it is used, so that a single large job is no burst.
 const FAST_JOBS_MIN: f64 = 5.0;
 
+/// Number of standard deviations by which the fast estimate must exceed a forecast to be used.
+const FAST_DEVIATIONS_MIN: f64 = 1.0;
+
 /// Exponentially decaying sums of the work and the jobs that arrive.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct DecayingSums {
@@ -75,4 +78,18 @@
             false => slow.rate_milli(),
         }
     }
+
+    /// Returns the processors that the offered load keeps busy beside a forecast of it, in thousandths of a core.
+    ///
+    /// The forecast covers the start of a burst, so the fast estimate, which varies more, is used only for load that was
+    /// not forecast.
+    pub fn rate_beside_forecast_milli(&self, forecast_milli: f64, now: Instant) -> f64 {
+        let (slow, fast) = (self.slow.at(now), self.fast.at(now));
+        let expected = slow.rate_milli().max(forecast_milli);
+        let deviation = fast.rate_milli() * FAST_DEVIATIONS_MIN / fast.jobs.max(1.0).sqrt();
+        match fast.jobs >= FAST_JOBS_MIN && fast.rate_milli() - deviation > expected {
+            true => fast.rate_milli(),
+            false => slow.rate_milli(),
+        }
+    }
 }
--- a/crates/policy/src/fleet/placement.rs
+++ b/crates/policy/src/fleet/placement.rs
@@ -26,6 +26,9 @@
 const RACK_PENALTY: f64 = 20.0;
 /// Penalty for each task of the step on the same rack, and for each on the same worker.
 const SIBLING_PENALTY: f64 = 2.0;
+/// Penalty for a worker whose instance its pool does not need now. It exceeds any difference in load, so that the
+/// instance becomes empty without a drain.
+const SURPLUS_PENALTY: f64 = 2.0;
 /// Penalty for each task with a latency target beside a filler, and for each filler beside such a task.
 const INTERFERENCE_PENALTY: f64 = 5.0;
 
@@ -121,6 +124,9 @@
     ) -> f64 {
         let load = worker.reserved.dominant_share(&worker.entry.capacity);
         let mut penalty = if step.long_running { -load } else { load };
+        if self.surplus_workers.contains(&key) {
+            penalty += SURPLUS_PENALTY;
+        }
         if !step.data_rack.is_empty() && *worker.entry.rack != *step.data_rack {
             penalty += REMOTE_PENALTY;
         }
--- a/crates/policy/src/fleet/sizing.rs
+++ b/crates/policy/src/fleet/sizing.rs
@@ -13,6 +13,7 @@
 use super::maintenance::{FleetOrder, FleetOutcome, InstanceState, MaintenanceStage};
 use super::offered_load::OfferedLoad;
 use super::state::{Cordon, Engine, Job, Occurrence, WorkerKey};
+use super::surplus::TargetHistory;
 use super::view::PoolView;
 use crate::ids::{InstanceId, PoolId};
 
@@ -21,9 +22,11 @@
 const TARGET_UTILIZATION: f64 = 0.8;
 /// Minimum number of instances of each pool but the standby pool, so that a first job starts at once.
 const POOL_INSTANCES_MIN: usize = 2;
-/// Time for which a pool must have a surplus before its instances move to the standby pool: about the time after
-/// which an idle instance has cost as much as two moves and the wait for the second.
-const STANDBY_DELAY: Duration = Duration::from_millis(1_500);
+/// Time in addition to the move of an instance for which a pool keeps instances for a forecast peak: an idle instance
+/// has then cost as much as two moves.
+const MOVE_COST_TIME: Duration = Duration::from_millis(2_000);
+/// Time by which instances arrive before a forecast rise: one interval between two plans.
+const FORECAST_MARGIN: Duration = Duration::from_millis(100);
 /// Maximum number of instances that a pool gets only to keep tasks of one step on different workers. The widest
 /// steps in use have about 40 tasks, and a mistake in a submission must not move the whole fleet into one pool.
 const ANTI_AFFINITY_INSTANCES_MAX: usize = 64;
@@ -125,11 +128,13 @@
     pub fn record_offered_work(&mut self, pool: &PoolId, work_milli_ms: f64, now: Instant) {
         let load = self.offered_loads.entry(pool.clone()).or_insert_with(|| OfferedLoad::new(now));
         load.add(work_milli_ms, now);
+        self.demand_forecast.add(pool, work_milli_ms, now);
     }
 
     /// Updates the targets of all pools, and returns the moves to start now.
     pub fn plan_moves(&mut self, now: Instant) -> Vec<FleetOrder> {
         self.remove_finished_moves(now);
+        self.demand_forecast.advance(now);
         let Some(standby) = self.standby_pool() else { return Vec::new() };
         if !self.is_directory_populated() {
             return Vec::new();
@@ -146,6 +151,7 @@
         let all = want(|engine, pool, _| engine.accepted_milli(pool));
         let targets = allocate_instances_on_time_first(&in_time, &all, POOL_INSTANCES_MIN, total);
         self.targets = names.iter().cloned().zip(targets.iter().copied()).collect();
+        self.record_targets(now);
         let recent = |moving: &&PendingMove| now.saturating_duration_since(moving.since) < SECOND;
         let started = self.pending_moves.values().filter(recent).count();
         let moves_max = self.moves_per_second().saturating_sub(started);
@@ -154,7 +160,12 @@
         for (name, target) in names.iter().zip(&targets) {
             let shortfall = target.saturating_sub(pools[name].instances);
             for filled in 0..shortfall {
-                let taken = standby_state.empty.pop().or_else(|| self.take_surplus(&mut pools));
+                let settled =
+                    |name: &PoolId, state: &PoolState| self.transferable(name, state, now);
+                let any = |name: &PoolId, state: &PoolState| self.surplus(name, state);
+                let taken = take_surplus(&mut pools, settled)
+                    .or_else(|| standby_state.empty.pop())
+                    .or_else(|| take_surplus(&mut pools, any));
                 let Some(instance) = taken.filter(|_| orders.len() < moves_max) else {
                     missing += shortfall - filled;
                     break;
@@ -162,7 +173,7 @@
                 self.start_move(instance, name, now, &mut orders);
             }
         }
-        self.update_surplus_since(&pools, now);
+        self.mark_surplus_workers(&pools);
         self.drain_surplus(&pools, missing, now);
         self.move_to_standby(&mut pools, &standby, moves_max, now, &mut orders);
         orders
@@ -178,9 +189,12 @@
         let describe = |view: PoolView| {
             let PoolView { pool, instances, workers, target, empty, .. } = view;
             let PoolView { running_milli, offered_milli, accepted_milli, .. } = view;
+            let forecast = self.demand_forecast.load_milli(&pool, now, self.limits.move_time);
+            let forecast = forecast.map_or("none".to_owned(), |milli| format!("{milli:.0}"));
             format!(
                 "{pool}:have={instances},up={workers},target={target},empty={empty},\
-                 running={running_milli},offered={offered_milli},accepted={accepted_milli}"
+                 running={running_milli},offered={offered_milli},accepted={accepted_milli},\
+                 forecast={forecast}"
             )
         };
         let pools: Vec<String> = self.view_pools(now).into_iter().map(describe).collect();
@@ -222,37 +236,53 @@
         self.pools.iter().find(|(_, pool)| pool.standby).map(|(id, _)| id.clone())
     }
 
-    /// Takes an empty instance from the pool with the largest surplus among those that have one.
-    fn take_surplus(&self, pools: &mut BTreeMap<PoolId, PoolState>) -> Option<InstanceId> {
-        let (_, state) = pools
-            .iter_mut()
-            .filter(|(name, state)| !state.empty.is_empty() && self.surplus(name, state) > 0)
-            .max_by_key(|(name, state)| self.surplus(name, state))?;
-        state.instances -= 1;
-        state.empty.pop()
+    /// Adds the current targets to the histories of the pools.
+    fn record_targets(&mut self, now: Instant) {
+        for (name, target) in &self.targets {
+            let history = self.target_histories.entry(name.clone());
+            history.or_insert_with(|| TargetHistory::new(now)).add(*target, now);
+        }
     }
 
+    /// Returns the number of instances of a pool above its present target.
     fn surplus(&self, name: &PoolId, state: &PoolState) -> usize {
-        state
-            .instances
-            .saturating_sub(self.targets.get(name).copied().unwrap_or(POOL_INSTANCES_MIN))
+        let target = self.targets.get(name).copied().unwrap_or(POOL_INSTANCES_MIN);
+        state.instances.saturating_sub(target)
     }
 
-    /// Updates the times since which pools have had a surplus.
-    fn update_surplus_since(&mut self, pools: &BTreeMap<PoolId, PoolState>, now: Instant) {
-        for (name, state) in pools {
-            if self.surplus(name, state) == 0 {
-                self.surplus_since.remove(name);
-            } else {
-                self.surplus_since.entry(name.clone()).or_insert(now);
-            }
-        }
+    /// Returns the number of instances that have exceeded the target of a pool for some time, which go to other pools
+    /// before those of the standby pool.
+    fn transferable(&self, name: &PoolId, state: &PoolState, now: Instant) -> usize {
+        let kept = self.target_histories.get(name).map(|history| history.kept_from_transfer(now));
+        state.instances.saturating_sub(kept.unwrap_or(usize::MAX))
     }
 
-    /// Returns whether a pool has had a surplus for so long that the standby pool is cheaper.
-    fn has_sustained_surplus(&self, pool: &PoolId, now: Instant) -> bool {
-        let since = self.surplus_since.get(pool);
-        since.is_some_and(|since| now.saturating_duration_since(*since) >= STANDBY_DELAY)
+    /// Returns the number of instances that a pool can give to the standby pool.
+    fn releasable(&self, name: &PoolId, state: &PoolState, now: Instant) -> usize {
+        let back = self.limits.move_time + MOVE_COST_TIME;
+        let forecast = self.demand_forecast.peak_milli(name, now, Duration::ZERO, back);
+        let forecast = forecast.map(|milli| self.instances_for(name, milli));
+        let kept = self.target_histories.get(name);
+        let kept = kept.and_then(|history| history.kept_from_standby(forecast, now));
+        state.instances.saturating_sub(kept.unwrap_or(usize::MAX))
+    }
+
+    /// Marks the workers of the instances that exceed the targets, the least loaded first, so that the others get the
+    /// new tasks.
+    fn mark_surplus_workers(&mut self, pools: &BTreeMap<PoolId, PoolState>) {
+        let mut marked = BTreeSet::new();
+        for (name, state) in pools {
+            let empty = state.empty.iter().map(|id| (0, id));
+            let loaded = state.drainable.iter().map(|(runs, id)| (*runs, id));
+            let keys =
+                empty.chain(loaded).filter_map(|(runs, id)| Some((runs, self.worker_of(id)?)));
+            let mut candidates: Vec<(bool, usize, WorkerKey)> =
+                keys.map(|(runs, key)| (!self.surplus_workers.contains(&key), runs, key)).collect();
+            candidates.sort();
+            let surplus = self.surplus(name, state).saturating_sub(state.draining.len());
+            marked.extend(candidates.into_iter().take(surplus).map(|(_, _, key)| key));
+        }
+        self.surplus_workers = marked;
     }
 
     /// Cordons instances of pools with a surplus so that they drain, the least loaded first.
@@ -263,10 +293,9 @@
         let mut drained: BTreeSet<InstanceId> = BTreeSet::new();
         let mut still_missing = missing;
         for (name, state) in pools {
-            let mut surplus = self.surplus(name, state).saturating_sub(state.empty.len());
-            if !self.has_sustained_surplus(name, now) {
-                surplus = surplus.min(still_missing);
-            }
+            let present = self.surplus(name, state).saturating_sub(state.empty.len());
+            let releasable = self.releasable(name, state, now).saturating_sub(state.empty.len());
+            let mut surplus = releasable.max(present.min(still_missing));
             let mut candidates = state.drainable.clone();
             candidates.sort();
             let draining = state.draining.iter().cloned();
@@ -308,10 +337,7 @@
         orders: &mut Vec<FleetOrder>,
     ) {
         for (name, state) in pools {
-            if !self.has_sustained_surplus(name, now) {
-                continue;
-            }
-            for _ in 0..self.surplus(name, state) {
+            for _ in 0..self.releasable(name, state, now) {
                 let Some(instance) = state.empty.pop() else { break };
                 if orders.len() >= moves_max {
                     return;
@@ -328,10 +354,22 @@
         if instance_milli == 0.0 {
             return POOL_INSTANCES_MIN;
         }
-        let offered_milli = self.offered_loads.get(pool).map_or(0.0, |load| load.rate_milli(now));
-        let need_milli = self.long_running_milli(pool) + offered_milli.max(accepted_milli);
-        let by_load = (need_milli / (instance_milli * TARGET_UTILIZATION)).ceil() as usize;
-        by_load.max(self.anti_affinity_instances(pool))
+        let arrival = self.limits.move_time + FORECAST_MARGIN;
+        let forecast = self.demand_forecast.peak_milli(pool, now, Duration::ZERO, arrival);
+        let offered_milli = self.offered_loads.get(pool).map_or(0.0, |load| match forecast {
+            Some(forecast_milli) => load.rate_beside_forecast_milli(forecast_milli, now),
+            None => load.rate_milli(now),
+        });
+        let short_milli = offered_milli.max(accepted_milli).max(forecast.unwrap_or(0.0));
+        self.instances_for(pool, short_milli)
+    }
+
+    /// Returns the number of instances that a pool needs for its long-running tasks and for short tasks that use the
+    /// given processors.
+    fn instances_for(&self, pool: &PoolId, short_milli: f64) -> usize {
+        let need_milli = self.long_running_milli(pool) + short_milli;
+        let by_load = need_milli / (self.instance_milli() * TARGET_UTILIZATION);
+        (by_load.ceil() as usize).max(self.anti_affinity_instances(pool)).max(POOL_INSTANCES_MIN)
     }
 
     /// Returns the number of workers that steps with a limit of tasks per worker need.
@@ -483,3 +521,16 @@
         }
     }
 }
+
+/// Takes an empty instance from the pool with the largest surplus among those that have one.
+fn take_surplus(
+    pools: &mut BTreeMap<PoolId, PoolState>,
+    surplus: impl Fn(&PoolId, &PoolState) -> usize,
+) -> Option<InstanceId> {
+    let (_, state) = pools
+        .iter_mut()
+        .filter(|(name, state)| !state.empty.is_empty() && surplus(name, state) > 0)
+        .max_by_key(|(name, state)| surplus(name, state))?;
+    state.instances -= 1;
+    state.empty.pop()
+}
--- a/crates/policy/src/fleet/state.rs
+++ b/crates/policy/src/fleet/state.rs
@@ -8,6 +8,7 @@
 use wasabiswitch_derive::derives;
 
 use super::advice::Advice;
+use super::demand_forecast::DemandForecast;
 pub use super::job::{Job, Occurrence, Phase, Run, RunState, StepState, Task, TaskName, TaskRef};
 use super::lease::LeaseOrder;
 use super::maintenance::{Instance, Wave, WaveNumber};
@@ -17,6 +18,7 @@
 use super::sizing::PendingMove;
 use super::spec::{ResourceVector, Submission};
 use super::start_pools::StartPools;
+use super::surplus::TargetHistory;
 use super::unconfirmed::{SilentWorkers, UnconfirmedCharge};
 pub use super::worker::{Cordon, Orphan, Worker, WorkerEntry};
 use crate::ids::{InstanceId, JobId, PoolId, QueueId, TeamId};
@@ -120,8 +122,12 @@
     pub(super) offered_loads: BTreeMap<PoolId, OfferedLoad>,
     /// Number of instances that each pool should have.
     pub(super) targets: BTreeMap<PoolId, usize>,
-    /// Time since which a pool has had more instances than its target.
-    pub(super) surplus_since: BTreeMap<PoolId, Instant>,
+    /// Targets of each pool over the last seconds.
+    pub(super) target_histories: BTreeMap<PoolId, TargetHistory>,
+    /// Forecast of the work that arrives for each pool.
+    pub demand_forecast: DemandForecast,
+    /// Workers of instances that their pools do not need now; they get tasks that no other worker can take.
+    pub(super) surplus_workers: BTreeSet<WorkerKey>,
     /// Bound on the starts that are under way.
     pub(super) start_window: StartWindow,
     /// Whether the last plan held back tasks until starts under way are answered.
@@ -161,7 +167,9 @@
             pending_moves: BTreeMap::new(),
             offered_loads: BTreeMap::new(),
             targets: BTreeMap::new(),
-            surplus_since: BTreeMap::new(),
+            target_histories: BTreeMap::new(),
+            demand_forecast: DemandForecast::default(),
+            surplus_workers: BTreeSet::new(),
             start_window: StartWindow::default(),
             starts_held_back: false,
         }
--- a/crates/policy/tests/fleet_engine/main.rs
+++ b/crates/policy/tests/fleet_engine/main.rs
@@ -2,6 +2,7 @@
 //! delivered late or executed twice.
 
 mod bursts;
+mod demand_forecast;
 mod ends_on_record;
 mod fixtures;
 mod former_incarnations;
@@ -10,6 +11,7 @@
 mod instance_service;
 mod late_backlog;
 mod ownership;
+mod peaks;
 mod random_faults;
 mod regressions;
 mod restarted_worker;
