Give an overloaded pool's room to jobs that can meet their objectives

Cause: admission accepted jobs up to twice their objective, and starts went by the earliest objective, so that a backlog made nearly every job slightly late.

Change: the new module policy::fleet::overload chooses the jobs of a pool that can all be in time, by measured run times, progress and the room beside running tasks. Starts go to them by latest start, to deferred jobs on what is left; admission accepts what fits beside them, and late work only for room that is left over. The objective of a refused job counts from its first attempt; Retry-After is spread by the work of the callers refused before. Teams beyond their share give way, and large jobs keep a part of the room. Run times come from a regression of measured on declared ones.

--- a/crates/policy/src/fleet/admission.rs
+++ b/crates/policy/src/fleet/admission.rs
@@ -7,16 +7,24 @@
 
 use wasabiswitch_derive::derives;
 
-use super::fairness::running_and_waiting_milli;
-use super::maintenance::InstanceState;
+use super::overload::{
+    AdmittedJob, Capacity, ClaimPart, Need, PoolClaims, VALUE_END_RATIO, choose, fits_beside,
+    millis_until,
+};
 use super::spec::{ResourceVector, Submission};
-use super::state::{Engine, QueueSettings, RunTimes};
-use crate::ids::{PoolId, QueueId};
-
-/// Maximum ratio of the estimated completion time to the objective with which a job is accepted.
-///
-/// The ratio is above one, because a job that is slightly late still has some value and estimates are rough.
-const ESTIMATE_RATIO_MAX: f64 = 2.0;
+use super::state::{Engine, QueueSettings};
+use crate::ids::{PoolId, TeamId};
+
+/// Margin of a new job to its objective, in standard deviations of the run times within a step; the accepted jobs keep
+/// one of them until they start.
+const MARGIN_DEVIATIONS: f64 = 2.0;
+/// Part of the offered load that is kept for jobs that arrive later, when late work is accepted. A surge lasts
+/// about half of the time in which a late answer has a value.
+const ARRIVING_SHARE: f64 = 0.5;
+/// Time after which an admitted job that has not been persisted no longer counts; its caller's call has ended.
+const ADMITTED_RETENTION: Duration = Duration::from_millis(3_000);
+/// Largest estimate in a refusal, in milliseconds.
+const ESTIMATE_MAX_MS: f64 = 3_600_000.0;
 /// Minimum retry time in a refusal.
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(1_000);
 /// Maximum retry time in a refusal.
@@ -79,26 +87,114 @@
         if submission.is_long_running() || submission.repeats > 0 {
             return Admission::Accept;
         }
-        let ratio = self.run_time_ratio(&submission.queue);
+        let pool = &queue_settings.pool;
+        let accepted = self.accepted_claims(pool, now);
+        let need = self.need_of(submission, accepted.room.capacity.eventual_milli());
         if !self.refused.contains_key(&submission.job) {
-            self.record_offered_work(
-                &queue_settings.pool,
-                submission.work_milli_ms() as f64 * ratio,
-                now,
-            );
+            self.record_offered_work(pool, need.work, now);
+            self.recent_work.entry(submission.queue.clone()).or_default().add(need.work);
         }
-        let critical_path = submission.critical_path().mul_f64(ratio);
-        let objective = critical_path.mul_f64(queue_settings.slack_factor)
-            + Duration::from_millis(queue_settings.objective_ms);
-        let estimate =
-            critical_path + self.estimate_queue_wait(&queue_settings.pool, now + objective, now);
-        let late = estimate.saturating_sub(objective.mul_f64(ESTIMATE_RATIO_MAX));
-        if late.is_zero() {
-            return Admission::Accept;
+        let first_attempt = self.refused.get(&submission.job).copied().unwrap_or(now);
+        let decision =
+            self.decide(submission, &need, first_attempt, queue_settings, &accepted, now);
+        match decision {
+            Some(due) => {
+                let priority = queue_settings.priority;
+                self.admitted
+                    .retain(|_, job| now.saturating_duration_since(job.at) < ADMITTED_RETENTION);
+                let pool = pool.clone();
+                let admitted = AdmittedJob {
+                    pool,
+                    at: now,
+                    due,
+                    need,
+                    priority,
+                    team: submission.team.clone(),
+                };
+                self.admitted.insert(submission.job.clone(), admitted);
+                Admission::Accept
+            }
+            None => {
+                let (capacity, backlog) = (&accepted.room.capacity, accepted.backlog);
+                self.remember_refused(submission, now);
+                let estimate_ms = need.path_ms + capacity.time_for(backlog);
+                let estimate = Duration::from_secs_f64(estimate_ms.min(ESTIMATE_MAX_MS) / 1_000.0);
+                let retry_after = self.next_retry(pool, &need, capacity, backlog, now);
+                Admission::TooLate { estimate, retry_after }
+            }
+        }
+    }
+
+    /// Returns the time by which the work of a job is done if it is accepted, or `None` to refuse it.
+    ///
+    /// A job is accepted if it can meet its objective beside the accepted ones that can, if processors are free
+    /// beyond what waits for them, or if it can end late on the capacity that is left over.
+    fn decide(
+        &self,
+        submission: &Submission,
+        need: &Need,
+        first_attempt: Instant,
+        queue_settings: &QueueSettings,
+        accepted: &PoolClaims,
+        now: Instant,
+    ) -> Option<Instant> {
+        let pool = &queue_settings.pool;
+        let room = &accepted.room;
+        let objective = first_attempt + need.objective_after(queue_settings);
+        let left_ms = millis_until(objective, now);
+        // Accepted jobs are kept, except for those of a lower priority, and for those of teams beyond their share if
+        // the team of this job is within its own.
+        let mut chosen = choose(&accepted.claims, &accepted.parts, room);
+        let weight = |team: &TeamId| self.teams.get(team).map_or(1, |team| team.weight.max(1));
+        let team = &submission.team;
+        let over = accepted.teams_over_share(&chosen, team, need.work, left_ms, weight);
+        for (index, chosen) in chosen.iter_mut().enumerate() {
+            let is_over = !over.contains(team) && over.contains(&accepted.teams[index]);
+            *chosen &= accepted.claims[index].priority <= queue_settings.priority && !is_over;
         }
-        self.remember_refused(submission, now);
-        let retry_after = late.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX);
-        Admission::TooLate { estimate, retry_after }
+        let recent_work = self.recent_work.get(&submission.queue);
+        let fill = recent_work.map_or(1.0, |recent| recent.fill(need.work));
+        let margin_ms = need.deviation_ms * MARGIN_DEVIATIONS;
+        let own: Vec<ClaimPart> = need.parts(0, left_ms - margin_ms).collect();
+        if need.path_ms + margin_ms <= left_ms
+            && fits_beside(&accepted.parts, &chosen, &own, room, fill)
+        {
+            return Some(objective);
+        }
+        let value_end = objective + (objective - first_attempt) * (VALUE_END_RATIO - 1);
+        let value_ms = millis_until(value_end, now);
+        let free_milli = self.free_milli(pool, now);
+        let wanted_milli = accepted.ready_milli as f64 + need.work / need.path_ms.max(1.0);
+        if need.path_ms <= value_ms && free_milli as f64 >= wanted_milli && free_milli > 0 {
+            return Some(value_end);
+        }
+        let offered_milli = self.offered_loads.get(pool).map_or(0.0, |load| load.rate_milli(now));
+        let arriving_milli = offered_milli.min(room.capacity.eventual_milli()) * ARRIVING_SHARE;
+        let left_over = room.work_within(value_ms - need.task_ms / 2.0) - arriving_milli * value_ms;
+        if need.path_ms <= value_ms && accepted.backlog + need.work <= left_over {
+            return Some(value_end);
+        }
+        None
+    }
+
+    /// Returns the time after which the caller of a refused job may retry: when the pool has done its backlog and the
+    /// work of the callers that were refused before.
+    fn next_retry(
+        &mut self,
+        pool: &PoolId,
+        need: &Need,
+        capacity: &Capacity,
+        backlog: f64,
+        now: Instant,
+    ) -> Duration {
+        let seconds = |ms: f64| Duration::from_secs_f64(ms.min(ESTIMATE_MAX_MS) / 1_000.0);
+        let room_at =
+            now + seconds(capacity.time_for(backlog)).clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX);
+        let earlier = self.retry_at.get(pool).copied().unwrap_or(now);
+        let own = seconds(need.work / capacity.eventual_milli().max(1.0));
+        let at = (earlier.max(room_at) + own).min(now + RETRY_AFTER_MAX);
+        self.retry_at.insert(pool.clone(), at);
+        at - now
     }
 
     /// Remembers a refused job, so that its retries do not count as further load.
@@ -112,11 +208,6 @@
         }
     }
 
-    /// Returns the ratio of measured to declared run times of a queue; 1 without measurements.
-    pub(super) fn run_time_ratio(&self, queue: &QueueId) -> f64 {
-        self.run_times.get(queue).map_or(1.0, RunTimes::ratio)
-    }
-
     pub(super) fn largest_worker(&self) -> Option<ResourceVector> {
         let capacities = self.workers.values().map(|worker| worker.entry.capacity);
         capacities.reduce(|a, b| ResourceVector {
@@ -126,62 +217,6 @@
         })
     }
 
-    /// Estimates how long a new job that is due at `due` waits for capacity in a pool, moves included.
-    ///
-    /// The upper bound is the time for all work that the pool has accepted. Work that is due later, or late
-    /// already, does not precede the job, but keeps the processors on which it runs. The job then waits only for
-    /// work that is due earlier, which runs on the rest of the pool, or on that and the instances that can join
-    /// the pool within a move. The estimate is the shortest of these times.
-    fn estimate_queue_wait(&self, pool: &PoolId, due: Instant, now: Instant) -> Duration {
-        let (mut all, mut ahead, mut occupied_milli) = (0u64, 0u64, 0u64);
-        for job in self.pool_jobs(pool).filter(|job| !job.submission.is_long_running()) {
-            let left = self.remaining_work(job);
-            all += left;
-            if (now..=due).contains(&job.objective()) {
-                ahead += left;
-            } else {
-                occupied_milli += running_and_waiting_milli(job).0;
-            }
-        }
-        let capacity_milli = self.pool_capacity_milli(pool);
-        let time_for = |work: u64, milli: u64| Duration::from_millis(work / milli.max(1));
-        let mut wait = time_for(all, capacity_milli);
-        let free_milli = capacity_milli.saturating_sub(occupied_milli);
-        if free_milli > 0 {
-            wait = wait.min(time_for(ahead, free_milli));
-        }
-        let standby_milli = self.standby_milli(pool);
-        if standby_milli > 0 {
-            wait = wait.min(self.limits.move_time + time_for(ahead, free_milli + standby_milli));
-        }
-        wait
-    }
-
-    /// Returns the processors that instances of the standby pool can add within a move, in thousandths of a core.
-    fn standby_milli(&self, pool: &PoolId) -> u64 {
-        let Some(standby) = self.standby_pool().filter(|standby| standby != pool) else { return 0 };
-        let available = self.instances.iter().filter(|(id, instance)| {
-            instance.pool == standby
-                && instance.state == InstanceState::Up
-                && !self.pending_moves.contains_key(*id)
-        });
-        let count = available.count().min(self.moves_per_second());
-        count as u64 * self.instance_milli() as u64
-    }
-
-    /// Returns the remaining work of a job, as declared times the run time ratio of its queue, in thousandths of
-    /// a core times milliseconds.
-    pub(super) fn remaining_work(&self, job: &super::state::Job) -> u64 {
-        let ratio = self.run_time_ratio(&job.submission.queue);
-        let steps = &job.submission.steps;
-        let left = job.occurrences.values().flat_map(|o| steps.iter().zip(&o.steps));
-        let work = |(step, step_state): (&super::spec::Step, &super::state::StepState)| {
-            let tasks = u64::from(step.count.saturating_sub(step_state.done));
-            tasks.saturating_mul(step.reserved().cpu_milli).saturating_mul(step.estimate_ms)
-        };
-        (left.map(work).fold(0, u64::saturating_add) as f64 * ratio) as u64
-    }
-
     /// Returns the processors of a pool's workers, or of its target number of instances if that is more, in
     /// thousandths of a core.
     pub(super) fn pool_capacity_milli(&self, pool: &PoolId) -> u64 {
--- a/crates/policy/src/fleet/job.rs
+++ b/crates/policy/src/fleet/job.rs
@@ -222,6 +222,8 @@
     pub accepted_fence: u64,
     /// Time at which this owner accepted the job or read it from the store.
     pub accepted: Instant,
+    /// Time from which the objective counts: the caller's first attempt, if this owner refused earlier ones.
+    pub objective_from: Instant,
     /// Current phase.
     pub phase: Phase,
     /// Phase that callers see: an end becomes visible once it is persisted.
@@ -302,6 +304,8 @@
     pub fn objective(&self) -> Instant {
         let critical_path =
             self.submission.critical_path().mul_f64(self.queue_settings.slack_factor);
-        self.accepted + critical_path + Duration::from_millis(self.queue_settings.objective_ms)
+        self.objective_from
+            + critical_path
+            + Duration::from_millis(self.queue_settings.objective_ms)
     }
 }
--- a/crates/policy/src/fleet/mod.rs
+++ b/crates/policy/src/fleet/mod.rs
@@ -24,6 +24,7 @@
 //! | [`unconfirmed`] | tasks and workers of which a new owner does not know whether they run |
 //! | [`advice`] | workers that the advice service allows for a step |
 //! | [`admission`] | refusal of jobs at submission |
+//! | [`overload`] | choice of the jobs that get the capacity of a pool while it is too small for all |
 //! | [`fairness`] | fair shares of teams in a full pool |
 //! | [`calls`] | calls to a queue and their replies |
 //! | [`config`] | the configuration, and the queue and team of a call |
@@ -45,6 +46,7 @@
 pub mod maintenance;
 pub mod offered_load;
 pub mod outcomes;
+pub mod overload;
 pub mod ownership;
 pub mod pace;
 pub mod placement;
--- a/crates/policy/src/fleet/plan.rs
+++ b/crates/policy/src/fleet/plan.rs
@@ -1,16 +1,17 @@
 //! Planning: choice of the tasks to start and to stop now, and of the pace of filler tasks.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use wasabiswitch_derive::derives;
 
 use super::lease::START_VALIDITY;
+use super::overload::{Classes, StartClass};
 use super::placement::Siblings;
 use super::reports::JobEvent;
 use super::spec::Submission;
-use super::state::{Engine, JobKey, Run, RunState, TaskName, TaskRef, WorkerKey};
+use super::state::{Engine, JobKey, Phase, Run, RunState, TaskName, TaskRef, WorkerKey};
 use crate::ids::PoolId;
 
 /// Delay before a stop that was not acknowledged is sent again.
@@ -81,13 +82,12 @@
 struct Urgency {
     /// Whether no task is long-running; long-running tasks go first, since they must be restored within seconds.
     short: bool,
+    /// Class of the job by the choice in [`super::overload`].
+    class: StartClass,
     /// Whether the job exceeds its team's share of a full pool.
     over_share: bool,
-    /// Lateness class: 0 before the objective, 1 after it, 2 when the job has no value any more.
-    ///
-    /// Late jobs go last, because each late job that goes first makes another job late. Under overload, the
-    /// order by earliest deadline alone makes all jobs late.
-    lateness: u8,
+    /// Whether no task of a job that is not chosen has started; a job that has started needs less to end.
+    unstarted: bool,
     /// Priority of the queue; zero is the highest.
     priority: u32,
     /// Time by which the job has to complete for its full value.
@@ -207,43 +207,49 @@
                 candidates.entry(worker.entry.pool.clone()).or_default().push(key);
             }
         }
-        let mut jobs: Vec<(Urgency, JobKey)> = self
-            .live
-            .iter()
-            .filter(|key| self.jobs.get(**key).is_some_and(|job| !job.phase.is_ended()))
-            .map(|key| (self.urgency(*key, now), *key))
+        let live = self.live.iter().copied();
+        let mut in_order: Vec<JobKey> = live
+            .filter(|key| self.jobs.get(*key).is_some_and(|job| !job.phase.is_ended()))
             .collect();
-        jobs.sort();
-        let in_order: Vec<JobKey> = jobs.iter().map(|(_, key)| *key).collect();
+        in_order.sort_by_cached_key(|key| self.jobs[*key].objective());
         let over_share = self.over_share(&in_order);
-        if !over_share.is_empty() {
-            for (urgency, key) in &mut jobs {
-                urgency.over_share = over_share.contains(key);
-            }
-            jobs.sort();
-        }
-        for (_, key) in jobs {
-            let pool = &self.queue_settings(&self.jobs[key]).pool;
-            let Some(workers) = candidates.get(pool) else { continue };
+        let classes = self.classify_jobs(&over_share, now);
+        let urgency = |key: JobKey| (self.urgency(key, &classes, &over_share), key);
+        let mut jobs: Vec<(Urgency, JobKey)> = in_order.into_iter().map(urgency).collect();
+        jobs.sort();
+        let mut room_for_deferred: BTreeMap<PoolId, u64> = BTreeMap::new();
+        for (urgency, key) in jobs {
+            let pool = self.queue_settings(&self.jobs[key]).pool.clone();
+            let Some(workers) = candidates.get(&pool) else { continue };
             if *budget == 0 {
                 return;
             }
-            self.start_job(key, workers, budget, now, orders, events);
+            if urgency.class == StartClass::Chosen || self.is_deferral_over(key, now) {
+                self.start_job(key, workers, budget, now, orders, events);
+                continue;
+            }
+            let room = room_for_deferred.entry(pool).or_insert_with_key(|pool| {
+                let free = workers.iter().map(|key| self.workers[*key].free().cpu_milli);
+                free.sum::<u64>().saturating_sub(self.reserved_for_chosen(pool, &classes))
+            });
+            if *room > 0 {
+                let orders_before = orders.len();
+                self.start_job(key, workers, budget, now, orders, events);
+                let started = orders[orders_before..].iter();
+                *room = room.saturating_sub(started.map(started_milli).sum());
+            }
         }
     }
 
-    fn urgency(&self, key: JobKey, now: Instant) -> Urgency {
+    fn urgency(&self, key: JobKey, classes: &Classes, over_share: &BTreeSet<JobKey>) -> Urgency {
         let job = &self.jobs[key];
-        let objective = job.objective();
-        // A job keeps some value until three times its objective.
-        let value_end = objective + (objective - job.accepted) * 2;
+        let class = classes.of_job.get(&key).copied();
+        let (class, objective) = class.unwrap_or((StartClass::Chosen, job.objective()));
         Urgency {
             short: !job.submission.is_long_running(),
-            over_share: false,
-            lateness: match job.submission.is_long_running() {
-                true => 0,
-                false => u8::from(objective < now) + u8::from(value_end < now),
-            },
+            class,
+            over_share: over_share.contains(&key),
+            unstarted: class != StartClass::Chosen && job.phase == Phase::Queued,
             priority: self.queue_settings(job).priority,
             objective,
         }
@@ -449,6 +455,16 @@
     }
 }
 
+/// Returns the processors that a start takes, in thousandths of a core.
+fn started_milli(order: &Order) -> u64 {
+    match order {
+        Order::Start { task, submission, .. } => {
+            submission.steps[task.step as usize].reserved().cpu_milli
+        }
+        _ => 0,
+    }
+}
+
 fn new_run(worker: WorkerKey, attempt: u32, now: Instant, start_expires_by: Instant) -> Run {
     Run {
         attempt,
--- a/crates/policy/src/fleet/reports.rs
+++ b/crates/policy/src/fleet/reports.rs
@@ -116,6 +116,10 @@
     pub detail: String,
 }
 
+/// Least progress in percent of the last report before the end of a run from which its run time on the worker is
+/// extrapolated.
+const PURE_RUN_TIME_PERCENT_MIN: u32 = 20;
+
 impl Engine {
     /// Applies a worker's report, unless a newer one has overtaken it; returns whether it was applied.
     pub fn apply_report(
@@ -391,7 +395,7 @@
         }
         self.unpersisted.insert(task.job);
         if let Some(run) = run {
-            self.record_run_time(&task, now.saturating_duration_since(run.sent));
+            self.record_run_time(&task, run, now);
         }
         self.finish_if_done(task, now);
     }
@@ -409,15 +413,22 @@
         }
     }
 
-    fn record_run_time(&mut self, task: &TaskRef, took: Duration) {
+    fn record_run_time(&mut self, task: &TaskRef, run: &Run, now: Instant) {
         let Some(job) = self.jobs.get(task.job) else { return };
         let Some(step) = job.submission.steps.get(task.step as usize) else { return };
         if step.estimate_ms == 0 {
             return;
         }
-        let (declared_ms, took_ms) = (step.estimate_ms as f64, took.as_secs_f64() * 1_000.0);
+        let ms = |until: Instant| until.saturating_duration_since(run.sent).as_secs_f64() * 1_000.0;
+        let (declared_ms, took_ms) = (step.estimate_ms as f64, ms(now));
         let learned = self.run_times.entry(job.submission.queue.clone()).or_default();
         learned.record(declared_ms, took_ms);
+        learned.record_in_step(task.first_task_of_step(), took_ms);
+        if run.percent >= PURE_RUN_TIME_PERCENT_MIN {
+            // The worker rounds the progress down.
+            let pure_ms = ms(run.last_progress) * 100.0 / (f64::from(run.percent) + 0.5);
+            learned.record_pure(took_ms, pure_ms);
+        }
     }
 
     fn task_failed(&mut self, key: WorkerKey, task: TaskRef, end: &EndEntry, now: Instant) {
--- a/crates/policy/tests/fleet_engine/main.rs
+++ b/crates/policy/tests/fleet_engine/main.rs
@@ -9,6 +9,7 @@
 mod hot_team;
 mod instance_service;
 mod late_backlog;
+mod overload;
 mod ownership;
 mod random_faults;
 mod regressions;
