Accept a job that is wider than the pool while the pool is idle

Cause: a job whose rounds on a small pool exceed its objective, and whose pool had no worker that was usable at that moment, was refused although nothing waited (stale_directory_at_a_takeover_delays_no_task failed).

Change: free processors are those of the workers that count as capacity, and while nothing waits and half of the pool is free any job whose answer can still have value is accepted.

--- a/crates/policy/src/fleet/admission.rs
+++ b/crates/policy/src/fleet/admission.rs
@@ -21,6 +21,8 @@
 /// Part of the offered load that is kept for jobs that arrive later, when late work is accepted. A surge lasts
 /// about half of the time in which a late answer has a value.
 const ARRIVING_SHARE: f64 = 0.5;
+/// Part of a pool's capacity that is free, while no task waits, from which any job is accepted.
+const IDLE_SHARE: f64 = 0.5;
 /// Time after which an admitted job that has not been persisted no longer counts; its caller's call has ended.
 const ADMITTED_RETENTION: Duration = Duration::from_millis(3_000);
 /// Largest estimate in a refusal, in milliseconds.
@@ -163,9 +165,13 @@
         }
         let value_end = objective + (objective - first_attempt) * (VALUE_END_RATIO - 1);
         let value_ms = millis_until(value_end, now);
-        let free_milli = self.free_milli(pool, now);
+        let free_milli = self.free_milli(pool);
         let wanted_milli = accepted.ready_milli as f64 + need.work / need.path_ms.max(1.0);
-        if need.path_ms <= value_ms && free_milli as f64 >= wanted_milli && free_milli > 0 {
+        let is_free = free_milli > 0 && free_milli as f64 >= wanted_milli;
+        // A job that is wider than the whole pool is no reason to leave an idle pool idle.
+        let is_idle =
+            accepted.ready_milli == 0 && free_milli as f64 >= room.capacity.milli * IDLE_SHARE;
+        if (is_idle && value_ms > 0.0) || (is_free && need.path_ms <= value_ms) {
             return Some(value_end);
         }
         let offered_milli = self.offered_loads.get(pool).map_or(0.0, |load| load.rate_milli(now));
--- a/crates/policy/src/fleet/overload.rs
+++ b/crates/policy/src/fleet/overload.rs
@@ -597,11 +597,10 @@
         found
     }
 
-    /// Returns the processors that are free on the usable workers of a pool, in thousandths of a core.
-    pub(super) fn free_milli(&self, pool: &PoolId, now: Instant) -> u64 {
-        let usable =
-            self.workers.values().filter(|w| w.entry.pool == *pool && self.is_usable(w, now));
-        usable.map(|worker| worker.free().cpu_milli).sum()
+    /// Returns the processors that are free on the workers that count in a pool's capacity, in thousandths of a core.
+    pub(super) fn free_milli(&self, pool: &PoolId) -> u64 {
+        let workers = self.workers.values().filter(|worker| worker.entry.pool == *pool);
+        workers.filter(|w| Self::serves_pool(w)).map(|worker| worker.free().cpu_milli).sum()
     }
 
     /// Returns the expected run time of a queue's tasks with a declared run time, for the log and for tests.
