--- a/crates/policy/tests/fleet_engine/main.rs
+++ b/crates/policy/tests/fleet_engine/main.rs
@@ -11,6 +11,7 @@
 mod hot_team;
 mod instance_service;
 mod late_backlog;
+mod overload;
 mod ownership;
 mod peaks;
 mod random_faults;
