--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -51,6 +51,7 @@
 pub mod idempotency;
 pub mod ids;
 pub mod instance;
+pub mod intake;
 pub mod jobs;
 pub mod merge;
 pub mod placement;
