--- a/crates/kernel/src/http/control.rs
+++ b/crates/kernel/src/http/control.rs
@@ -4,25 +4,35 @@
 //! plain data to the route, so that no plug-in depends on the HTTP server library.
 
 use std::collections::BTreeMap;
+use std::future::Future as _;
+use std::net::SocketAddr;
 use std::sync::Arc;
+use std::task::Context;
 use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
+use http::uri::Scheme;
 use http::{Method, StatusCode, header};
-use poem::Server;
-use poem::endpoint::make;
-use poem::listener::TcpAcceptor;
+use http_body_util::BodyExt as _;
+use http_body_util::combinators::BoxBody;
+use hyper::body::Incoming;
+use poem::web::{LocalAddr, RemoteAddr};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
-use super::problem::{
-    BAD_KEY, BODY_TOO_LARGE, NOT_FOUND, Problem, REQUEST_ID_HEADER, VERDICT_HEADER,
-};
+use super::intake::ClientConnection;
+use super::problem::{BAD_KEY, NOT_FOUND, Problem, REQUEST_ID_HEADER, VERDICT_HEADER};
+use super::{connection, read_body};
 use crate::kernel::Kernel;
+use crate::tasks::TaskTree;
 
-/// Maximum size of the body of a request, in bytes.
+/// Maximum size of the body of a request, in bytes; the budget of the listener may allow less.
 const BODY_MAX_BYTES: usize = 32 << 20;
+/// Maximum size of the body of a request that needs no key, in bytes; no such route reads a body.
+const OPEN_BODY_MAX_BYTES: usize = 4 << 10;
+/// Caller as which all peers share the budget of the listener.
+const PEER_CALLER: &str = "peer key";
 /// Time after which a stop no longer waits for requests in flight.
 const STOP_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -118,19 +128,42 @@
 }
 
 /// Serves the routes of all plug-ins until `stop` is cancelled.
-pub async fn serve(
+pub async fn serve(kernel: Arc<Kernel>, listener: TcpListener, stop: CancellationToken) {
+    let address = kernel.control_address();
+    let intake = kernel.intakes.control.clone();
+    let connections = TaskTree::new();
+    connection::accept_until(&intake, listener, stop.cancelled(), |stream, admission| {
+        let (kernel, client) = (kernel.clone(), admission.connection.clone());
+        let respond = move |request| respond(kernel.clone(), client.clone(), request, address);
+        let stop = connections.stop_token();
+        connections.spawn("control connection", async move {
+            let mut stopped = std::pin::pin!(stop.cancelled());
+            let should_close =
+                |context: &mut Context<'_>| stopped.as_mut().poll(context).is_ready();
+            connection::serve(stream, admission, respond, should_close).await;
+        });
+    })
+    .await;
+    connections.join(STOP_TIMEOUT).await;
+}
+
+async fn respond(
     kernel: Arc<Kernel>,
-    listener: TcpListener,
-    stop: CancellationToken,
-) -> std::io::Result<()> {
-    let acceptor = TcpAcceptor::from_tokio(listener)?;
-    let endpoint = make(move |request| handle(kernel.clone(), request));
-    Server::new_with_acceptor(acceptor)
-        .run_with_graceful_shutdown(endpoint, stop.cancelled_owned(), Some(STOP_TIMEOUT))
-        .await
+    client: Arc<ClientConnection>,
+    request: http::Request<Incoming>,
+    address: SocketAddr,
+) -> http::Response<BoxBody<Bytes, std::io::Error>> {
+    let local = LocalAddr(address.into());
+    let remote = RemoteAddr(address.into());
+    let request = poem::Request::from((request, local, remote, Scheme::HTTP));
+    handle(kernel, client, request).await.into()
 }
 
-async fn handle(kernel: Arc<Kernel>, mut request: poem::Request) -> poem::Response {
+async fn handle(
+    kernel: Arc<Kernel>,
+    client: Arc<ClientConnection>,
+    mut request: poem::Request,
+) -> poem::Response {
     let authorization = request.header(header::AUTHORIZATION).map(str::to_owned);
     let head = RequestHead {
         method: request.method().clone(),
@@ -138,14 +171,7 @@
         query: request.params::<BTreeMap<String, String>>().unwrap_or_default(),
         authorization,
     };
-    let result = match request.take_body().into_bytes_limit(BODY_MAX_BYTES).await {
-        Ok(body) => dispatch(&kernel, head, body).await,
-        Err(_) => {
-            let detail = format!("a body has at most {BODY_MAX_BYTES} bytes");
-            Err(Problem::not_run(BODY_TOO_LARGE, detail))
-        }
-    };
-    match result {
+    match answer(&kernel, &client, head, request.take_body()).await {
         Ok(reply) => poem::Response::builder()
             .status(reply.status)
             .content_type(reply.content_type)
@@ -154,6 +180,31 @@
     }
 }
 
+/// Checks the key of a request before it reads the body, so that clients without a key cannot fill the memory.
+async fn answer(
+    kernel: &Arc<Kernel>,
+    client: &Arc<ClientConnection>,
+    head: RequestHead,
+    body: poem::Body,
+) -> ControlResult {
+    let admitted = admit(kernel, head)?;
+    let max_bytes = match admitted.route.access {
+        Access::Open => OPEN_BODY_MAX_BYTES,
+        Access::Operator | Access::Peer => {
+            let caller =
+                if admitted.operator.is_empty() { PEER_CALLER } else { &admitted.operator };
+            client.set_caller(caller);
+            let bytes_max = client.intake().bounds().bytes_max;
+            usize::try_from(bytes_max).map_or(BODY_MAX_BYTES, |max| max.min(BODY_MAX_BYTES))
+        }
+    };
+    let body = BoxBody::from(body).map_err(Into::into).boxed_unsync();
+    let body = read_body(body, max_bytes, client)
+        .await
+        .map_err(|error| error.into_problem(|| format!("a body has at most {max_bytes} bytes")))?;
+    admitted.call(kernel, body).await
+}
+
 fn problem_response(problem: &Problem) -> poem::Response {
     let mut builder = poem::Response::builder()
         .status(problem.status())
@@ -179,8 +230,23 @@
     pub authorization: Option<String>,
 }
 
-/// Checks the key of a request and passes the request to its route; tests call this without a socket.
-pub async fn dispatch(kernel: &Arc<Kernel>, head: RequestHead, body: Bytes) -> ControlResult {
+/// Request whose route is found and whose key is valid.
+struct AdmittedRequest<'a> {
+    route: &'a ControlRoute,
+    operator: String,
+    params: BTreeMap<String, String>,
+    query: BTreeMap<String, String>,
+}
+
+impl AdmittedRequest<'_> {
+    async fn call(self, kernel: &Arc<Kernel>, body: Bytes) -> ControlResult {
+        let AdmittedRequest { route, operator, params, query } = self;
+        (route.handler)(kernel.clone(), ControlRequest { operator, params, query, body }).await
+    }
+}
+
+/// Finds the route of a request and checks its key.
+fn admit(kernel: &Arc<Kernel>, head: RequestHead) -> Result<AdmittedRequest<'_>, Problem> {
     let found = kernel
         .control_routes()
         .iter()
@@ -191,8 +257,12 @@
         return Err(Problem::not_run(NOT_FOUND, detail));
     };
     let operator = check_access(kernel, route.access, head.authorization.as_deref())?;
-    let request = ControlRequest { operator, params, query: head.query, body };
-    (route.handler)(kernel.clone(), request).await
+    Ok(AdmittedRequest { route, operator, params, query: head.query })
+}
+
+/// Checks the key of a request and passes the request to its route; tests call this without a socket.
+pub async fn dispatch(kernel: &Arc<Kernel>, head: RequestHead, body: Bytes) -> ControlResult {
+    admit(kernel, head)?.call(kernel, body).await
 }
 
 /// Returns the parameters of a path if the path matches the pattern of a route.
--- a/crates/kernel/src/http/entry.rs
+++ b/crates/kernel/src/http/entry.rs
@@ -5,39 +5,31 @@
 //! finished. Those that do not end in time are answered as in doubt, since a connection that closes without a
 //! response tells the caller nothing. See docs/DESIGN.md, "A stop".
 
-use std::convert::Infallible;
 use std::future::{Future, poll_fn};
 use std::sync::Arc;
-use std::task::Poll;
+use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
 use futures_util::future::BoxFuture;
 use http::header::CONNECTION;
 use http::{HeaderValue, Method, Request, Response};
-use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 use wasabiswitch_policy::Verdict;
 use wasabiswitch_policy::ids::RequestId;
 
-use super::Body;
+use super::intake::{Admission, ClientConnection};
 use super::problem::{NOT_FOUND, Problem, REQUEST_ID_HEADER, STOPPED};
+use super::{Body, connection};
 use crate::kernel::Kernel;
 use crate::network::Stream;
 
-/// Time within which the head of a request must arrive.
-const REQUEST_HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time for which connections are still accepted, and idle ones kept, after a stop closes the entry listener.
 ///
 /// The load balancer may still be opening connections before it sees that the daemon is unready, and a
 /// caller may be sending a request on an idle connection at the moment of the stop.
 const CLOSE_GRACE_PERIOD: Duration = Duration::from_millis(300);
-/// Pause after a failed accept, for example because file descriptors have run out.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Request on the entry listener, as a route receives it.
 #[derive(Debug)]
@@ -48,6 +40,8 @@
     pub request_id: RequestId,
     /// Part of the path after the route's prefix, without the query.
     pub rest: String,
+    /// Connection on which the request arrived.
+    pub connection: Arc<ClientConnection>,
 }
 
 /// Function that handles the requests of a route on the entry listener.
@@ -82,52 +76,42 @@
         stop.cancelled().await;
         tokio::time::sleep(CLOSE_GRACE_PERIOD).await;
     };
-    let mut grace_end = std::pin::pin!(grace_end);
-    loop {
-        // Waiting connections are accepted first, since closing the listener resets them.
-        let accepted = tokio::select! {
-            biased;
-            accepted = listener.accept() => accepted,
-            () = &mut grace_end => return,
-        };
-        match accepted {
-            Ok((stream, _)) => {
-                let _ = stream.set_nodelay(true);
-                accept(&kernel, Stream::Tcp(stream));
-            }
-            Err(_) => tokio::select! {
-                () = &mut grace_end => return,
-                () = tokio::time::sleep(ACCEPT_RETRY_DELAY) => {}
-            },
-        }
-    }
+    let intake = kernel.intakes.entry.clone();
+    connection::accept_until(&intake, listener, grace_end, |stream, admission| {
+        spawn_connection(&kernel, stream, admission);
+    })
+    .await;
 }
 
 /// Spawns a task that serves a connection and that a stop of the daemon joins.
 pub fn accept(kernel: &Arc<Kernel>, stream: Stream) {
+    if let Some((stream, admission)) = connection::admit(&kernel.intakes.entry, stream, None) {
+        spawn_connection(kernel, stream, admission);
+    }
+}
+
+fn spawn_connection(kernel: &Arc<Kernel>, stream: Stream, admission: Admission) {
     let stop = kernel.request_tasks.stop_token();
-    let connection = serve_connection(kernel.clone(), stream, stop);
+    let connection = serve_connection(kernel.clone(), stream, admission, stop);
     kernel.request_tasks.spawn("entry connection", connection);
 }
 
-async fn serve_connection(kernel: Arc<Kernel>, stream: Stream, stop: CancellationToken) {
-    let service_kernel = kernel.clone();
-    let service = service_fn(move |request| {
-        let kernel = service_kernel.clone();
-        async move { Ok::<_, Infallible>(dispatch(kernel, request).await) }
-    });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(REQUEST_HEAD_TIMEOUT)
-        .serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
+async fn serve_connection(
+    kernel: Arc<Kernel>,
+    stream: Stream,
+    admission: Admission,
+    stop: CancellationToken,
+) {
+    let (service_kernel, client) = (kernel.clone(), admission.connection.clone());
+    let respond = move |request: Request<Incoming>| {
+        respond(service_kernel.clone(), client.clone(), request.map(connection::incoming_body))
+    };
     let mut stopped = std::pin::pin!(stop.cancelled());
     let response_time_over_token = kernel.response_time_over_token();
     let mut response_time_over = std::pin::pin!(response_time_over_token.cancelled());
     let mut grace = std::pin::pin!(None::<tokio::time::Sleep>);
-    let (mut wakers_registered, mut closing) = (false, false);
-    // Errors of the connection are ignored; the counters of the request cover a caller that disconnects.
-    let _ = poll_fn(|context| {
+    let mut wakers_registered = false;
+    let should_close = |context: &mut Context<'_>| {
         // Polling a token takes a lock that all connections share. Each is polled only once, to register
         // the waker for a stop; later polls read atomic flags instead.
         if !wakers_registered {
@@ -135,32 +119,29 @@
             let _ = stopped.as_mut().poll(context);
             let _ = response_time_over.as_mut().poll(context);
         }
-        // What has arrived is read before the connection can be closed as idle.
-        let polled = connection.as_mut().poll(context);
-        if polled.is_pending() && !closing && kernel.is_entry_closing() {
-            if grace.is_none() {
-                grace.set(Some(tokio::time::sleep(CLOSE_GRACE_PERIOD)));
-            }
-            if let Some(grace_end) = grace.as_mut().as_pin_mut()
-                && grace_end.poll(context).is_ready()
-            {
-                closing = true;
-                connection.as_mut().graceful_shutdown();
-                return connection.as_mut().poll(context);
-            }
+        if !kernel.is_entry_closing() {
+            return false;
         }
-        polled
-    })
-    .await;
-}
-
-async fn dispatch(kernel: Arc<Kernel>, request: Request<Incoming>) -> Response<Body> {
-    let request = request.map(|body| body.map_err(Into::into).boxed_unsync());
-    handle(kernel, request).await
+        if grace.is_none() {
+            grace.set(Some(tokio::time::sleep(CLOSE_GRACE_PERIOD)));
+        }
+        let grace_end = grace.as_mut().as_pin_mut();
+        grace_end.is_some_and(|grace_end| grace_end.poll(context).is_ready())
+    };
+    connection::serve(stream, admission, respond, should_close).await;
 }
 
 /// Passes a request to its route and returns the response; tests call this without a socket.
 pub async fn handle(kernel: Arc<Kernel>, request: Request<Body>) -> Response<Body> {
+    let connection = kernel.intakes.entry.detached_connection();
+    respond(kernel, connection, request).await
+}
+
+async fn respond(
+    kernel: Arc<Kernel>,
+    connection: Arc<ClientConnection>,
+    request: Request<Body>,
+) -> Response<Body> {
     let request_id = fastrand::u64(..);
     let _in_flight = kernel.count_request();
     let path = request.uri().path();
@@ -169,8 +150,8 @@
         Some(route) => {
             let rest = path[route.prefix.len()..].to_owned();
             let handler = route.handler.clone();
-            let response =
-                handler(kernel.clone(), EntryRequest { http: request, request_id, rest });
+            let request = EntryRequest { http: request, request_id, rest, connection };
+            let response = handler(kernel.clone(), request);
             respond_before_stop_ends(&kernel, request_id, response).await
         }
         None => {
--- a/crates/kernel/src/http/problem.rs
+++ b/crates/kernel/src/http/problem.rs
@@ -55,6 +55,8 @@
     INVALID = "invalid", 422, "The content is well formed, but cannot be accepted.";
     OVER_LIMIT = "over-limit", 429, "The team has as much running as its limit allows.";
     QUEUE_FULL = "queue-full", 429, "The queue is full, and the team is furthest over its share.";
+    OVERLOADED = "overloaded", 503,
+        "The daemon has no room for the body, or it did not arrive in time; retry later.";
     CUT_OFF = "cut-off", 503,
         "The daemon reaches neither the table service nor its peers and cannot check keys.";
     NO_UPSTREAM = "no-upstream", 503, "No upstream of the service accepts work now.";
--- a/crates/kernel/src/kernel.rs
+++ b/crates/kernel/src/kernel.rs
@@ -17,6 +17,7 @@
 use crate::http::client::HttpClient;
 use crate::http::control::{self, ControlRoute};
 use crate::http::entry::{self, EntryRoute};
+use crate::http::intake::Intakes;
 use crate::keys::{PresentedKey, parse_digest, secrets_match};
 use crate::network::Network;
 use crate::platform::Platform;
@@ -71,6 +72,8 @@
     pub wake_signals: WakeSignals,
     /// Tasks that run until the daemon stops.
     pub tasks: TaskTree,
+    /// Bounds on what the listeners take in.
+    pub intakes: Intakes,
     /// Tasks of callers' requests, which a stop lets finish.
     pub request_tasks: TaskTree,
     plugins: Vec<Plugin>,
@@ -132,12 +135,14 @@
         let entry_routes = plugins.iter().flat_map(|plugin| plugin.entry_routes.clone()).collect();
         let control_routes =
             plugins.iter().flat_map(|plugin| plugin.control_routes.clone()).collect();
+        let tasks = TaskTree::new();
         Ok(Arc::new(Kernel {
+            intakes: Intakes::new(&settings.intake, &tasks),
             store: Store::new(platform.clone(), clock.clone()),
             client: HttpClient::new(network.clone()),
             network,
             wake_signals: WakeSignals::default(),
-            tasks: TaskTree::new(),
+            tasks,
             request_tasks: TaskTree::new(),
             control_address: OnceLock::new(),
             incarnation: fastrand::u64(..),
@@ -289,9 +294,7 @@
         self.start_plugins().await?;
         let (kernel, stop) = (self.clone(), self.tasks.stop_token());
         self.tasks.spawn("control listener", async move {
-            if let Err(error) = control::serve(kernel, control_listener, stop).await {
-                log::error!("the control listener failed: {error}");
-            }
+            control::serve(kernel, control_listener, stop).await;
         });
         self.request_tasks.spawn("entry listener", entry::serve(self.clone(), entry_listener));
         self.ready.store(true, Ordering::Release);
--- a/crates/kernel/src/metric.rs
+++ b/crates/kernel/src/metric.rs
@@ -115,6 +115,12 @@
         "Moves and upkeep that were asked of the machine service, by outcome.";
     ENTRIES_REJECTED = "wasabiswitch_entries_rejected_total", Counter,
         "Invalid entries of the platform's lists that were skipped, by list.";
+    INTAKE_CONNECTIONS = "wasabiswitch_intake_connections", Gauge,
+        "Connections of clients, by listener.";
+    INTAKE_BYTES = "wasabiswitch_intake_bytes", Gauge,
+        "Bytes of bodies that are being read or are held by requests, by listener.";
+    INTAKE_REFUSALS = "wasabiswitch_intake_refusals_total", Counter,
+        "Requests and connections that were refused or closed at a limit, by listener and limit.";
     TASK_PANICS = "wasabiswitch_task_panics_total", Counter,
         "Tasks that panicked, by task.";
 }
--- a/crates/kernel/src/settings.rs
+++ b/crates/kernel/src/settings.rs
@@ -10,9 +10,11 @@
 use wasabiswitch_derive::derives;
 use wasabiswitch_policy::fleet::Limits;
 use wasabiswitch_policy::ids::{DaemonId, DataCentre};
+use wasabiswitch_policy::intake::{ConnectionLimits, FILE_DESCRIPTORS, default_bounds};
 use wasabiswitch_policy::session::LeaseTimes;
 
 use crate::document::{Errors, Fields, LocatedError, Node, parse};
+use crate::http::intake::IntakeBounds;
 
 /// Platform on which the daemon runs, with its addresses.
 #[derives(record)]
@@ -43,6 +45,38 @@
     pub limits: Limits,
 }
 
+/// Size of the instance, and limits on what the listeners take in from clients.
+#[derives(value)]
+pub struct IntakeSettings {
+    /// Memory of the instance, in MiB.
+    pub memory_mib: u32,
+    /// Descriptors of the instance.
+    pub descriptors: u32,
+    /// Bytes of bodies that the entry listener holds; `None` for a part of the memory.
+    pub bytes_max: Option<u32>,
+    /// Connections of the entry listener; `None` for what memory and descriptors allow.
+    pub connections_max: Option<u32>,
+    /// Connections of the entry listener from one address; zero for no bound.
+    pub connections_per_address_max: u32,
+    /// Limits on each connection of all listeners.
+    pub connection: ConnectionLimits,
+}
+
+impl IntakeSettings {
+    /// Returns the bounds of the entry listener in a process with the given limit on descriptors.
+    pub fn entry_bounds(&self, process_descriptors: Option<u32>) -> IntakeBounds {
+        let descriptors = process_descriptors.unwrap_or(u32::MAX).min(self.descriptors);
+        let defaults = default_bounds(self.memory_mib, descriptors);
+        let connections_max = self.connections_max.unwrap_or(defaults.entry_connections_max);
+        IntakeBounds {
+            bytes_max: self.bytes_max.map_or(defaults.entry_bytes_max, u64::from),
+            connections_max: connections_max as usize,
+            connections_per_address_max: self.connections_per_address_max as usize,
+            connection: self.connection,
+        }
+    }
+}
+
 /// The settings of a daemon.
 #[derives(record)]
 pub struct Settings {
@@ -78,6 +112,8 @@
     pub stop_timeout: Duration,
     /// Time from the signal of a stop after which the platform kills the daemon, if it does.
     pub termination_grace: Option<Duration>,
+    /// Limits on what the listeners take in.
+    pub intake: IntakeSettings,
     /// Level of the least severe messages that are logged.
     pub log_level: String,
     /// Number of worker threads; zero for one per core.
@@ -112,6 +148,16 @@
     SettingsField { name: "drain_notice_ms", default: "1000" },
     SettingsField { name: "stop_timeout_ms", default: "30000" },
     SettingsField { name: "termination_grace_s", default: "none" },
+    SettingsField { name: "memory_mib", default: "160" },
+    SettingsField { name: "descriptors_max", default: "4100" },
+    SettingsField { name: "intake_bytes_max", default: "a quarter of the memory" },
+    SettingsField { name: "connections_max", default: "by memory and descriptors" },
+    SettingsField { name: "connections_per_address_max", default: "0" },
+    SettingsField { name: "head_max_bytes", default: "16384" },
+    SettingsField { name: "headers_max", default: "100" },
+    SettingsField { name: "head_timeout_ms", default: "10000" },
+    SettingsField { name: "body_timeout_ms", default: "15000" },
+    SettingsField { name: "body_pieces_max", default: "65536" },
     SettingsField { name: "log_level", default: "info" },
     SettingsField { name: "worker_threads", default: "0" },
 ];
@@ -122,6 +168,15 @@
 /// Minimum duration of a lease, which leaves time for three renewals.
 const LEASE_MIN: Duration = Duration::from_millis(300);
 
+/// Memory of the smallest instance, in MiB, which is assumed for an instance whose settings do not state it.
+const SMALLEST_MEMORY_MIB: u32 = 160;
+/// Memory below which no budget holds the largest submission.
+const MEMORY_MIN_MIB: u32 = 16;
+/// Descriptors of the smallest instance, which are assumed for an instance whose settings do not state them.
+const SMALLEST_DESCRIPTORS: u32 = 4_100;
+/// Minimum of the budget for bodies, in bytes: room for several of the largest submissions.
+const INTAKE_BYTES_MIN: u32 = 1 << 20;
+
 /// Minimum length of the peer key, in bytes.
 const PEER_KEY_MIN_BYTES: usize = 16;
 
@@ -193,11 +248,63 @@
         drain_notice: millis(fields, "drain_notice_ms", 1_000),
         stop_timeout: millis(fields, "stop_timeout_ms", 30_000),
         termination_grace: fields.decimal_seconds("termination_grace_s"),
+        intake: intake(fields),
         log_level: log_level(fields),
         worker_threads: size(fields, "worker_threads", 0),
     }
 }
 
+/// Reads the limits on what the listeners take in.
+fn intake(fields: &mut Fields<'_>) -> IntakeSettings {
+    // The platform states the memory with a fraction where it has one.
+    let memory_mib = fields.decimal("memory_mib").map_or(SMALLEST_MEMORY_MIB, |mib| mib as u32);
+    if memory_mib < MEMORY_MIN_MIB {
+        fields.reject("memory_mib", format!("expected at least {MEMORY_MIN_MIB}"));
+    }
+    let mut bounded = |name: &str, default: u32, min: u32, max: u32| {
+        let value = fields.number_u32(name).unwrap_or(default);
+        if (min..=max).contains(&value) {
+            return value;
+        }
+        fields.reject(name, format!("expected a whole number from {min} to {max}"));
+        default
+    };
+    let descriptors =
+        bounded("descriptors_max", SMALLEST_DESCRIPTORS, 2 * FILE_DESCRIPTORS, 1 << 24);
+    let millis = |value: u32| Duration::from_millis(u64::from(value));
+    let connection = ConnectionLimits {
+        head_max_bytes: bounded("head_max_bytes", 16 << 10, 8 << 10, 1 << 20) as usize,
+        headers_max: bounded("headers_max", 100, 8, 10_000) as usize,
+        head_timeout: millis(bounded("head_timeout_ms", 10_000, 100, 3_600_000)),
+        body_timeout: millis(bounded("body_timeout_ms", 15_000, 100, 3_600_000)),
+        body_pieces_max: bounded("body_pieces_max", 64 << 10, 1 << 10, u32::MAX),
+    };
+    let memory_half = (u64::from(memory_mib) << 20) / 2;
+    let bytes_limit = u32::try_from(memory_half).unwrap_or(u32::MAX);
+    let connections_limit = descriptors - FILE_DESCRIPTORS;
+    let mut optional = |name: &str, min: u32, max: u32, reason: &str| {
+        let value = fields.number_u32(name)?;
+        if (min..=max).contains(&value) {
+            return Some(value);
+        }
+        fields.reject(name, format!("expected a whole number from {min} to {max}, {reason}"));
+        None
+    };
+    let half = "half of memory_mib";
+    let bytes_max = optional("intake_bytes_max", INTAKE_BYTES_MIN, bytes_limit, half);
+    let rest = "descriptors_max less 200 for files";
+    let connections_max = optional("connections_max", 1, connections_limit, rest);
+    let connections_per_address_max = size(fields, "connections_per_address_max", 0) as u32;
+    IntakeSettings {
+        memory_mib,
+        descriptors,
+        bytes_max,
+        connections_max,
+        connections_per_address_max,
+        connection,
+    }
+}
+
 fn size(fields: &mut Fields<'_>, name: &str, default: usize) -> usize {
     fields.number_u32(name).map_or(default, |number| number as usize)
 }
--- a/crates/kernel/tests/settings_and_config.rs
+++ b/crates/kernel/tests/settings_and_config.rs
@@ -137,6 +137,45 @@
     .assert_eq(&lines(&errors));
 }
 
+/// Guards against limits on clients that contradict each other or that `hyper` does not accept.
+#[test]
+fn limits_on_clients_are_checked_together() {
+    let text = r#"{"daemon": "d", "data_centre": "dc", "entry_listen": "127.0.0.1:0",
+        "control_listen": "127.0.0.1:0", "peer_key": "peer-key-of-the-tests",
+        "platform": {"embedded": true}, "memory_mib": 8, "descriptors_max": 1000,
+        "connections_max": 900, "intake_bytes_max": 90000000, "head_max_bytes": 100,
+        "body_timeout_ms": 0}"#;
+    let errors = read_text("daemon.json", text).expect_err("the settings have errors");
+    expect![[r#"
+        daemon.json:1:1: body_timeout_ms: expected a whole number from 100 to 3600000
+        daemon.json:1:1: connections_max: expected a whole number from 1 to 800, descriptors_max less 200 for files
+        daemon.json:1:1: head_max_bytes: expected a whole number from 8192 to 1048576
+        daemon.json:1:1: intake_bytes_max: expected a whole number from 1048576 to 4194304, half of memory_mib
+        daemon.json:1:1: memory_mib: expected at least 16
+    "#]].assert_eq(&lines(&errors));
+}
+
+/// Guards against limits that a daemon on a small instance, or in a process with few descriptors, exceeds.
+#[test]
+fn limits_on_clients_follow_from_the_size_of_the_instance() {
+    let read = |size: &str| {
+        let text = format!(
+            r#"{{"daemon": "d", "data_centre": "dc", "entry_listen": "127.0.0.1:0",
+                "control_listen": "127.0.0.1:0", "peer_key": "peer-key-of-the-tests",
+                "platform": {{"embedded": true}} {size}}}"#
+        );
+        read_text("settings", &text).expect("the settings are valid").intake
+    };
+    let bounds = |size: &str, process| {
+        let bounds = read(size).entry_bounds(process);
+        (bounds.bytes_max >> 20, bounds.connections_max)
+    };
+    assert_eq!(bounds("", None), (40, 1_280));
+    assert_eq!(bounds("", Some(1_000)), (40, 400));
+    assert_eq!(bounds(r#", "memory_mib": 512.5, "descriptors_max": 8192"#, None), (128, 3_996));
+    assert_eq!(bounds(r#", "connections_max": 9, "intake_bytes_max": 2097152"#, None), (2, 9));
+}
+
 #[test]
 fn settings_field_list_matches_the_reader() {
     // A file with every listed field and one other: only the other one is reported as unknown.
--- a/crates/plugins/src/jobs/routes.rs
+++ b/crates/plugins/src/jobs/routes.rs
@@ -11,10 +11,10 @@
 use wasabiswitch_kernel::http::control::{ControlReply, ControlRequest, ControlResult};
 use wasabiswitch_kernel::http::entry::EntryRequest;
 use wasabiswitch_kernel::http::problem::{
-    BAD_KEY, BAD_REQUEST, BODY_TOO_LARGE, INVALID, NOT_FOUND, NOT_YOURS, OTHER_REQUEST, Problem,
-    QUEUE_FULL, VERDICT_HEADER, verdict_value,
+    BAD_KEY, BAD_REQUEST, INVALID, NOT_FOUND, NOT_YOURS, OTHER_REQUEST, Problem, QUEUE_FULL,
+    VERDICT_HEADER, verdict_value,
 };
-use wasabiswitch_kernel::http::{Body, ReadBodyError, full_body, read_body};
+use wasabiswitch_kernel::http::{Body, full_body, read_body};
 use wasabiswitch_kernel::store::CallClass;
 use wasabiswitch_policy::Verdict;
 use wasabiswitch_policy::config::Principal;
@@ -102,16 +102,17 @@
     request: EntryRequest,
 ) -> Result<(StatusCode, serde_json::Value, Verdict), Problem> {
     check_admission(kernel)?;
+    let connection = request.connection.clone();
     let (head, body) = split_request(request);
     let caller = caller(kernel, &head)?;
     let idempotency_key = head.headers.get("idempotency-key").map(HeaderValue::as_bytes);
-    let body = read_body(body, BODY_MAX_BYTES).await.map_err(|error| match error {
-        ReadBodyError::TooLarge => {
-            let detail = format!("a submission has at most {BODY_MAX_BYTES} bytes");
-            Problem::not_run(BODY_TOO_LARGE, detail)
-        }
-        ReadBodyError::Broken(_) => Problem::not_run(BAD_REQUEST, error.to_string()),
-    })?;
+    if let Some((_, team)) = &caller {
+        connection.set_caller(team);
+    }
+    let too_large = || format!("a submission has at most {BODY_MAX_BYTES} bytes");
+    let body = read_body(body, BODY_MAX_BYTES, &connection)
+        .await
+        .map_err(|error| error.into_problem(too_large))?;
     let body: SubmitBody = json_body(&body)?;
     let spec = build_spec(kernel, body, caller)?;
     let id = job_id(&spec.team, idempotency_key);
--- a/crates/plugins/src/live/forward.rs
+++ b/crates/plugins/src/live/forward.rs
@@ -16,7 +16,7 @@
     DEADLINE, NO_UPSTREAM, Problem, REQUEST_ID_HEADER, UPSTREAM_FAILED, VERDICT_HEADER,
     WRONG_ANSWER, verdict_value,
 };
-use wasabiswitch_kernel::http::{Body, BodyError, full_body};
+use wasabiswitch_kernel::http::{Body, BodyError, full_body, read_body};
 use wasabiswitch_kernel::{Kernel, metric};
 use wasabiswitch_policy::Verdict;
 use wasabiswitch_policy::ids::FailureDomain;
@@ -306,11 +306,11 @@
     let is_small =
         request.body.size_hint().upper().is_some_and(|upper| upper <= REPLAY_BODY_MAX_BYTES);
     let body = if is_small {
-        let collected = request.body.collect().await.map_err(|error| {
-            let detail = format!("the body could not be read: {error}");
-            Problem::not_run(wasabiswitch_kernel::http::problem::BAD_REQUEST, detail)
-        })?;
-        OutgoingBody::Buffered(collected.to_bytes())
+        let max_bytes = REPLAY_BODY_MAX_BYTES as usize;
+        let collected = read_body(request.body, max_bytes, &request.connection)
+            .await
+            .map_err(|error| error.into_problem(|| "the body is longer than declared".into()))?;
+        OutgoingBody::Buffered(collected)
     } else {
         OutgoingBody::Streamed(Some(request.body), Arc::default())
     };
--- a/crates/plugins/src/live/idempotency.rs
+++ b/crates/plugins/src/live/idempotency.rs
@@ -13,10 +13,10 @@
 use http::{Response, StatusCode};
 use http_body_util::BodyExt as _;
 use wasabiswitch_kernel::http::problem::{
-    ANSWER_NOT_KEPT, BAD_REQUEST, BODY_TOO_LARGE, CUT_OFF, IN_DOUBT, OTHER_REQUEST, Problem,
-    UPSTREAM_FAILED, VERDICT_HEADER, verdict_value,
+    ANSWER_NOT_KEPT, BAD_REQUEST, CUT_OFF, IN_DOUBT, OTHER_REQUEST, Problem, UPSTREAM_FAILED,
+    VERDICT_HEADER, verdict_value,
 };
-use wasabiswitch_kernel::http::{Body, ReadBodyError, full_body, read_body};
+use wasabiswitch_kernel::http::{Body, full_body, read_body};
 use wasabiswitch_kernel::store::{CallClass, CallOptions, Change};
 use wasabiswitch_kernel::{Kernel, metric};
 use wasabiswitch_policy::Verdict;
@@ -83,13 +83,14 @@
     let max_bytes = kernel.settings.once_body_max_bytes;
     let body = std::mem::replace(&mut request.body, full_body(Bytes::new()));
     let remaining = request.deadline.saturating_duration_since(kernel.clock.now());
-    let collected = match tokio::time::timeout(remaining, read_body(body, max_bytes)).await {
+    let collected = read_body(body, max_bytes, &request.connection);
+    let collected = match tokio::time::timeout(remaining, collected).await {
         Ok(Ok(collected)) => collected,
-        Ok(Err(ReadBodyError::TooLarge)) => {
-            let detail = format!("a request with an idempotency key has at most {max_bytes} bytes");
-            return Err(Problem::not_run(BODY_TOO_LARGE, detail));
+        Ok(Err(error)) => {
+            let too_large =
+                || format!("a request with an idempotency key has at most {max_bytes} bytes");
+            return Err(error.into_problem(too_large));
         }
-        Ok(Err(error)) => return Err(Problem::not_run(BAD_REQUEST, error.to_string())),
         Err(_) => {
             let detail = "the body did not arrive before the deadline";
             return Err(Problem::not_run(BAD_REQUEST, detail));
--- a/crates/plugins/src/live/request.rs
+++ b/crates/plugins/src/live/request.rs
@@ -8,6 +8,7 @@
 use wasabiswitch_kernel::Kernel;
 use wasabiswitch_kernel::http::Body;
 use wasabiswitch_kernel::http::entry::{EntryRequest, request_id_value};
+use wasabiswitch_kernel::http::intake::ClientConnection;
 use wasabiswitch_kernel::http::problem::{BAD_KEY, BAD_REQUEST, NOT_FOUND, NOT_YOURS, Problem};
 use wasabiswitch_policy::config::Principal;
 use wasabiswitch_policy::ids::{PoolId, ServiceId, TeamId};
@@ -37,6 +38,8 @@
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Body,
+    /// Connection on which the request arrived.
+    pub(crate) connection: Arc<ClientConnection>,
     pub(crate) idempotency_key: Option<String>,
     pub(crate) deadline: Instant,
 }
@@ -58,6 +61,7 @@
 pub(crate) fn accept(kernel: &Arc<Kernel>, request: EntryRequest) -> Result<LiveRequest, Problem> {
     let now = kernel.clock.now();
     let team = authenticate_team(kernel, request.http.headers())?;
+    request.connection.set_caller(&team);
     let (name, path) = request.rest.split_once('/').unwrap_or((&request.rest, ""));
     let active = kernel.config();
     let (service_id, service) = active
@@ -84,6 +88,7 @@
         idempotency_key,
         headers: head.headers,
         body,
+        connection: request.connection,
         deadline,
     })
 }
