--- a/crates/kernel/src/settings.rs
+++ b/crates/kernel/src/settings.rs
@@ -50,8 +50,8 @@
 pub struct IntakeSettings {
     /// Memory of the instance, in MiB.
     pub memory_mib: u32,
-    /// Descriptors of the instance.
-    pub descriptors: u32,
+    /// Descriptors of the instance; `None` for what the process has, at most those of the smallest instance.
+    pub descriptors: Option<u32>,
     /// Bytes of bodies that the entry listener holds; `None` for a part of the memory.
     pub bytes_max: Option<u32>,
     /// Connections of the entry listener; `None` for what memory and descriptors allow.
@@ -64,8 +64,11 @@
 
 impl IntakeSettings {
     /// Returns the bounds of the entry listener in a process with the given limit on descriptors.
+    ///
+    /// The settings go first: a platform may count descriptors by its own rules and state no such limit to the process.
     pub fn entry_bounds(&self, process_descriptors: Option<u32>) -> IntakeBounds {
-        let descriptors = process_descriptors.unwrap_or(u32::MAX).min(self.descriptors);
+        let of_process = process_descriptors.unwrap_or(u32::MAX).min(SMALLEST_DESCRIPTORS);
+        let descriptors = self.descriptors.unwrap_or(of_process);
         let defaults = default_bounds(self.memory_mib, descriptors);
         let connections_max = self.connections_max.unwrap_or(defaults.entry_connections_max);
         IntakeBounds {
@@ -269,8 +272,6 @@
         fields.reject(name, format!("expected a whole number from {min} to {max}"));
         default
     };
-    let descriptors =
-        bounded("descriptors_max", SMALLEST_DESCRIPTORS, 2 * FILE_DESCRIPTORS, 1 << 24);
     let millis = |value: u32| Duration::from_millis(u64::from(value));
     let connection = ConnectionLimits {
         head_max_bytes: bounded("head_max_bytes", 16 << 10, 8 << 10, 1 << 20) as usize,
@@ -279,9 +280,15 @@
         body_timeout: millis(bounded("body_timeout_ms", 15_000, 100, 3_600_000)),
         body_pieces_max: bounded("body_pieces_max", 64 << 10, 1 << 10, u32::MAX),
     };
+    let descriptors = fields.number_u32("descriptors_max");
+    let descriptors_min = 2 * FILE_DESCRIPTORS;
+    if descriptors.is_some_and(|descriptors| descriptors < descriptors_min) {
+        fields.reject("descriptors_max", format!("expected at least {descriptors_min}"));
+    }
     let memory_half = (u64::from(memory_mib) << 20) / 2;
     let bytes_limit = u32::try_from(memory_half).unwrap_or(u32::MAX);
-    let connections_limit = descriptors - FILE_DESCRIPTORS;
+    let usable_descriptors = descriptors.unwrap_or(SMALLEST_DESCRIPTORS).max(descriptors_min);
+    let connections_limit = usable_descriptors - FILE_DESCRIPTORS;
     let mut optional = |name: &str, min: u32, max: u32, reason: &str| {
         let value = fields.number_u32(name)?;
         if (min..=max).contains(&value) {
