--- a/crates/policy/tests/fleet_engine/overload.rs
+++ b/crates/policy/tests/fleet_engine/overload.rs
@@ -103,7 +103,7 @@
                     self.sim.submit(caller.job.clone());
                 }
                 Admission::TooLate { retry_after, .. } => caller.next_attempt = now + retry_after,
-                Admission::TooLarge => panic!("no job is too large"),
+                Admission::TooLarge | Admission::Evacuated { .. } => panic!("workers suffice"),
             }
         }
         self.sim.run(Duration::from_millis(10));
