--- a/crates/policy/src/fleet/admission.rs
+++ b/crates/policy/src/fleet/admission.rs
@@ -179,13 +179,22 @@
         // A job that is wider than the whole pool is no reason to leave an idle pool idle.
         let is_idle =
             accepted.ready_milli == 0 && free_milli as f64 >= room.capacity.milli * IDLE_SHARE;
-        if (is_idle && value_ms > 0.0) || (is_free && need.path_ms <= value_ms) {
+        if is_idle || is_free {
             return Some(value_end);
         }
+        // A caller that has been refused until its job has no value any more still wants it: it is taken on like one that
+        // calls for the first time and ends late, or else it would be refused for as long as others call.
+        let late_ms = if need.path_ms <= value_ms {
+            value_ms
+        } else {
+            need.objective_after(queue_settings).as_secs_f64()
+                * 1_000.0
+                * f64::from(VALUE_END_RATIO)
+        };
         let offered_milli = self.offered_loads.get(pool).map_or(0.0, |load| load.rate_milli(now));
         let arriving_milli = offered_milli.min(room.capacity.eventual_milli()) * ARRIVING_SHARE;
-        let left_over = room.work_within(value_ms - need.task_ms / 2.0) - arriving_milli * value_ms;
-        if need.path_ms <= value_ms && accepted.backlog + need.work <= left_over {
+        let left_over = room.work_within(late_ms - need.task_ms / 2.0) - arriving_milli * late_ms;
+        if need.path_ms <= late_ms && accepted.backlog + need.work <= left_over {
             return Some(value_end);
         }
         None
