--- a/crates/kernel/src/config_document.rs
+++ b/crates/kernel/src/config_document.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use wasabiswitch_policy::config::{
-    Config, Instance, Key, Pool, Principal, Queue, Service, Team, check,
+    CheckError, Config, Instance, Key, Pool, Principal, Queue, Service, Team, check,
 };
 use wasabiswitch_policy::merge::{EntryKey, File, FileEntry, merge};
 
@@ -23,6 +23,9 @@
 /// Extension of configuration files; other files in the folder are ignored.
 const FILE_EXTENSION: &str = "json";
 
+/// Name that stands for a file in the positions of entries that are in no file, such as granted keys.
+const FILE_IN_FORCE: &str = "(in force)";
+
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(10);
 const DEFAULT_KEEP_ANSWERS: Duration = Duration::from_secs(24 * 60 * 60);
 const DEFAULT_ATTEMPTS_MAX: u32 = 3;
@@ -66,7 +69,8 @@
     read_texts_as_config(&texts).map_err(FolderError::Content)
 }
 
-fn read_texts(path: &Path) -> Result<Vec<(String, String)>, FolderError> {
+/// Reads the configuration files of a folder as pairs of name and text.
+pub(crate) fn read_texts(path: &Path) -> Result<Vec<(String, String)>, FolderError> {
     let io_error = |path: &Path, error| FolderError::Io { path: path.display().to_string(), error };
     let listing = std::fs::read_dir(path).map_err(|error| io_error(path, error))?;
     let mut texts = Vec::new();
@@ -84,19 +88,67 @@
 
 /// Reads and checks files, given as pairs of name and text.
 pub fn read_texts_as_config(texts: &[(String, String)]) -> Result<ConfigDocument, Errors> {
+    let mut located = read_located(texts);
+    if located.errors.is_empty() {
+        located.errors = semantic_errors(&located.document.config, &located);
+    }
+    if located.errors.is_empty() { Ok(located.document) } else { Err(located.errors) }
+}
+
+/// Content of a folder with the positions of its entries, before the semantic checks.
+pub(crate) struct LocatedDocument {
+    /// Entries and configuration, without the parts that `errors` is about.
+    pub(crate) document: ConfigDocument,
+    /// Errors of syntax and types, sorted.
+    pub(crate) errors: Errors,
+    /// Entries that a file removes although no earlier file contains them.
+    pub(crate) unused_removals: Vec<(EntryKey, Position)>,
+    merged: Merged,
+    positions: Positions,
+}
+
+impl LocatedDocument {
+    /// Returns the position of a field, or of its entry if no file sets the field; `None` if the folder does
+    /// not contain the entry.
+    pub(crate) fn position(&self, section: &str, name: &str, field: &str) -> Option<Position> {
+        let key = (section.to_owned(), name.to_owned());
+        let fields = self.merged.get(&key)?;
+        let position = fields.get(field).map(|tree| &tree.position);
+        position.or_else(|| self.positions.get(&key)).cloned()
+    }
+}
+
+/// Reads files, given as pairs of name and text, without the semantic checks.
+pub(crate) fn read_located(texts: &[(String, String)]) -> LocatedDocument {
     let mut errors = Errors::new();
     let mut files = Vec::new();
     let mut positions = Positions::new();
+    let mut removals = Vec::new();
     for (name, text) in texts {
         match parse(name, text) {
-            Ok(tree) => files.push(read_file(name, &tree, &mut positions, &mut errors)),
+            Ok(tree) => {
+                files.push(read_file(name, &tree, &mut positions, &mut removals, &mut errors));
+            }
             Err(error) => errors.push(error),
         }
     }
     let merged = merge(&files);
     let document = read_merged(&merged, &positions, &mut errors);
     errors.sort();
-    if errors.is_empty() { Ok(document) } else { Err(errors) }
+    let unused_removals = find_unused_removals(&files, removals);
+    LocatedDocument { document, errors, unused_removals, merged, positions }
+}
+
+/// Returns those of `removals` whose entry no file with an earlier name contains.
+fn find_unused_removals(
+    files: &[File<Tree>],
+    removals: Vec<(EntryKey, Position)>,
+) -> Vec<(EntryKey, Position)> {
+    let is_unused = |(key, position): &(EntryKey, Position)| {
+        let earlier = files.iter().filter(|file| *file.name < *position.file);
+        !earlier.flat_map(|file| &file.entries).any(|e| e.key == *key && e.fields.is_some())
+    };
+    removals.into_iter().filter(is_unused).collect()
 }
 
 /// Merged entries, whose fields may come from several files.
@@ -109,6 +161,7 @@
     name: &str,
     tree: &Tree,
     positions: &mut Positions,
+    removals: &mut Vec<(EntryKey, Position)>,
     errors: &mut Errors,
 ) -> File<Tree> {
     let mut entries = Vec::new();
@@ -123,7 +176,10 @@
             let key = (section.clone(), entry.clone());
             record_position(positions, &key, &entry_tree.position);
             let fields = match &entry_tree.node {
-                Node::Null => None,
+                Node::Null => {
+                    removals.push((key.clone(), entry_tree.position.clone()));
+                    None
+                }
                 _ => {
                     let path = format!("{section}.{entry}");
                     let fields = object_fields(entry_tree, &path, errors);
@@ -170,20 +226,25 @@
         let object = Tree { position, node: Node::Object(fields.clone()) };
         document.entries.insert(key.clone(), canonical(&object));
     }
-    if errors.is_empty() {
-        check_semantics(&document.config, merged, positions, errors);
-    }
     document
 }
 
-fn check_semantics(config: &Config, merged: &Merged, positions: &Positions, errors: &mut Errors) {
-    for error in check(config) {
-        let key = (error.section.to_owned(), error.name.clone());
-        let field_tree = merged.get(&key).and_then(|fields| fields.get(error.field));
-        let position = field_tree.map_or_else(|| positions[&key].clone(), |t| t.position.clone());
+/// Returns the semantic errors of a configuration at their positions in a folder, sorted.
+pub(crate) fn semantic_errors(config: &Config, located: &LocatedDocument) -> Errors {
+    let locate = |error: CheckError| {
+        let position = located.position(error.section, &error.name, error.field);
         let field = format!("{}.{}.{}", error.section, error.name, error.field);
-        errors.push(LocatedError { position, field, detail: error.detail });
-    }
+        let position = position.unwrap_or_else(position_in_force);
+        LocatedError { position, field, detail: error.detail }
+    };
+    let mut errors: Errors = check(config).into_iter().map(locate).collect();
+    errors.sort();
+    errors
+}
+
+/// Returns the position of an entry that is in no file, but in the configuration in force.
+pub(crate) fn position_in_force() -> Position {
+    Position { file: FILE_IN_FORCE.into(), line: 1, column: 1 }
 }
 
 /// Reads stored entries without the semantic checks, which were made when the entries were accepted.
--- a/crates/kernel/src/document/mod.rs
+++ b/crates/kernel/src/document/mod.rs
@@ -6,13 +6,14 @@
 mod fields;
 
 use std::collections::BTreeMap;
-use std::fmt;
+use std::fmt::{self, Write as _};
 use std::sync::Arc;
 
 use jsonc_parser::ast;
 use jsonc_parser::common::Ranged as _;
 use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast};
 use wasabiswitch_derive::derives;
+use wasabiswitch_policy::config_check::Severity;
 
 pub use fields::{Errors, Fields};
 
@@ -55,6 +56,37 @@
     }
 }
 
+/// Error or warning about the content of a file, with its position.
+#[derives(record)]
+#[derive(Eq, PartialOrd, Ord)]
+pub struct LocatedFinding {
+    /// Position of the value at fault, or of its object.
+    pub position: Position,
+    /// Path of the field, separated by dots; empty for the file as a whole.
+    pub field: String,
+    /// Effect of the finding.
+    pub severity: Severity,
+    /// Description of the finding.
+    pub detail: String,
+}
+
+impl fmt::Display for LocatedFinding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (position, severity) = (self.position.to_string(), self.severity.as_str());
+        let field = if self.field.is_empty() { "" } else { ": " };
+        let line = format!("{position}{field}{}: {severity}: {}", self.field, self.detail);
+        // Names may contain line breaks, and each finding is one line.
+        for character in line.chars() {
+            if character.is_control() {
+                write!(f, "{}", character.escape_default())?;
+            } else {
+                f.write_char(character)?;
+            }
+        }
+        Ok(())
+    }
+}
+
 /// JSON value with its position.
 #[derives(record)]
 pub struct Tree {
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -35,8 +35,8 @@
 - [`clock`], [`network`] and [`platform`]: time, connections and the platform, as structs of functions.
 - [`store`]: conditional writes, with lost responses resolved by reading back.
 - [`http`]: the two listeners, the HTTP client and problem responses.
-- [`document`], [`settings`] and [`config_document`]: settings and configuration files, whose errors have
-  positions.
+- [`document`], [`settings`], [`config_document`] and [`config_findings`]: settings and configuration files, whose
+  errors and warnings have positions.
 
 The kernel depends on no plug-in and makes no decisions: the decisions are in `wasabiswitch-policy`.
 docs/DESIGN.md describes the design, and docs/DEVELOPERS.md the place of new code.
@@ -44,6 +44,7 @@
 
 pub mod clock;
 pub mod config_document;
+pub mod config_findings;
 pub mod document;
 pub mod error;
 pub mod http;
--- a/crates/policy/src/fleet/mod.rs
+++ b/crates/policy/src/fleet/mod.rs
@@ -29,6 +29,7 @@
 //! | [`fairness`] | fair shares of teams in a full pool |
 //! | [`calls`] | calls to a queue and their replies |
 //! | [`config`] | the configuration, and the queue and team of a call |
+//! | [`config_check`] | entries of the configuration that have no effect |
 //! | [`pace`] | throttling of filler tasks beside tasks with a latency target |
 //! | [`maintenance`] | order of the instances in a maintenance wave |
 //! | [`evacuation`] | evacuation of data centres, and the return of their workers |
@@ -41,6 +42,7 @@
 pub mod advice;
 pub mod calls;
 pub mod config;
+pub mod config_check;
 pub mod demand_forecast;
 pub mod evacuation;
 pub mod fairness;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod breaker;
 pub mod burn;
 pub mod config;
+pub mod config_check;
 pub mod demand;
 pub mod fleet;
 pub mod generation;
