--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -9,8 +9,8 @@
 #[derive(FromArgs)]
 pub(crate) struct Arguments {
     /// address of a daemon's control listener (default 127.0.0.1:8081)
-    #[argh(option, default = "SocketAddr::from(([127, 0, 0, 1], 8081))")]
-    pub(crate) server: SocketAddr,
+    #[argh(option)]
+    pub(crate) server: Option<SocketAddr>,
     /// address of a daemon's entry listener, for job commands (default 127.0.0.1:8080)
     #[argh(option, default = "SocketAddr::from(([127, 0, 0, 1], 8080))")]
     pub(crate) entry: SocketAddr,
@@ -55,13 +55,17 @@
     Show(ConfigShow),
 }
 
-/// Validate a configuration folder and print all errors.
+/// Print all errors of a configuration folder, and warnings about entries without effect; with --server, also the
+/// changes that applying it would make. Exit codes: 0 no findings, 1 warnings only, 2 errors.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "check")]
 pub(crate) struct ConfigCheck {
     /// configuration folder
     #[argh(positional)]
-    pub(crate) folder: PathBuf,
+    pub(crate) folder: Option<PathBuf>,
+    /// check a file with the configuration of the users' platform (value of the row op/config) instead of a folder
+    #[argh(option)]
+    pub(crate) platform: Option<PathBuf>,
 }
 
 /// Show the changes that applying a configuration folder would make.
--- a/crates/cli/src/config.rs
+++ b/crates/cli/src/config.rs
@@ -1,4 +1,5 @@
-//! Configuration commands: check, compare and apply a folder, and show the configuration in force.
+//! Configuration commands: compare and apply a folder, and show the configuration in force; [`crate::config_check`]
+//! checks one.
 
 use std::path::Path;
 
@@ -8,20 +9,21 @@
 };
 use wasabiswitch_policy::merge::{Change, diff};
 
-use crate::Exit;
 use crate::arguments::ConfigAction;
 use crate::client::{CommandError, DaemonClient};
 use crate::output::{print_list, print_object};
+use crate::{Exit, config_check};
 
+/// Runs an action; without `--server`, `check` does not use the daemon.
 pub(crate) async fn run(
     daemon: &DaemonClient,
+    server_given: bool,
     json: bool,
     action: &ConfigAction,
 ) -> Result<Exit, CommandError> {
     match action {
         ConfigAction::Check(options) => {
-            let document = read_document(&options.folder)?;
-            print_object(json, &json!({ "errors": 0, "entries": document.entries.len() }));
+            return config_check::run(server_given.then_some(daemon), json, options).await;
         }
         ConfigAction::Show(_) => {
             print_list(json, &daemon.get("/v1/config").await?, "entries");
@@ -61,7 +63,7 @@
 }
 
 /// Returns the entries of a response of `GET /v1/config`.
-fn parse_entries(current: &Value) -> Entries {
+pub(crate) fn parse_entries(current: &Value) -> Entries {
     let entries = current["entries"].as_array().into_iter().flatten();
     entries
         .map(|entry| {
@@ -71,7 +73,7 @@
         .collect()
 }
 
-fn changes_to_json(changes: &[Change<String>]) -> Vec<Value> {
+pub(crate) fn changes_to_json(changes: &[Change<String>]) -> Vec<Value> {
     let changes = changes.iter().map(|((section, name), text)| {
         let value: Option<Value> = text.as_ref().and_then(|text| serde_json::from_str(text).ok());
         json!({ "section": section, "name": name, "value": value })
@@ -79,7 +81,7 @@
     changes.collect()
 }
 
-fn print_changes(json: bool, generation: u64, changes: &[Change<String>]) {
+pub(crate) fn print_changes(json: bool, generation: u64, changes: &[Change<String>]) {
     if json {
         println!("{}", json!({ "generation": generation, "changes": changes_to_json(changes) }));
         return;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,11 +6,13 @@
 //! ```
 //!
 //! The API key is read from the environment variable `WASABISWITCH_KEY`. The exit code is 0 if the command succeeded, 1
-//! if it failed and has not run, 2 for wrong usage or invalid input, and 3 if it failed and may have run.
+//! if it failed and has not run, 2 for wrong usage or invalid input, and 3 if it failed and may have run. `config check`
+//! also returns 1 if it has only warnings.
 
 mod arguments;
 mod client;
 mod config;
+mod config_check;
 mod evacuation;
 mod output;
 mod run;
@@ -21,17 +23,31 @@
 
 use crate::arguments::Arguments;
 
-/// Outcome of a command; the discriminant is the exit code of the process.
+/// Outcome of a command.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Exit {
     /// The command succeeded.
-    Done = 0,
+    Done,
+    /// A check has found warnings, but no errors.
+    Warnings,
     /// The command, or the job that it waited for, failed and has not run.
-    NotRun = 1,
+    NotRun,
     /// The usage is wrong, or the input is invalid.
-    BadInput = 2,
+    BadInput,
     /// The command, or the job that it waited for, failed and may have run.
-    MayHaveRun = 3,
+    MayHaveRun,
+}
+
+impl Exit {
+    /// Returns the exit code of the process.
+    fn code(self) -> u8 {
+        match self {
+            Exit::Done => 0,
+            Exit::Warnings | Exit::NotRun => 1,
+            Exit::BadInput => 2,
+            Exit::MayHaveRun => 3,
+        }
+    }
 }
 
 fn main() -> ExitCode {
@@ -47,7 +63,7 @@
         }
         Err(early_exit) => {
             eprintln!("{}", early_exit.output);
-            return ExitCode::from(Exit::BadInput as u8);
+            return ExitCode::from(Exit::BadInput.code());
         }
     };
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
@@ -58,5 +74,5 @@
             Exit::NotRun
         }
     };
-    ExitCode::from(exit as u8)
+    ExitCode::from(exit.code())
 }
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -1,5 +1,6 @@
 //! Commands of the operator: each sends requests to a daemon and prints the response.
 
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 use http::Method;
@@ -15,6 +16,8 @@
 use crate::output::{print_list, print_object};
 use crate::{Exit, config, evacuation};
 
+/// Address of the control listener if `--server` is not given; `config check` then works without a daemon.
+const DEFAULT_SERVER: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 8081);
 /// Time between two requests for the state of a job with `--wait`.
 const JOB_POLL_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -31,9 +34,12 @@
 
 async fn dispatch(arguments: &Arguments) -> Result<Exit, CommandError> {
     let json = arguments.json;
-    let daemon = DaemonClient::new(arguments.server);
+    let daemon = DaemonClient::new(arguments.server.unwrap_or(DEFAULT_SERVER));
     match &arguments.command {
-        Command::Config(command) => return config::run(&daemon, json, &command.action).await,
+        Command::Config(command) => {
+            let server_given = arguments.server.is_some();
+            return config::run(&daemon, server_given, json, &command.action).await;
+        }
         Command::Key(command) => run_key(&daemon, json, &command.action).await?,
         Command::Pool(command) => list(&daemon, json, &command.action, "pools").await?,
         Command::Team(command) => list(&daemon, json, &command.action, "teams").await?,
--- a/crates/cli/tests/process.rs
+++ b/crates/cli/tests/process.rs
@@ -58,9 +58,9 @@
     assert_eq!(output.status.code(), Some(2));
     let printed = lossy_utf8(&output.stderr);
     for line in [
-        "a.json:1:17: teams.t.limit_slots: the field is missing",
-        "a.json:1:26: teams.t.wait: the field is unknown",
-        "b.json:1:11: pools: expected an object, found a number",
+        "a.json:1:17: teams.t.limit_slots: error: the field is missing",
+        "a.json:1:26: teams.t.wait: error: the field is unknown",
+        "b.json:1:11: pools: error: expected an object, found a number",
     ] {
         assert!(printed.contains(line), "{line} is not in:\n{printed}");
     }
