Instances leave a pool as soon as its peak ends

Cause: a pool whose peak ended kept its instances while its slow load estimate fell, for about two seconds, and drained them in the order of the number of runs. The next pool was full only six seconds after the start of its peak.

Change: while the fast estimate is clearly below the slow one, a pool wants for work in time only what completes its accepted jobs by their objectives, and its backlog within 2 s. The instances that other pools miss are cordoned at once, those first that will be empty first by measured run times and progress.

--- a/crates/policy/src/fleet/offered_load.rs
+++ b/crates/policy/src/fleet/offered_load.rs
@@ -16,6 +16,10 @@
 /// Number of standard deviations by which the fast estimate must exceed a forecast to be used.
 const FAST_DEVIATIONS_MIN: f64 = 1.0;
 
+/// Number of standard deviations of the fast estimate that are added to it before it counts as a fall of the load. With
+/// two, fluctuations of a steady load may count as a fall.
+const FALL_DEVIATIONS: f64 = 3.0;
+
 /// Exponentially decaying sums of the work and the jobs that arrive.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct DecayingSums {
@@ -79,6 +83,18 @@
         }
     }
 
+    /// Returns an upper bound on the present load while it falls, in thousandths of a core; `None` while it does not.
+    ///
+    /// The slow estimate follows the end of a peak one second late, and the pool would keep most of its instances so long.
+    pub fn falling_rate_milli(&self, now: Instant) -> Option<f64> {
+        let (slow, fast) = (self.slow.at(now), self.fast.at(now));
+        if fast.jobs <= 0.0 {
+            return None;
+        }
+        let bound_milli = fast.rate_milli() * (1.0 + FALL_DEVIATIONS / fast.jobs.sqrt());
+        (bound_milli < slow.rate_milli()).then_some(bound_milli)
+    }
+
     /// Returns the processors that the offered load keeps busy beside a forecast of it, in thousandths of a core.
     ///
     /// The forecast covers the start of a burst, so the fast estimate, which varies more, is used only for load that was
--- a/crates/policy/src/fleet/overload.rs
+++ b/crates/policy/src/fleet/overload.rs
@@ -350,7 +350,7 @@
 }
 
 /// Returns the remaining run time of a run of an expected length, in milliseconds.
-fn run_left_ms(run: &Run, expected_ms: f64, now: Instant) -> f64 {
+pub(super) fn run_left_ms(run: &Run, expected_ms: f64, now: Instant) -> f64 {
     let ms = |until: Instant| until.saturating_duration_since(run.sent).as_secs_f64() * 1_000.0;
     let total_ms = match run.percent {
         percent @ EXTRAPOLATION_PERCENT_MIN..100 => {
@@ -428,7 +428,7 @@
     }
 
     /// Returns the expected run time of a task, in milliseconds.
-    fn expected_ms(&self, queue: &QueueId, step: &Step) -> f64 {
+    pub(super) fn expected_ms(&self, queue: &QueueId, step: &Step) -> f64 {
         let declared_ms = step.estimate_ms as f64;
         self.run_times.get(queue).map_or(declared_ms, |times| times.expected_ms(declared_ms))
     }
--- a/crates/policy/src/fleet/sizing.rs
+++ b/crates/policy/src/fleet/sizing.rs
@@ -3,7 +3,7 @@
 //! Queues have bursts of several times their mean load, more than the capacity of their pool, while other
 //! pools are nearly idle. An instance in the standby pool costs nothing. Instances therefore follow the
 //! offered load, refused work included. Pools below their target take empty instances from the standby pool
-//! and from pools above their target. Pools above their target drain their least loaded instances for this,
+//! and from pools above their target. Pools above their target drain those that are empty first for this,
 //! and instances that no pool needs for some time move to the standby pool. Instances under maintenance by a
 //! running wave are not moved.
 
@@ -12,6 +12,7 @@
 
 use super::maintenance::{FleetOrder, FleetOutcome, InstanceState, MaintenanceStage};
 use super::offered_load::OfferedLoad;
+use super::overload::run_left_ms;
 use super::state::{Cordon, Engine, Job, Occurrence, WorkerKey};
 use super::surplus::TargetHistory;
 use super::view::PoolView;
@@ -32,6 +33,11 @@
 const ANTI_AFFINITY_INSTANCES_MAX: usize = 64;
 /// Share of the rate of calls to the instance service that moves may use; waves and retries need the rest.
 const MOVE_CALLS_SHARE: f64 = 0.75;
+/// Time within which the accepted jobs of a pool whose load falls have a run. A job without a run for 3 s counts as lost.
+const BACKLOG_TIME: Duration = Duration::from_millis(2_000);
+/// Minimum time over which work that is due is spread, in milliseconds: work that is due now cannot be sped up by more
+/// processors than it has tasks.
+const COMPLETION_TIME_MIN_MS: f64 = 250.0;
 const SECOND: Duration = Duration::from_secs(1);
 /// Time after which a move without effect is abandoned.
 const MOVE_TIMEOUT: Duration = Duration::from_millis(4_000);
@@ -117,8 +123,9 @@
     pub(super) instances: usize,
     /// Instances without runs, all of whose ends are persisted; they can move at once.
     pub(super) empty: Vec<InstanceId>,
-    /// Instances with short tasks only or with ends that are not persisted, with the number of their runs.
-    drainable: Vec<(usize, InstanceId)>,
+    /// Instances with short tasks only or with ends that are not persisted, with the expected time until they have no
+    /// runs, in milliseconds.
+    drainable: Vec<(u64, InstanceId)>,
     /// Instances that drain for a move.
     draining: Vec<InstanceId>,
 }
@@ -143,12 +150,12 @@
         let mut standby_state = pools.remove(&standby).unwrap_or_default();
         let names: Vec<PoolId> = pools.keys().cloned().collect();
         let total = standby_state.empty.len() + pools.values().map(|p| p.instances).sum::<usize>();
-        let want = |accepted_milli: fn(&Engine, &PoolId, Instant) -> f64| -> Vec<usize> {
-            let wanted = |name| self.instances_wanted(name, accepted_milli(self, name, now), now);
-            names.iter().map(wanted).collect()
-        };
-        let in_time = want(Engine::accepted_in_time_milli);
-        let all = want(|engine, pool, _| engine.accepted_milli(pool));
+        let in_time: Vec<usize> =
+            names.iter().map(|name| self.instances_wanted_in_time(name, now)).collect();
+        let all: Vec<usize> = names
+            .iter()
+            .map(|name| self.instances_wanted(name, self.accepted_milli(name), now))
+            .collect();
         let targets = allocate_instances_on_time_first(&in_time, &all, POOL_INSTANCES_MIN, total);
         self.targets = names.iter().cloned().zip(targets.iter().copied()).collect();
         self.record_targets(now);
@@ -267,17 +274,19 @@
         state.instances.saturating_sub(kept.unwrap_or(usize::MAX))
     }
 
-    /// Marks the workers of the instances that exceed the targets, the least loaded first, so that the others get the
+    /// Marks the workers of the instances that exceed the targets, the first to be empty first, so that the others get the
     /// new tasks.
     fn mark_surplus_workers(&mut self, pools: &BTreeMap<PoolId, PoolState>) {
         let mut marked = BTreeSet::new();
         for (name, state) in pools {
             let empty = state.empty.iter().map(|id| (0, id));
-            let loaded = state.drainable.iter().map(|(runs, id)| (*runs, id));
-            let keys =
-                empty.chain(loaded).filter_map(|(runs, id)| Some((runs, self.worker_of(id)?)));
-            let mut candidates: Vec<(bool, usize, WorkerKey)> =
-                keys.map(|(runs, key)| (!self.surplus_workers.contains(&key), runs, key)).collect();
+            let loaded = state.drainable.iter().map(|(left_ms, id)| (*left_ms, id));
+            let keys = empty
+                .chain(loaded)
+                .filter_map(|(left_ms, id)| Some((left_ms, self.worker_of(id)?)));
+            let mut candidates: Vec<(bool, u64, WorkerKey)> = keys
+                .map(|(left_ms, key)| (!self.surplus_workers.contains(&key), left_ms, key))
+                .collect();
             candidates.sort();
             let surplus = self.surplus(name, state).saturating_sub(state.draining.len());
             marked.extend(candidates.into_iter().take(surplus).map(|(_, _, key)| key));
@@ -285,7 +294,7 @@
         self.surplus_workers = marked;
     }
 
-    /// Cordons instances of pools with a surplus so that they drain, the least loaded first.
+    /// Cordons instances of pools with a surplus so that they drain, the first to be empty first.
     ///
     /// Drains `missing` instances for other pools, and the whole of a sustained surplus for the standby pool.
     /// Uncordons instances that need not drain any more.
@@ -347,6 +356,37 @@
         }
     }
 
+    /// Returns the number of instances that a pool needs for the jobs that can meet their objective.
+    ///
+    /// A pool whose load falls needs only what completes its accepted jobs by their objectives. The rest goes to pools
+    /// whose jobs would be late otherwise, and late work runs on what is left.
+    fn instances_wanted_in_time(&self, pool: &PoolId, now: Instant) -> usize {
+        let wanted = self.instances_wanted(pool, self.accepted_in_time_milli(pool, now), now);
+        let load = self.offered_loads.get(pool);
+        let Some(falling_milli) = load.and_then(|load| load.falling_rate_milli(now)) else {
+            return wanted;
+        };
+        let arrival = self.limits.move_time + FORECAST_MARGIN;
+        let forecast = self.demand_forecast.peak_milli(pool, now, Duration::ZERO, arrival);
+        let accepted_milli = self.completion_milli(pool, now);
+        let milli = falling_milli.max(accepted_milli).max(forecast.unwrap_or(0.0));
+        // The backlog may be late work that exceeds the pool, which must not displace work in time.
+        wanted.min(self.instances_for(pool, milli))
+    }
+
+    /// Returns the processors that complete the accepted short jobs of a pool by their objectives, and start each of the
+    /// others within [`BACKLOG_TIME`], in thousandths of a core.
+    fn completion_milli(&self, pool: &PoolId, now: Instant) -> f64 {
+        let mut accepted = self.accepted_claims(pool, now);
+        accepted.parts.sort_by(|a, b| a.due_ms.total_cmp(&b.due_ms));
+        let (mut due_work, mut milli) = (0.0, 0.0f64);
+        for part in &accepted.parts {
+            due_work += part.work;
+            milli = milli.max(due_work / part.due_ms.max(COMPLETION_TIME_MIN_MS));
+        }
+        milli.max(accepted.backlog / (BACKLOG_TIME.as_secs_f64() * 1_000.0))
+    }
+
     /// Returns the number of instances that a pool can use, given the processors that its accepted jobs can use
     /// at once.
     fn instances_wanted(&self, pool: &PoolId, accepted_milli: f64, now: Instant) -> usize {
@@ -482,10 +522,22 @@
         } else if worker.cordon == Some(Cordon::Move) {
             state.draining.push(id.clone());
         } else if !worker.runs.iter().any(|(task, _)| self.is_long_running_task(task)) {
-            state.drainable.push((worker.runs.len(), id.clone()));
+            state.drainable.push((self.time_until_empty_ms(worker, now), id.clone()));
         }
     }
 
+    /// Returns the expected time until a worker's runs have ended, in milliseconds.
+    fn time_until_empty_ms(&self, worker: &super::state::Worker, now: Instant) -> u64 {
+        let left_ms = |(task, attempt): &(super::state::TaskRef, u32)| {
+            let job = self.jobs.get(task.job)?;
+            let step = job.submission.steps.get(task.step as usize)?;
+            let run = job.task(task)?.runs.iter().find(|run| run.attempt == *attempt)?;
+            let expected_ms = self.expected_ms(&job.submission.queue, step);
+            Some(run_left_ms(run, expected_ms, now) as u64)
+        };
+        worker.runs.iter().filter_map(left_ms).max().unwrap_or(0)
+    }
+
     pub(super) fn is_long_running_task(&self, task: &super::state::TaskRef) -> bool {
         let step =
             self.jobs.get(task.job).and_then(|job| job.submission.steps.get(task.step as usize));
--- a/crates/policy/tests/fleet_engine/main.rs
+++ b/crates/policy/tests/fleet_engine/main.rs
@@ -23,4 +23,5 @@
 mod slow_store;
 mod split_brain;
 mod successor;
+mod transition;
 mod worker_capacity;
