--- a/crates/policy/tests/fleet_engine/overload.rs
+++ b/crates/policy/tests/fleet_engine/overload.rs
@@ -104,6 +104,7 @@
                 }
                 Admission::TooLate { retry_after, .. } => caller.next_attempt = now + retry_after,
                 Admission::TooLarge => panic!("no job is too large"),
+                Admission::Evacuated { .. } => panic!("no data centre is evacuated"),
             }
         }
         self.sim.run(Duration::from_millis(10));
