--- a/crates/daemon/tests/soak/daemons.rs
+++ b/crates/daemon/tests/soak/daemons.rs
@@ -232,6 +232,11 @@
         self.daemons[daemon].store_mode.send_replace(mode);
     }
 
+    /// Sets how the proxy between a daemon and the platform behaves.
+    pub fn set_proxy_mode(&self, daemon: usize, mode: ProxyMode) {
+        self.daemons[daemon].proxy.mode.send_replace(mode);
+    }
+
     /// Returns the owner of the fleet, as the first daemon that answers reports it.
     pub async fn owner(&self) -> Option<usize> {
         for daemon in &self.daemons {
--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -8,7 +8,8 @@
 //! get more tasks than it has room for.
 //!
 //! The test in `stops` stops daemons in the planned way only, and checks that each call is answered. The test in `restarts`
-//! restarts workers under their ids and cuts them off while long tasks run.
+//! restarts workers under their ids and cuts them off while long tasks run. The test in `evacuations` evacuates data centres,
+//! cuts workers off before the owner is killed, and submits several times as many jobs as the workers have room for.
 //!
 //! ```text
 //! cargo test -p wasabiswitchd --test soak                        the seeds of CI
@@ -17,6 +18,7 @@
 
 mod callers;
 mod daemons;
+mod evacuations;
 mod proxy;
 mod restarts;
 #[path = "../../../../platform/tests/wire/server.rs"]
--- a/crates/daemon/tests/soak/restarts.rs
+++ b/crates/daemon/tests/soak/restarts.rs
@@ -100,10 +100,10 @@
 
 /// Lines with the time of day of what happened in a seed.
 #[derive(Clone, Default)]
-struct History(Arc<Mutex<Vec<String>>>);
+pub struct History(Arc<Mutex<Vec<String>>>);
 
 impl History {
-    fn record(&self, line: &str) {
+    pub fn record(&self, line: &str) {
         let line = format!("{} {line}", format_time(SystemTime::now()));
         self.0.lock().expect("no test thread panics").push(line);
     }
@@ -157,7 +157,7 @@
     let scenario = scenario(seed);
     let history = History::default();
     let platform = Platform::start(0).await;
-    let proxies = add_workers(&platform, &mut rng).await;
+    let proxies = add_workers(&platform, WORKER_COUNT, &mut rng).await;
     if scenario.has_late_orders {
         let order_delay = order_delay(rng.fork(), history.clone());
         *platform.order_delay.lock().expect("no test thread panics") = Some(Box::new(order_delay));
@@ -200,6 +200,24 @@
     *platform.order_delay.lock().expect("no test thread panics") = None;
     let accepted = submissions.await.expect("the caller does not panic");
     let incomplete = find_incomplete_job(seed, &daemons, &accepted, COMPLETION_TIMEOUT).await;
+    let mut violations = find_rule_violations(seed, &platform);
+    violations.extend(incomplete.map(|job| format!("seed {seed}: {job} is not done")));
+    println!(
+        "seed {seed}: {} daemons, {} jobs accepted, {} runs, {owner_kill_count} owners killed, late \
+         orders: {}, {} violations in {} s",
+        scenario.daemon_count,
+        accepted.len(),
+        platform.runs().len(),
+        scenario.has_late_orders,
+        violations.len(),
+        begin.elapsed().as_secs()
+    );
+    keep_evidence(seed, &platform, &history, &mut daemons, &mut violations);
+    violations
+}
+
+/// Describes the runs of one task that overlapped, and the starts for which a worker had no room.
+pub fn find_rule_violations(seed: u64, platform: &Platform) -> Vec<String> {
     let overlaps = platform.overlapping_runs();
     let mut violations: Vec<String> = overlaps
         .iter()
@@ -211,19 +229,19 @@
             format!("seed {seed}: two runs for {overlap_s:.3} s, {owners}: [{first}] [{second}]")
         })
         .collect();
-    violations.extend(incomplete.map(|job| format!("seed {seed}: {job} is not done")));
     let beyond_capacity = platform.starts_beyond_capacity().into_iter();
     violations.extend(beyond_capacity.map(|task| format!("seed {seed}: no room for {task}")));
-    println!(
-        "seed {seed}: {} daemons, {} jobs accepted, {} runs, {owner_kill_count} owners killed, late \
-         orders: {}, {} violations in {} s",
-        scenario.daemon_count,
-        accepted.len(),
-        platform.runs().len(),
-        scenario.has_late_orders,
-        violations.len(),
-        begin.elapsed().as_secs()
-    );
+    violations
+}
+
+/// Keeps the history of a seed with violations, and the output of its daemons; the last violation names the files.
+pub fn keep_evidence(
+    seed: u64,
+    platform: &Platform,
+    history: &History,
+    daemons: &mut DaemonGroup,
+    violations: &mut [String],
+) {
     if !violations.is_empty() || std::env::var_os("SOAK_KEEP").is_some() {
         platform.runs().iter().for_each(|run| history.record(&run.to_string()));
         println!("{}", violations.join("\n"));
@@ -233,25 +251,24 @@
             last.push_str(&format!(" (history {history:?}, output {output:?})"));
         }
     }
-    violations
 }
 
 /// Ends the runs of all workers in time.
-async fn advance_runs(platform: Platform) {
+pub async fn advance_runs(platform: Platform) {
     loop {
         platform.advance_runs();
         tokio::time::sleep(ADVANCE_INTERVAL).await;
     }
 }
 
-fn worker_id(worker: usize) -> String {
+pub fn worker_id(worker: usize) -> String {
     format!("w{worker}")
 }
 
 /// Adds workers whose clocks run at different rates, each behind a proxy of its own.
-async fn add_workers(platform: &Platform, rng: &mut Rng) -> Vec<Proxy> {
+pub async fn add_workers(platform: &Platform, count: usize, rng: &mut Rng) -> Vec<Proxy> {
     let mut proxies = Vec::new();
-    for worker in 0..WORKER_COUNT {
+    for worker in 0..count {
         let proxy = Proxy::start(platform.address).await;
         let clock_rate = 1.0 + (2.0 * rng.f64() - 1.0) * CLOCK_DEVIATION_MAX;
         let incarnation = unix_ms(SystemTime::now() - WORKER_AGE);
