--- a/crates/plugins/src/fleet/takeover.rs
+++ b/crates/plugins/src/fleet/takeover.rs
@@ -242,12 +242,13 @@
 
 /// Restores the records of workers that get no starts, after the jobs; returns their number.
 ///
-/// A record that cannot be decoded leaves its worker without one, so that all tasks of the worker's pool wait.
+/// A record that cannot be decoded names no tasks, so that all tasks of the worker's pool wait. It is removed before the worker is
+/// used, since a later owner of another version may be able to decode it.
 fn restore_silent_records(engine: &mut Engine, rows: &[TableRow]) -> usize {
-    let records = rows.iter().filter_map(|row| {
-        let content = decode_row(SILENT_WORKER_TABLE, row)?;
+    let records = rows.iter().map(|row| {
+        let content = decode_row(SILENT_WORKER_TABLE, row);
         let worker = row.key.as_str().into();
-        Some(StoredSilentWorker { worker, version: row.version, row: content })
+        StoredSilentWorker { worker, version: row.version, row: content }
     });
     let records: Vec<StoredSilentWorker> = records.collect();
     let count = records.len();
--- a/crates/plugins/tests/fleet_takeovers.rs
+++ b/crates/plugins/tests/fleet_takeovers.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use wasabiswitch_kernel::Kernel;
-use wasabiswitch_kernel::platform::fleet::RowRange;
+use wasabiswitch_kernel::platform::fleet::{RowName, RowRange, RowTx};
 use wasabiswitch_plugins::fleet::queue_calls;
-use wasabiswitch_plugins::fleet::takeover::START_POOL_TABLE;
+use wasabiswitch_plugins::fleet::takeover::{SILENT_WORKER_TABLE, START_POOL_TABLE};
 use wasabiswitch_policy::fleet::calls::{Call, QueueOperation, Reply};
 use wasabiswitch_policy::fleet::config::FleetConfig;
 use wasabiswitch_policy::fleet::outcomes::DELIVERY_DELAY_MAX;
@@ -60,8 +60,8 @@
     }
 }
 
-async fn count_start_pool_rows(platform: &FleetStandIn) -> usize {
-    let range = RowRange { table: START_POOL_TABLE, from: String::new(), rows_max: 10 };
+async fn count_rows(platform: &FleetStandIn, table: &'static str) -> usize {
+    let range = RowRange { table, from: String::new(), rows_max: 10 };
     (platform.port().read)(range).await.expect("the store answers").rows.len()
 }
 
@@ -82,7 +82,7 @@
     platform.put_config(config_with_pool(2, "p2"));
     tokio::time::sleep(ms(1_000)).await;
     assert_eq!(platform.running().len(), 1, "the task runs in the second pool");
-    assert_eq!(count_start_pool_rows(&platform).await, 1);
+    assert_eq!(count_rows(&platform, START_POOL_TABLE).await, 1);
     platform.put_config(config_with_pool(3, "p3"));
     tokio::time::sleep(ms(1_000)).await;
     cut_off(&platform, "w0");
@@ -95,10 +95,31 @@
     assert_eq!(history.starts.len(), 2, "the task restarts in the third pool after its lease");
     assert_eq!(call(&second, QueueOperation::Cancel("a".into())).await, Reply::Cancelled);
     tokio::time::sleep(ms(2_000)).await;
-    assert_eq!(count_start_pool_rows(&platform).await, 0, "the row outlives its job");
+    assert_eq!(count_rows(&platform, START_POOL_TABLE).await, 0, "the row outlives its job");
     second.stop().await;
 }
 
+// Guards against a record that this version cannot decode and leaves in the store while it uses the worker: a later owner of a
+// version that can decode it would start tasks that run there.
+#[tokio::test(start_paused = true)]
+async fn unreadable_record_of_a_worker_is_removed_before_the_worker_is_used() {
+    fastrand::seed(32);
+    let platform = FleetStandIn::new(&[("p", 1), ("standby", 0)], 100_000);
+    platform.put_config(config_with_pool(1, "p"));
+    let row = RowName { table: SILENT_WORKER_TABLE, key: "w0".to_owned() };
+    let puts = vec![(row, "unreadable".into())];
+    let write = RowTx { expected: Vec::new(), puts, removes: Vec::new() };
+    (platform.port().commit)(write).await.expect("the store answers");
+    let owner = platform.start(1).await;
+    tokio::time::sleep(START_TIME).await;
+    let job = Box::new(long_running_job("a"));
+    assert_eq!(call(&owner, QueueOperation::Submit(job)).await, Reply::Accepted);
+    tokio::time::sleep(ms(1_000)).await;
+    assert_eq!(platform.running().len(), 1, "the worker is not used");
+    assert_eq!(count_rows(&platform, SILENT_WORKER_TABLE).await, 0, "the worker has a record");
+    owner.stop().await;
+}
+
 /// Starts two daemons, ends the owner, and returns the second daemon while it waits for the workers' answers to its takeover.
 async fn begin_takeover(platform: &FleetStandIn) -> Arc<Kernel> {
     let first = platform.start(1).await;
--- a/crates/policy/src/fleet/silent_records.rs
+++ b/crates/policy/src/fleet/silent_records.rs
@@ -40,8 +40,8 @@
     pub worker: InstanceId,
     /// Version of the row.
     pub version: RowVersion,
-    /// Content of the row.
-    pub row: SilentWorkerRow,
+    /// Content of the row; `None` if it cannot be decoded, so that the worker may be running any task of its pool.
+    pub row: Option<SilentWorkerRow>,
 }
 
 /// Record of a worker, as this owner knows it.
@@ -138,7 +138,9 @@
             }
             None => {
                 let on_instance = |instance: &Instance| instance.worker.as_ref() == Some(worker);
-                !self.silent_workers.ids().any(|id| id == worker)
+                // Without a list of instances the worker may be running although it is not listed.
+                !self.silent_workers.is_any_pool()
+                    && !self.silent_workers.ids().any(|id| id == worker)
                     && !self.instances.values().any(on_instance)
             }
         }
@@ -192,12 +194,13 @@
     /// Restores the records that an earlier owner has written. The jobs have to be restored before.
     pub fn restore_silent_records(&mut self, records: Vec<StoredSilentWorker>) {
         for StoredSilentWorker { worker, version, row } in records {
-            let tasks = match row.tasks {
+            let tasks = match row.map(|row| row.tasks) {
                 // A task of a job that is not known any more has ended.
-                Some(names) => PossibleTasks::Only(
+                Some(Some(names)) => PossibleTasks::Only(
                     names.iter().filter_map(|name| self.task_ref(name)).collect(),
                 ),
-                None => PossibleTasks::OfOlderJobs(version),
+                Some(None) => PossibleTasks::OfOlderJobs(version),
+                None => PossibleTasks::Any,
             };
             let record = SilentRecord { state: RecordState::Stored, requested: None };
             self.silent_records.insert(worker.clone(), record);
--- a/crates/policy/src/fleet/unconfirmed.rs
+++ b/crates/policy/src/fleet/unconfirmed.rs
@@ -103,6 +103,11 @@
         self.pools.is_empty() && !self.is_any_pool
     }
 
+    /// Returns whether any pool may have further workers, since no list of instances has been read yet.
+    pub(super) fn is_any_pool(&self) -> bool {
+        self.is_any_pool
+    }
+
     /// Adds a worker of a pool.
     fn insert(&mut self, pool: &PoolId, id: &InstanceId, worker: SilentWorker) {
         self.pools.entry(pool.clone()).or_default().insert(id.clone(), worker);
--- a/crates/policy/tests/fleet_engine/silent_records.rs
+++ b/crates/policy/tests/fleet_engine/silent_records.rs
@@ -149,9 +149,27 @@
         step: 0,
         index: 0,
     };
-    let row = SilentWorkerRow { tasks: Some(vec![name]) };
+    let row = Some(SilentWorkerRow { tasks: Some(vec![name]) });
     let record = StoredSilentWorker { worker: "w0".into(), version: 1, row };
     sim.engine.restore_silent_records(vec![record]);
     sim.run(SECOND);
     assert_eq!(sim.violations, Vec::<String>::new());
 }
+
+// Guards against a record that a successor removes because it has neither a list of instances nor an entry of the worker: the worker
+// may run on, and the next successor would hold back all tasks of the pool.
+#[test]
+fn record_of_an_unlisted_worker_outlives_a_takeover_without_a_list_of_instances() {
+    let mut sim = full_fleet_with_backlog(4);
+    sim.partitioned.insert("w0".into(), sim.now + FOREVER);
+    sim.run(RECORDED);
+    sim.unlisted.insert("w0".into());
+    sim.take_over_with(None);
+    sim.run(SECOND);
+    let own_instance = |id: &str| (id.into(), instance(id, "p"));
+    let instances = ["w0", "w1", "w2", "w3"].into_iter().map(own_instance).collect();
+    sim.take_over_with(Some(&instances));
+    sim.run(18 * SECOND);
+    assert_eq!(sim.violations, Vec::<String>::new());
+    assert_eq!(starts_of(&sim, "waiting"), 8, "tasks that never ran wait for the worker");
+}
--- a/crates/policy/tests/fleet_engine/simulation.rs
+++ b/crates/policy/tests/fleet_engine/simulation.rs
@@ -328,7 +328,7 @@
             engine.restore_row_version(id, *version);
         }
         let records = self.stored_silent_workers.iter().map(|(worker, (version, row))| {
-            let (worker, version, row) = (worker.clone(), *version, row.clone());
+            let (worker, version, row) = (worker.clone(), *version, Some(row.clone()));
             StoredSilentWorker { worker, version, row }
         });
         engine.restore_silent_records(records.collect());
