--- a/crates/plugins/tests/fleet_takeovers.rs
+++ b/crates/plugins/tests/fleet_takeovers.rs
@@ -120,6 +120,23 @@
     owner.stop().await;
 }
 
+// Guards against a worker without tasks that answers each request, counts as unresponsive while the next answer is due, and therefore
+// gets a record and no starts for most of the time.
+#[tokio::test(start_paused = true)]
+async fn idle_worker_that_answers_gets_no_record() {
+    fastrand::seed(33);
+    // A pool of one instance keeps it; one that moved to standby would end its worker, which then gets a record.
+    let platform = FleetStandIn::new(&[("p", 1), ("standby", 0)], 100_000);
+    platform.put_config(config_with_pool(1, "p"));
+    let owner = platform.start(1).await;
+    for _ in 0..100 {
+        tokio::time::sleep(ms(50)).await;
+        let count = count_rows(&platform, SILENT_WORKER_TABLE).await;
+        assert_eq!(count, 0, "a worker that answers has a record");
+    }
+    owner.stop().await;
+}
+
 /// Starts two daemons, ends the owner, and returns the second daemon while it waits for the workers' answers to its takeover.
 async fn begin_takeover(platform: &FleetStandIn) -> Arc<Kernel> {
     let first = platform.start(1).await;
--- a/crates/policy/src/fleet/reports.rs
+++ b/crates/policy/src/fleet/reports.rs
@@ -158,6 +158,7 @@
         }
         worker.clock = Some(clock);
         worker.last_contact = worker.last_contact.max(Some(timing.sent));
+        worker.last_answer = worker.last_answer.max(Some(timing.received));
         worker.gauges_updated = true;
         worker.first_end_listed = report.ended.iter().map(|end| end.number).min();
         worker.report_missed_at = worker.report_missed_at.filter(|at| *at > timing.sent);
--- a/crates/policy/src/fleet/silent_records.rs
+++ b/crates/policy/src/fleet/silent_records.rs
@@ -96,10 +96,13 @@
 
     /// Requests a record of each worker that has become unresponsive, and of each that has been silent since the takeover.
     ///
+    /// The time counts from the arrival of the last answer. The request of that answer is older by the worker's wait for an end of
+    /// a task, so that a worker without tasks that answers each request would count as unresponsive before each second answer.
+    ///
     /// A worker that was listed later and has not answered yet has had no owner that could have started tasks there.
     pub(super) fn request_silent_records(&mut self, now: Instant) {
         let is_silent = |at: Instant| now.saturating_duration_since(at) > UNRESPONSIVE_AFTER;
-        let workers = self.workers.values().filter(|w| w.last_contact.is_some_and(is_silent));
+        let workers = self.workers.values().filter(|w| w.last_answer.is_some_and(is_silent));
         let mut silent: Vec<InstanceId> = workers.map(|worker| worker.entry.id.clone()).collect();
         silent.extend(self.silent_workers.ids().cloned());
         for worker in silent {
--- a/crates/policy/src/fleet/state.rs
+++ b/crates/policy/src/fleet/state.rs
@@ -449,6 +449,7 @@
             renewal: None,
             unanswered_order: None,
             last_contact: None,
+            last_answer: None,
             last_end_received: 0,
             last_end_persisted: 0,
             first_end_listed: None,
--- a/crates/policy/src/fleet/worker.rs
+++ b/crates/policy/src/fleet/worker.rs
@@ -114,6 +114,10 @@
     pub unanswered_order: Option<LeaseOrder>,
     /// Time at which the last call that the worker answered was sent; `None` before the first answer.
     pub last_contact: Option<Instant>,
+    /// Time at which the last report that was applied arrived; `None` before the first one.
+    ///
+    /// It is later than [`Worker::last_contact`] by the time for which the worker waited for an end of a task before it answered.
+    pub last_answer: Option<Instant>,
     /// Number of the last end of a run that was processed.
     pub last_end_received: u64,
     /// Number of the last end of a run that is persisted, as are all ends before it.
