--- a/crates/policy/src/fleet/silent_records.rs
+++ b/crates/policy/src/fleet/silent_records.rs
@@ -40,8 +40,8 @@
     pub worker: InstanceId,
     /// Version of the row.
     pub version: RowVersion,
-    /// Content of the row.
-    pub row: SilentWorkerRow,
+    /// Content of the row; `None` if it cannot be decoded, so that the worker may be running any task of its pool.
+    pub row: Option<SilentWorkerRow>,
 }
 
 /// Record of a worker, as this owner knows it.
@@ -96,10 +96,13 @@
 
     /// Requests a record of each worker that has become unresponsive, and of each that has been silent since the takeover.
     ///
+    /// The time counts from the arrival of the last answer. The request of that answer is older by the worker's wait for an end of
+    /// a task, so that a worker without tasks that answers each request would count as unresponsive before each second answer.
+    ///
     /// A worker that was listed later and has not answered yet has had no owner that could have started tasks there.
     pub(super) fn request_silent_records(&mut self, now: Instant) {
         let is_silent = |at: Instant| now.saturating_duration_since(at) > UNRESPONSIVE_AFTER;
-        let workers = self.workers.values().filter(|w| w.last_contact.is_some_and(is_silent));
+        let workers = self.workers.values().filter(|w| w.last_answer.is_some_and(is_silent));
         let mut silent: Vec<InstanceId> = workers.map(|worker| worker.entry.id.clone()).collect();
         silent.extend(self.silent_workers.ids().cloned());
         for worker in silent {
@@ -138,7 +141,9 @@
             }
             None => {
                 let on_instance = |instance: &Instance| instance.worker.as_ref() == Some(worker);
-                !self.silent_workers.ids().any(|id| id == worker)
+                // Without a list of instances the worker may be running although it is not listed.
+                !self.silent_workers.is_any_pool()
+                    && !self.silent_workers.ids().any(|id| id == worker)
                     && !self.instances.values().any(on_instance)
             }
         }
@@ -192,12 +197,13 @@
     /// Restores the records that an earlier owner has written. The jobs have to be restored before.
     pub fn restore_silent_records(&mut self, records: Vec<StoredSilentWorker>) {
         for StoredSilentWorker { worker, version, row } in records {
-            let tasks = match row.tasks {
+            let tasks = match row.map(|row| row.tasks) {
                 // A task of a job that is not known any more has ended.
-                Some(names) => PossibleTasks::Only(
+                Some(Some(names)) => PossibleTasks::Only(
                     names.iter().filter_map(|name| self.task_ref(name)).collect(),
                 ),
-                None => PossibleTasks::OfOlderJobs(version),
+                Some(None) => PossibleTasks::OfOlderJobs(version),
+                None => PossibleTasks::Any,
             };
             let record = SilentRecord { state: RecordState::Stored, requested: None };
             self.silent_records.insert(worker.clone(), record);
