--- a/crates/kernel/src/http/body.rs
+++ b/crates/kernel/src/http/body.rs
@@ -17,6 +17,8 @@
 const FIRST_SEGMENT_BYTES: usize = 4 << 10;
 /// Size of its further segments, in bytes.
 const SEGMENT_BYTES: usize = 16 << 10;
+/// Memory of a request beyond its body that is not counted, in bytes: half of the share of a connection.
+const UNCOUNTED_BYTES_MAX: usize = 16 << 10;
 /// Time after which a caller may retry a request that was refused for lack of room.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -66,6 +68,37 @@
     }
 }
 
+/// Room in the budget of a listener, which is returned on drop.
+#[derive(Debug)]
+pub struct HeldRoom {
+    _charge: Charge,
+}
+
+/// Takes room for what a handler keeps of a request until it is answered, such as a parsed body.
+///
+/// Returns `None` for what fits into the share of memory that each connection has. A request that exceeds the whole
+/// budget takes all of it.
+///
+/// # Errors
+///
+/// The budget has no room, and the request must not be run.
+pub async fn hold_room(
+    connection: &Arc<ClientConnection>,
+    bytes: usize,
+) -> Result<Option<HeldRoom>, ReadBodyError> {
+    if bytes <= UNCOUNTED_BYTES_MAX {
+        return Ok(None);
+    }
+    let budget = connection.intake().bounds().bytes_max;
+    let bytes = bytes.min(usize::try_from(budget).unwrap_or(usize::MAX));
+    let mut charge = Charge::new(connection.clone());
+    if !charge.add(bytes).await {
+        connection.intake().count_refusal(Limit::Budget);
+        return Err(ReadBodyError::NoRoom);
+    }
+    Ok(Some(HeldRoom { _charge: charge }))
+}
+
 /// Bytes of a body with their share of the budget.
 struct ChargedBytes {
     bytes: Vec<u8>,
--- a/crates/kernel/src/http/mod.rs
+++ b/crates/kernel/src/http/mod.rs
@@ -17,7 +17,7 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt as _, Full};
 
-pub use body::{ReadBodyError, read_body};
+pub use body::{HeldRoom, ReadBodyError, hold_room, read_body};
 
 /// Cause for which a body could not be read to its end.
 pub type BodyError = Box<dyn std::error::Error + Send + Sync>;
--- a/crates/policy/src/fleet/spec.rs
+++ b/crates/policy/src/fleet/spec.rs
@@ -218,6 +218,21 @@
         Ok(())
     }
 
+    /// Returns the memory that the submission takes, in bytes.
+    ///
+    /// It can be several times the size of the text from which the submission was read: a number of two bytes there takes
+    /// four bytes here, and a step of twenty bytes ten times as much.
+    pub fn memory_bytes(&self) -> usize {
+        let step = |step: &Step| {
+            let texts = [&step.required_label, &step.data_rack, &step.image];
+            let texts_bytes: usize = texts.iter().map(|text| text.capacity()).sum();
+            texts_bytes + step.after.capacity() * size_of::<u32>()
+        };
+        self.spec.capacity()
+            + self.steps.capacity() * size_of::<Step>()
+            + self.steps.iter().map(step).sum::<usize>()
+    }
+
     /// Returns whether the job runs until it is cancelled.
     pub fn is_long_running(&self) -> bool {
         self.steps.iter().any(|step| step.long_running)
