--- a/crates/kernel/src/http/connection.rs
+++ b/crates/kernel/src/http/connection.rs
@@ -74,7 +74,7 @@
     }
 }
 
-/// Admits a connection; one that is refused gets a response if it can be sent at once.
+/// Admits a connection; one that is refused gets a response.
 pub(super) fn admit(
     intake: &Arc<Intake>,
     stream: Stream,
@@ -83,14 +83,32 @@
     match intake.admit(address) {
         Some(admission) => Some((stream, admission)),
         None => {
-            if let Stream::Tcp(stream) = &stream {
-                let _ = stream.try_write(REFUSED_CONNECTION);
-            }
+            refuse(intake, stream);
             None
         }
     }
 }
 
+/// Sends the response to a refused connection, and keeps it open for a short time if few others are.
+///
+/// A socket that is closed before its input is read is reset, and the client then loses the response: 8 of 9 clients that
+/// had sent a request did.
+fn refuse(intake: &Arc<Intake>, mut stream: Stream) {
+    let Some(place) = intake.refused_place() else {
+        if let Stream::Tcp(stream) = &stream {
+            let _ = stream.try_write(REFUSED_CONNECTION);
+        }
+        return;
+    };
+    let client = intake.detached_connection();
+    intake.tasks().spawn_until_stopped("refused connection", async move {
+        let _place = place;
+        if stream.write_all(REFUSED_CONNECTION).await.is_ok() {
+            linger(&mut stream, &client).await;
+        }
+    });
+}
+
 /// Serves the requests of a connection until it ends, reaches a limit or is closed for another one.
 ///
 /// `should_close` is polled while the connection is waiting; once it returns `true`, the connection closes after its
@@ -190,9 +208,10 @@
     .await;
 }
 
-/// Timer that ends when a head, or the first byte of a connection, does not arrive in time.
+/// Timer that ends when a head does not arrive in time.
 ///
-/// It is set only once a connection is waiting in such a phase, which heads that arrive at once never do.
+/// It is set only once a connection waits for the rest of a head, which heads that arrive at once never do. A connection
+/// that has sent nothing has no time limit: callers and load balancers open connections before they need them.
 #[derive(Default)]
 struct HeadTimer {
     sleep: Option<Pin<Box<Sleep>>>,
@@ -206,7 +225,7 @@
         context: &mut Context<'_>,
     ) -> Poll<()> {
         loop {
-            if !matches!(client.phase(), Phase::New | Phase::Head) {
+            if client.phase() != Phase::Head {
                 return Poll::Pending;
             }
             let Some(left) = limit.checked_sub(client.quiet()).filter(|left| !left.is_zero())
--- a/crates/kernel/src/http/intake.rs
+++ b/crates/kernel/src/http/intake.rs
@@ -17,7 +17,8 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::Instant;
 use wasabiswitch_policy::intake::{
-    self, CallerId, ConnectionLimits, Phase, Reader, RoomDecision, connection_to_close, decide_room,
+    self, CallerId, ConnectionLimits, Phase, Reader, RoomDecision, UNREAD_TIME,
+    connection_to_close, decide_room,
 };
 
 use crate::metric;
@@ -30,15 +31,22 @@
 const ROOM_TIMEOUT: Duration = Duration::from_secs(2);
 /// Interval at which a body that waits for room looks for others that have stalled.
 const ROOM_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+/// Minimum interval between two such looks of all bodies together, in milliseconds.
+///
+/// Each goes through the table of connections, and 1,300 bodies that wait would look 6,500 times a second.
+const ROOM_CHECK_SPACING_MS: u64 = 2;
 /// Time without a refusal after which a listener no longer counts as limiting its clients.
 const CALM_TIME: Duration = Duration::from_secs(5);
-/// Part of the entry listener's bounds that the control listener has: one in this number.
-const CONTROL_DIVISOR: u64 = 2;
+/// Part of the entry listener's connections that the control listener has: one in this number.
+const CONTROL_DIVISOR: usize = 2;
 /// Number of connections of the readiness listener.
 const PROBES_MAX: usize = 32;
 /// Number of connections that may be ending while new ones are already accepted in their place.
 const CLOSING_MAX: usize = 64;
 
+/// Number of refused connections that stay open until their clients have read the response.
+const REFUSED_MAX: usize = 32;
+
 slotmap::new_key_type! { struct ConnectionKey; }
 
 /// Bounds of a listener.
@@ -70,8 +78,7 @@
     pub fn new(settings: &IntakeSettings, tasks: &TaskTree) -> Intakes {
         let entry_bounds = settings.entry_bounds(process_descriptors());
         let control_bounds = IntakeBounds {
-            bytes_max: entry_bounds.bytes_max / CONTROL_DIVISOR,
-            connections_max: (entry_bounds.connections_max / CONTROL_DIVISOR as usize).max(1),
+            connections_max: (entry_bounds.connections_max / CONTROL_DIVISOR).max(1),
             connections_per_address_max: 0,
             ..entry_bounds
         };
@@ -134,10 +141,14 @@
     /// Free units of the budget.
     room: Arc<Semaphore>,
     connections: Mutex<SlotMap<ConnectionKey, Arc<ClientConnection>>>,
+    /// Free places for refused connections that stay open until their clients have read the response.
+    refused_places: Arc<Semaphore>,
     started: Instant,
     tasks: TaskTree,
     /// Whether clients have been limited within [`CALM_TIME`].
     is_limiting: AtomicBool,
+    /// Time of the last repeated look for bodies that have stalled, in milliseconds since `started`.
+    last_check_ms: AtomicU64,
     /// Time of the last refusal, in milliseconds since `started`.
     last_refusal_ms: AtomicU64,
     refusals: AtomicU64,
@@ -163,6 +174,8 @@
     is_body_unread: AtomicBool,
     /// Whether bytes of an answer wait for the client to read.
     is_write_blocked: AtomicBool,
+    /// Time at which the client last read while they wait, in milliseconds since the start of the intake.
+    write_blocked_since_ms: AtomicU64,
     waker: AtomicWaker,
 }
 
@@ -190,9 +203,11 @@
             bounds,
             room: Arc::new(Semaphore::new(units.min(Semaphore::MAX_PERMITS))),
             connections: Mutex::default(),
+            refused_places: Arc::new(Semaphore::new(REFUSED_MAX)),
             started: Instant::now(),
             tasks,
             is_limiting: AtomicBool::new(false),
+            last_check_ms: AtomicU64::new(0),
             last_refusal_ms: AtomicU64::new(0),
             refusals: AtomicU64::new(0),
             connections_gauge: metrics::gauge!(metric::INTAKE_CONNECTIONS, "listener" => listener),
@@ -205,6 +220,16 @@
         &self.bounds
     }
 
+    /// Returns the tasks of the daemon.
+    pub(crate) fn tasks(&self) -> &TaskTree {
+        &self.tasks
+    }
+
+    /// Returns a place for a refused connection that stays open for a short time, if one is free.
+    pub(crate) fn refused_place(&self) -> Option<OwnedSemaphorePermit> {
+        self.refused_places.clone().try_acquire_owned().ok()
+    }
+
     fn lock(&self) -> MutexGuard<'_, SlotMap<ConnectionKey, Arc<ClientConnection>>> {
         // A leaf lock: nothing else is locked while it is held.
         self.connections.lock().unwrap_or_else(PoisonError::into_inner)
@@ -279,6 +304,16 @@
         Some((Limit::Connections, true))
     }
 
+    /// Returns whether a body that waits may look for room again, and records that it does.
+    fn may_check_again(&self) -> bool {
+        let (now_ms, last_ms) = (self.now_ms(), self.last_check_ms.load(Ordering::Relaxed));
+        now_ms >= last_ms + ROOM_CHECK_SPACING_MS
+            && self
+                .last_check_ms
+                .compare_exchange(last_ms, now_ms, Ordering::Relaxed, Ordering::Relaxed)
+                .is_ok()
+    }
+
     /// Refuses a body so that `requester` gets `units`, if that is necessary; returns whether `requester` itself is
     /// refused.
     fn make_room(&self, requester: &Arc<ClientConnection>, units: u32) -> bool {
@@ -363,6 +398,7 @@
             is_closing: AtomicBool::new(false),
             is_body_unread: AtomicBool::new(false),
             is_write_blocked: AtomicBool::new(false),
+            write_blocked_since_ms: AtomicU64::new(0),
             waker: AtomicWaker::new(),
         }
     }
@@ -380,8 +416,15 @@
 
     /// Returns what the connection is doing.
     pub(crate) fn phase(&self) -> Phase {
-        const PHASES: [Phase; 6] =
-            [Phase::New, Phase::Idle, Phase::Head, Phase::Body, Phase::Serving, Phase::Lingering];
+        const PHASES: [Phase; 7] = [
+            Phase::New,
+            Phase::Idle,
+            Phase::Head,
+            Phase::Body,
+            Phase::Serving,
+            Phase::Lingering,
+            Phase::Unread,
+        ];
         PHASES[usize::from(self.phase.load(Ordering::Acquire))]
     }
 
@@ -395,20 +438,31 @@
         match self.phase() {
             Phase::New | Phase::Idle => self.set_phase(Phase::Head),
             Phase::Body => self.since_ms.store(self.intake.now_ms(), Ordering::Relaxed),
-            Phase::Head | Phase::Serving | Phase::Lingering => {}
+            Phase::Head | Phase::Serving | Phase::Lingering | Phase::Unread => {}
         }
     }
 
     /// Records whether bytes of an answer wait for the client to read.
     pub(crate) fn set_write_blocked(&self, is_blocked: bool) {
         if self.is_write_blocked.load(Ordering::Relaxed) != is_blocked {
-            self.is_write_blocked.store(is_blocked, Ordering::Relaxed);
+            self.write_blocked_since_ms.store(self.intake.now_ms(), Ordering::Relaxed);
+            self.is_write_blocked.store(is_blocked, Ordering::Release);
         }
     }
 
-    /// Returns whether no answer is being prepared or sent.
+    /// Returns whether no answer is being prepared or sent, or the client has not read one for [`UNREAD_TIME`].
     pub(crate) fn may_close(&self) -> bool {
-        self.phase() != Phase::Serving && !self.is_write_blocked.load(Ordering::Relaxed)
+        match self.unread_time(self.intake.now_ms()) {
+            Some(unread) => unread >= UNREAD_TIME,
+            None => self.phase() != Phase::Serving,
+        }
+    }
+
+    /// Returns the time for which bytes of an answer have waited for the client to read, if any do.
+    fn unread_time(&self, now_ms: u64) -> Option<Duration> {
+        let since_ms = || self.write_blocked_since_ms.load(Ordering::Relaxed);
+        let is_blocked = self.is_write_blocked.load(Ordering::Acquire);
+        is_blocked.then(|| Duration::from_millis(now_ms.saturating_sub(since_ms())))
     }
 
     /// Returns the time for which the phase has lasted or, while a body arrives, since its last byte.
@@ -467,9 +521,13 @@
     }
 
     fn view(&self, now_ms: u64) -> intake::Connection {
+        let (phase, quiet) = match self.unread_time(now_ms) {
+            Some(unread) => (Phase::Unread, unread),
+            None => (self.phase(), self.quiet_at(now_ms)),
+        };
         intake::Connection {
-            phase: if self.may_close() { self.phase() } else { Phase::Serving },
-            quiet: self.quiet_at(now_ms),
+            phase,
+            quiet,
             is_known: self.is_known.load(Ordering::Relaxed),
             is_waiting: self.is_waiting(),
         }
@@ -534,10 +592,12 @@
         let end = Instant::now() + ROOM_TIMEOUT;
         connection.set_waiting(true);
         let mut permit = std::pin::pin!(intake.room.clone().acquire_many_owned(units));
+        let mut is_first = true;
         let acquired = loop {
-            if intake.make_room(connection, units) {
+            if (is_first || intake.may_check_again()) && intake.make_room(connection, units) {
                 break None;
             }
+            is_first = false;
             let check = Instant::now() + ROOM_CHECK_INTERVAL;
             match tokio::time::timeout_at(check, permit.as_mut()).await {
                 Ok(permit) => break permit.ok(),
--- a/crates/kernel/src/settings.rs
+++ b/crates/kernel/src/settings.rs
@@ -153,7 +153,7 @@
     SettingsField { name: "termination_grace_s", default: "none" },
     SettingsField { name: "memory_mib", default: "160" },
     SettingsField { name: "descriptors_max", default: "4100" },
-    SettingsField { name: "intake_bytes_max", default: "a quarter of the memory" },
+    SettingsField { name: "intake_bytes_max", default: "an eighth of the memory" },
     SettingsField { name: "connections_max", default: "by memory and descriptors" },
     SettingsField { name: "connections_per_address_max", default: "0" },
     SettingsField { name: "head_max_bytes", default: "16384" },
--- a/crates/plugins/tests/intake.rs
+++ b/crates/plugins/tests/intake.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _, DuplexStream, duplex};
-use wasabiswitch_kernel::http::entry;
+use wasabiswitch_kernel::http::{ReadBodyError, entry, hold_room};
 use wasabiswitch_kernel::network::Stream;
 use wasabiswitch_plugins as _;
 use wasabiswitch_standin::cluster::{ClusterSpec, Daemon, TestCluster, team_key};
@@ -66,6 +66,18 @@
     }
 }
 
+/// Guards against a time limit on connections that callers or load balancers open before they need them.
+#[tokio::test(start_paused = true)]
+async fn connection_whose_first_request_comes_after_a_minute_is_served() {
+    fastrand::seed(65);
+    let (_cluster, daemon) = start_daemon().await;
+    let mut stream = connect(&daemon);
+    tokio::time::sleep(Duration::from_secs(60)).await;
+    write(&mut stream, &head("content-length: 0\r\n\r\n")).await;
+    let response = read_head(&mut stream).await;
+    assert!(response.starts_with("HTTP/1.1 200"), "{response:?}");
+}
+
 /// Guards against limits that a slow client reaches while the daemon is not under load.
 #[tokio::test(start_paused = true)]
 async fn slow_head_and_slow_large_body_are_served() {
@@ -111,3 +123,23 @@
     assert!(response.starts_with("HTTP/1.1 413"), "{response:?}");
     assert!(response.contains("x-wasabiswitch-verdict: not-run"), "{response:?}");
 }
+
+/// Guards against parsed submissions that wait for the owner and together exceed the memory, and against the refusal of
+/// a single one that exceeds the budget.
+#[tokio::test(start_paused = true)]
+async fn what_requests_hold_until_they_are_answered_counts_against_the_budget() {
+    fastrand::seed(66);
+    let (_cluster, daemon) = start_daemon().await;
+    let intake = &daemon.kernel.intakes.entry;
+    let budget = intake.bounds().bytes_max as usize;
+    let connection = intake.detached_connection();
+    let held = hold_room(&connection, 2 * budget).await.expect("the budget is free");
+    assert!(held.is_some(), "the request holds the whole budget");
+    let small = hold_room(&intake.detached_connection(), 1_000).await;
+    assert!(matches!(small, Ok(None)), "a small one needs no room");
+    let refused = hold_room(&intake.detached_connection(), budget / 2).await;
+    assert!(matches!(refused, Err(ReadBodyError::NoRoom)), "{refused:?}");
+    drop(held);
+    let next = hold_room(&intake.detached_connection(), budget / 2).await;
+    assert!(matches!(next, Ok(Some(_))), "{next:?}");
+}
--- a/crates/policy/src/intake.rs
+++ b/crates/policy/src/intake.rs
@@ -19,6 +19,10 @@
 pub const STALL_TIME: Duration = Duration::from_millis(400);
 /// Time after which an idle connection of a known caller may be closed for a new one.
 pub const IDLE_TIME_MIN: Duration = Duration::from_secs(10);
+/// Time for which a client has read nothing of its answer, after which its connection may be closed for a new one.
+///
+/// It exceeds the time for which callers wait, and that for which a caller's process is paused.
+pub const UNREAD_TIME: Duration = Duration::from_secs(10);
 /// Memory that a connection takes without the body of a request, in bytes: buffers of the HTTP library and its task.
 ///
 /// 900 connections with unfinished heads took 26 MiB.
@@ -37,15 +41,15 @@
 
 /// Returns the default bounds of an instance with the given memory and number of descriptors.
 ///
-/// A quarter of the memory is for bodies and a quarter for connections; the rest is for the other listeners and the
-/// daemon's own state. Half of the descriptors that are not for files are for connections of callers, the rest for
+/// An eighth of the memory is for bodies and a quarter for connections; the rest is for the other listeners and the
+/// daemon's own state, which is largest in the owner of a large fleet. Half of the descriptors that are not for files are for connections of callers, the rest for
 /// peers and connections that the daemon opens itself.
 pub fn default_bounds(memory_mib: u32, descriptors: u32) -> DefaultBounds {
-    let quarter = (u64::from(memory_mib) << 20) / 4;
-    let by_memory = u32::try_from(quarter / CONNECTION_BYTES).unwrap_or(u32::MAX);
+    let memory_bytes = u64::from(memory_mib) << 20;
+    let by_memory = u32::try_from(memory_bytes / 4 / CONNECTION_BYTES).unwrap_or(u32::MAX);
     let by_descriptors = descriptors.saturating_sub(FILE_DESCRIPTORS) / 2;
     DefaultBounds {
-        entry_bytes_max: quarter,
+        entry_bytes_max: memory_bytes / 8,
         entry_connections_max: by_memory.min(by_descriptors).max(1),
     }
 }
@@ -57,7 +61,7 @@
     pub head_max_bytes: usize,
     /// Number of headers of a request.
     pub headers_max: usize,
-    /// Time from the first byte of a head to its end, and from accepting a connection to its first byte.
+    /// Time from the first byte of a head to its end.
     pub head_timeout: Duration,
     /// Time from the head to the end of a body that is collected.
     pub body_timeout: Duration,
@@ -93,7 +97,8 @@
 ///
 /// Stalled bodies of the caller that holds most are refused first. A caller within its share of the budget, which is
 /// the same for all callers that hold something, takes room from a caller beyond its own, also if that one has not
-/// stalled. A body waits while others make progress, and is refused if all wait for each other.
+/// stalled. A body waits while others make progress or while requests that are being served hold enough, and is refused
+/// if all wait for each other.
 pub fn decide_room(
     readers: &[Reader],
     requester: usize,
@@ -141,7 +146,9 @@
         return RoomDecision::Refuse(index);
     }
     let is_active = |(index, reader): (usize, &Reader)| index != requester && !reader.is_waiting;
-    if candidates().any(is_active) {
+    let held_by_readers: u64 = readers.iter().map(|reader| reader.held_bytes).sum();
+    let held_by_served = budget_bytes.saturating_sub(free_bytes + held_by_readers);
+    if candidates().any(is_active) || held_by_served >= needed_bytes {
         return RoomDecision::Wait;
     }
     RoomDecision::Refuse(largest_reader().unwrap_or(requester))
@@ -162,6 +169,8 @@
     Serving,
     /// The daemon has answered, and only waits for the client to close.
     Lingering,
+    /// Bytes of an answer wait for the client to read.
+    Unread,
 }
 
 /// Connection, as the choice of one to close sees it.
@@ -169,7 +178,8 @@
 pub struct Connection {
     /// What it is doing.
     pub phase: Phase,
-    /// Time since the phase began or, in [`Phase::Body`], since its last byte arrived.
+    /// Time since the phase began or, in [`Phase::Body`], since its last byte arrived; in [`Phase::Unread`], time since
+    /// the client last read.
     pub quiet: Duration,
     /// Whether a request on it has presented a valid key.
     pub is_known: bool,
@@ -180,13 +190,15 @@
 /// Returns the index of the connection to close so that a new one can be accepted, or `None` if there is none.
 ///
 /// Connections that wait for an answer stay. Those that an unknown client keeps open are closed first, the oldest
-/// before others; then stalled requests, and connections that have been idle for at least [`IDLE_TIME_MIN`].
+/// before others; then stalled requests and answers that the client has not read for [`UNREAD_TIME`], and connections
+/// that have been idle for at least [`IDLE_TIME_MIN`].
 pub fn connection_to_close(connections: impl Iterator<Item = Connection>) -> Option<usize> {
     let rank = |connection: &Connection| match connection.phase {
         Phase::Lingering => Some(3),
         Phase::New | Phase::Idle | Phase::Head if !connection.is_known => Some(2),
         Phase::Head => (connection.quiet >= STALL_TIME).then_some(1),
         Phase::Body => (connection.quiet >= STALL_TIME && !connection.is_waiting).then_some(1),
+        Phase::Unread => (connection.quiet >= UNREAD_TIME).then_some(1),
         Phase::New | Phase::Idle => (connection.quiet >= IDLE_TIME_MIN).then_some(0),
         Phase::Serving => None,
     };
