--- a/crates/plugins/src/fleet/queue_calls.rs
+++ b/crates/plugins/src/fleet/queue_calls.rs
@@ -337,6 +337,7 @@
         submission.job,
         last_write.as_millis()
     );
+    term.engine.withdraw_admission(submission, now);
     record_refusal(term, request, now);
     let reason = "the store is too slow to take the job in time";
     Some(Reply::refused(reason, NO_OWNER_RETRY_AFTER))
--- a/crates/policy/src/fleet/admission.rs
+++ b/crates/policy/src/fleet/admission.rs
@@ -98,6 +98,7 @@
             return Admission::Accept;
         }
         let pool = &queue_settings.pool;
+        self.admitted.retain(|_, job| now.saturating_duration_since(job.at) < ADMITTED_RETENTION);
         let accepted = self.accepted_claims(pool, now);
         let need = self.need_of(submission, accepted.room.capacity.eventual_milli());
         if !self.refused.contains_key(&submission.job) {
@@ -110,8 +111,6 @@
         match decision {
             Some(due) => {
                 let priority = queue_settings.priority;
-                self.admitted
-                    .retain(|_, job| now.saturating_duration_since(job.at) < ADMITTED_RETENTION);
                 let pool = pool.clone();
                 let admitted = AdmittedJob {
                     pool,
@@ -211,6 +210,14 @@
         at - now
     }
 
+    /// Withdraws the admission of a job that is refused before it is persisted; its objective still counts from the
+    /// first attempt.
+    pub fn withdraw_admission(&mut self, submission: &Submission, now: Instant) {
+        if let Some(admitted) = self.admitted.remove(&submission.job) {
+            self.remember_refused(submission, admitted.at.min(now));
+        }
+    }
+
     /// Remembers a refused job, so that its retries do not count as further load.
     fn remember_refused(&mut self, submission: &Submission, now: Instant) {
         if self.refused.len() >= REFUSED_MAX {
--- a/crates/policy/src/fleet/overload.rs
+++ b/crates/policy/src/fleet/overload.rs
@@ -390,15 +390,17 @@
         now: Instant,
     ) -> Need {
         let steps = &job.submission.steps;
+        let times = self.run_times.get(&job.submission.queue);
         let mut need = Need {
-            deviation_ms: self.deviation_ms(&job.submission.queue),
+            deviation_ms: times.map_or(0.0, RunTimes::deviation_ms),
             has_started: job.phase != Phase::Queued,
             ..Need::default()
         };
         for occurrence in job.occurrences.values() {
             let mut path = Path::new(steps.len());
             for (number, (step, state)) in steps.iter().zip(&occurrence.steps).enumerate() {
-                let task_ms = self.expected_ms(&job.submission.queue, step);
+                let declared_ms = step.estimate_ms as f64;
+                let task_ms = times.map_or(declared_ms, |times| times.expected_ms(declared_ms));
                 path.task_ms[number] = task_ms;
                 let cpu_milli = step.reserved().cpu_milli as f64;
                 need.total_work += f64::from(step.count) * cpu_milli * task_ms;
@@ -414,7 +416,7 @@
                     let left_ms = run_left_ms(run, task_ms, now);
                     longest_ms = longest_ms.max(left_ms);
                     need.running_work += left_ms * cpu_milli;
-                    if self.workers.get(run.worker).is_some_and(Self::serves_pool) {
+                    if self.workers.get(run.worker).is_some_and(|worker| self.serves_pool(worker)) {
                         running.add(left_ms, cpu_milli);
                     }
                 }
@@ -423,7 +425,7 @@
             }
             path.finish(steps, &mut need);
         }
-        need.total_path_ms *= self.pure_share(&job.submission.queue);
+        need.total_path_ms *= times.map_or(1.0, RunTimes::pure_share);
         need
     }
 
@@ -453,8 +455,13 @@
     }
 
     /// Returns whether a worker counts in the capacity of its pool.
-    fn serves_pool(worker: &Worker) -> bool {
-        worker.listed && !worker.entry.draining && worker.cordon.is_none()
+    ///
+    /// Workers of evacuated data centres get no starts, so that work admitted for them would end late.
+    fn serves_pool(&self, worker: &Worker) -> bool {
+        worker.listed
+            && !worker.entry.draining
+            && worker.cordon.is_none()
+            && !self.is_evacuated(worker)
     }
 
     /// Returns the capacity of a pool for short tasks, with the instances that move to it or can join it.
@@ -462,7 +469,7 @@
         let usable = self
             .workers
             .values()
-            .filter(|worker| Self::serves_pool(worker) && worker.entry.pool == *pool);
+            .filter(|worker| worker.entry.pool == *pool && self.serves_pool(worker));
         let listed_milli: u64 = usable.map(|worker| worker.entry.capacity.cpu_milli).sum();
         let instance_milli = self.instance_milli();
         let mut capacity = Capacity {
@@ -498,6 +505,7 @@
             instance.pool == standby
                 && matches!(instance.state, InstanceState::Up)
                 && !self.pending_moves.contains_key(*id)
+                && !self.is_instance_evacuated(id, instance)
         });
         let count = available.count().min(self.moves_per_second());
         count as u64 * self.instance_milli() as u64
@@ -586,6 +594,7 @@
         }
         for admitted in self.admitted.values().filter(|admitted| admitted.pool == *pool) {
             found.backlog += admitted.need.work;
+            found.ready_milli += (admitted.need.work / admitted.need.path_ms.max(1.0)) as u64;
             let left_ms = millis_until(admitted.due, now);
             if let Some(claim) = admitted.need.claim(left_ms, admitted.priority, false) {
                 found.parts.extend(admitted.need.parts(found.claims.len(), left_ms));
@@ -600,7 +609,10 @@
     /// Returns the processors that are free on the workers that count in a pool's capacity, in thousandths of a core.
     pub(super) fn free_milli(&self, pool: &PoolId) -> u64 {
         let workers = self.workers.values().filter(|worker| worker.entry.pool == *pool);
-        workers.filter(|w| Self::serves_pool(w)).map(|worker| worker.free().cpu_milli).sum()
+        workers
+            .filter(|worker| self.serves_pool(worker))
+            .map(|worker| worker.free().cpu_milli)
+            .sum()
     }
 
     /// Returns the expected run time of a queue's tasks with a declared run time, for the log and for tests.
@@ -675,7 +687,7 @@
     pub(super) room: Room,
     /// Work of the waiting tasks of all accepted jobs.
     pub(super) backlog: f64,
-    /// Processors of the tasks that are ready to start.
+    /// Processors of the tasks that are ready to start, with the average demand of jobs that are not persisted yet.
     pub(super) ready_milli: u64,
 }
 
