--- a/crates/kernel/src/metric.rs
+++ b/crates/kernel/src/metric.rs
@@ -99,6 +99,8 @@
         "Calls about jobs that were answered, by what was asked and how.";
     CALL_SECONDS = "wasabiswitch_call_seconds", Histogram,
         "Time from a call about a job to its answer, by what was asked.";
+    SUBMISSIONS = "wasabiswitch_submissions_total", Counter,
+        "Submissions that this daemon decided as the owner, retries included, by queue and decision.";
     RUN_EVENTS = "wasabiswitch_run_events_total", Counter,
         "What happened to runs of tasks at the owner, by event.";
     STARTS = "wasabiswitch_starts_total", Counter,
--- a/crates/kernel/src/store/mod.rs
+++ b/crates/kernel/src/store/mod.rs
@@ -203,7 +203,7 @@
                 return Ok(result);
             }
             if attempt > 1 {
-                tokio::time::sleep(backoff(attempt, fastrand::f64())).await;
+                self.back_off(options, attempt).await;
             }
             stored = self.read(options, key).await?;
             // If the write was delivered twice, the conflict may be with its own first delivery.
@@ -253,7 +253,7 @@
                 return Ok(result);
             }
             earlier = Some((write_id, result));
-            tokio::time::sleep(backoff(attempt, fastrand::f64())).await;
+            self.back_off(options, attempt).await;
         }
         Err(StoreError::new(StoreErrorKind::Contention))
     }
@@ -301,7 +301,7 @@
                     }
                 }
             }
-            tokio::time::sleep(backoff(call, fastrand::f64())).await;
+            self.back_off(options, call).await;
         }
         Err(StoreError::new(StoreErrorKind::Unknown("gave up".to_owned())))
     }
@@ -381,13 +381,19 @@
         loop {
             match self.call(operation, options, call()).await {
                 Err(error) if calls == CALLS_MAX || self.is_late(options) => return Err(error),
-                Err(_) => tokio::time::sleep(backoff(calls, fastrand::f64())).await,
+                Err(_) => self.back_off(options, calls).await,
                 Ok(response) => return Ok(response),
             }
             calls += 1;
         }
     }
 
+    /// Waits before a retry, but no longer than until the deadline: a later answer is of no use to the caller.
+    async fn back_off(&self, options: CallOptions, retry: u32) {
+        let remaining = options.deadline.saturating_duration_since(self.clock.now());
+        tokio::time::sleep(backoff(retry, fastrand::f64()).min(remaining)).await;
+    }
+
     fn is_late(&self, options: CallOptions) -> bool {
         self.clock.now() >= options.deadline
     }
--- a/crates/plugins/src/fleet/queue_calls.rs
+++ b/crates/plugins/src/fleet/queue_calls.rs
@@ -275,7 +275,9 @@
             NO_OWNER_RETRY_AFTER,
         ));
     }
-    match term.engine.admit(&submission, &queue_settings, now) {
+    let admission = term.engine.admit(&submission, &queue_settings, now);
+    count_submission(&submission, admission.as_str());
+    match admission {
         Admission::Accept => {}
         Admission::TooLarge => {
             let reason = "no worker is large enough for one of the tasks";
@@ -321,6 +323,12 @@
     SubmissionState::Waiting(receiver)
 }
 
+/// Counts a decision on a submission. One that is refused for a slow store has been counted as accepted before.
+fn count_submission(submission: &Submission, decision: &'static str) {
+    let queue = submission.queue.to_string();
+    metrics::counter!(metric::SUBMISSIONS, "queue" => queue, "decision" => decision).increment(1);
+}
+
 /// Refuses a submission that the store would write too late, so that its outcome is not in doubt.
 fn refuse_for_slow_store(
     term: &mut Term,
@@ -332,6 +340,7 @@
     if is_persisted_in_time(waiting, last_write) {
         return None;
     }
+    count_submission(submission, "slow-store");
     log::info!(
         "submission refused request={request:016x} job={} reason=slow store waiting={waiting} write_ms={}",
         submission.job,
--- a/crates/policy/src/fleet/admission.rs
+++ b/crates/policy/src/fleet/admission.rs
@@ -81,6 +81,18 @@
     },
 }
 
+impl Admission {
+    /// Returns the name of the decision in metrics.
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            Admission::Accept => "accepted",
+            Admission::TooLarge => "too-large",
+            Admission::Evacuated { .. } => "evacuated",
+            Admission::TooLate { .. } => "too-late",
+        }
+    }
+}
+
 /// Claims on a pool, and the time at which they were computed.
 #[derive(Clone, Debug)]
 pub(super) struct RecentClaims {
