--- a/crates/policy/src/fleet/admission.rs
+++ b/crates/policy/src/fleet/admission.rs
@@ -221,12 +221,13 @@
         if is_idle || is_free {
             return Some(value_end);
         }
-        // A caller that has been refused until its job has no value any more still wants it. It is accepted once the room that
-        // is left over suffices within the time of an objective, or else it would be refused for as long as others call.
+        // A caller that has been refused until its job has no value any more still wants it. It is taken on like one that calls
+        // for the first time and ends late, or else it would be refused for as long as others call.
         let late_ms = if need.path_ms <= value_ms {
             value_ms
         } else {
-            need.objective_after(queue_settings).as_secs_f64() * 1_000.0
+            let objective_ms = need.objective_after(queue_settings).as_secs_f64() * 1_000.0;
+            objective_ms * f64::from(VALUE_END_RATIO)
         };
         let offered_milli = self.offered_loads.get(pool).map_or(0.0, |load| load.rate_milli(now));
         let arriving_milli = offered_milli.min(room.capacity.eventual_milli()) * ARRIVING_SHARE;
