--- a/crates/kernel/src/metric.rs
+++ b/crates/kernel/src/metric.rs
@@ -99,6 +99,8 @@
         "Calls about jobs that were answered, by what was asked and how.";
     CALL_SECONDS = "wasabiswitch_call_seconds", Histogram,
         "Time from a call about a job to its answer, by what was asked.";
+    SUBMISSIONS = "wasabiswitch_submissions_total", Counter,
+        "Submissions that this daemon decided as the owner, retries included, by queue and decision.";
     RUN_EVENTS = "wasabiswitch_run_events_total", Counter,
         "What happened to runs of tasks at the owner, by event.";
     STARTS = "wasabiswitch_starts_total", Counter,
@@ -113,8 +115,24 @@
         "Terms in which this daemon owned the fleet.";
     INSTANCE_CALLS = "wasabiswitch_instance_calls_total", Counter,
         "Moves and upkeep that were asked of the machine service, by outcome.";
+    EVACUATIONS = "wasabiswitch_evacuations", Gauge,
+        "Evacuations of data centres that are in force here.";
+    EVACUATED_TASKS = "wasabiswitch_evacuated_tasks", Gauge,
+        "Tasks that may still run in evacuated data centres, at the owner.";
+    EVACUATION_RETURNS = "wasabiswitch_evacuation_returns_total", Counter,
+        "Workers that have returned after an evacuation was lifted, at the owner.";
+    FORECAST_PERIOD_SECONDS = "wasabiswitch_forecast_period_seconds", Gauge,
+        "Period of the pools' demand that the forecast uses; zero without a forecast.";
+    FORECASTS_WRONG = "wasabiswitch_forecasts_wrong_total", Counter,
+        "Times at which a pool's forecast was set aside because it was wrong twice, by pool.";
     ENTRIES_REJECTED = "wasabiswitch_entries_rejected_total", Counter,
         "Invalid entries of the platform's lists that were skipped, by list.";
+    INTAKE_CONNECTIONS = "wasabiswitch_intake_connections", Gauge,
+        "Connections of clients, by listener.";
+    INTAKE_BYTES = "wasabiswitch_intake_bytes", Gauge,
+        "Bytes of bodies that are being read or are held by requests, by listener.";
+    INTAKE_REFUSALS = "wasabiswitch_intake_refusals_total", Counter,
+        "Requests and connections that were refused or closed at a limit, by listener and limit.";
     TASK_PANICS = "wasabiswitch_task_panics_total", Counter,
         "Tasks that panicked, by task.";
 }
--- a/crates/plugins/src/fleet/queue_calls.rs
+++ b/crates/plugins/src/fleet/queue_calls.rs
@@ -275,7 +275,9 @@
             NO_OWNER_RETRY_AFTER,
         ));
     }
-    match term.engine.admit(&submission, &queue_settings, now) {
+    let admission = term.engine.admit(&submission, &queue_settings, now);
+    count_submission(&submission, admission.as_str());
+    match admission {
         Admission::Accept => {}
         Admission::TooLarge => {
             let reason = "no worker is large enough for one of the tasks";
@@ -285,6 +287,18 @@
             );
             return SubmissionState::Answered(Reply::Invalid(reason.to_owned()));
         }
+        Admission::Evacuated { retry_after } => {
+            log::info!(
+                "submission refused request={request:016x} job={} queue={} reason=evacuated \
+                 retry_after_ms={}",
+                submission.job,
+                submission.queue,
+                retry_after.as_millis()
+            );
+            record_refusal(term, request, now);
+            let reason = "the only workers that could run the job are in an evacuated data centre";
+            return SubmissionState::Answered(Reply::refused(reason, retry_after));
+        }
         Admission::TooLate { estimate, retry_after } => {
             log::info!(
                 "submission refused request={request:016x} job={} queue={} reason=too late estimate_ms={} \
@@ -309,6 +323,12 @@
     SubmissionState::Waiting(receiver)
 }
 
+/// Counts a decision on a submission. One that is refused for a slow store has been counted as accepted before.
+fn count_submission(submission: &Submission, decision: &'static str) {
+    let queue = submission.queue.to_string();
+    metrics::counter!(metric::SUBMISSIONS, "queue" => queue, "decision" => decision).increment(1);
+}
+
 /// Refuses a submission that the store would write too late, so that its outcome is not in doubt.
 fn refuse_for_slow_store(
     term: &mut Term,
@@ -320,11 +340,13 @@
     if is_persisted_in_time(waiting, last_write) {
         return None;
     }
+    count_submission(submission, "slow-store");
     log::info!(
         "submission refused request={request:016x} job={} reason=slow store waiting={waiting} write_ms={}",
         submission.job,
         last_write.as_millis()
     );
+    term.engine.withdraw_admission(submission, now);
     record_refusal(term, request, now);
     let reason = "the store is too slow to take the job in time";
     Some(Reply::refused(reason, NO_OWNER_RETRY_AFTER))
--- a/crates/policy/src/fleet/job.rs
+++ b/crates/policy/src/fleet/job.rs
@@ -7,6 +7,7 @@
 use wasabiswitch_derive::derives;
 
 use super::settings::QueueSettings;
+use super::silent_records::RowVersion;
 use super::spec::{Step, Submission};
 use super::start_pools::StartPools;
 use super::state::{JobKey, WorkerKey};
@@ -222,6 +223,8 @@
     pub accepted_fence: u64,
     /// Time at which this owner accepted the job or read it from the store.
     pub accepted: Instant,
+    /// Time from which the objective counts: the caller's first attempt, if this owner refused earlier ones.
+    pub objective_from: Instant,
     /// Current phase.
     pub phase: Phase,
     /// Phase that callers see: an end becomes visible once it is persisted.
@@ -238,9 +241,33 @@
     pub occurrences_persisted: u32,
     /// Time at which the first occurrence is due.
     pub first_due: Instant,
+    /// Version of the job's row in the store, if a successor has read it; otherwise zero.
+    pub row_version: RowVersion,
 }
 
 impl Job {
+    /// Returns all tasks of the open occurrences with their references.
+    pub(super) fn tasks(&self, job: JobKey) -> impl Iterator<Item = (TaskRef, &Task)> {
+        self.occurrences.iter().flat_map(move |(occurrence, entry)| {
+            let steps = entry.steps.iter().zip(0..);
+            steps.flat_map(move |(step_state, step)| {
+                let task_ref = move |index| TaskRef { job, occurrence: *occurrence, step, index };
+                step_state.tasks.iter().zip(0..).map(move |(task, i)| (task_ref(i), task))
+            })
+        })
+    }
+
+    /// Returns all tasks of the open occurrences, to be changed, with their references.
+    pub(super) fn tasks_mut(&mut self, job: JobKey) -> impl Iterator<Item = (TaskRef, &mut Task)> {
+        self.occurrences.iter_mut().flat_map(move |(occurrence, entry)| {
+            let steps = entry.steps.iter_mut().zip(0..);
+            steps.flat_map(move |(step_state, step)| {
+                let task_ref = move |index| TaskRef { job, occurrence: *occurrence, step, index };
+                step_state.tasks.iter_mut().zip(0..).map(move |(task, i)| (task_ref(i), task))
+            })
+        })
+    }
+
     /// Returns the total number of occurrences, which is one without a schedule.
     pub fn occurrences_total(&self) -> u32 {
         self.submission.repeats.max(1)
@@ -302,6 +329,8 @@
     pub fn objective(&self) -> Instant {
         let critical_path =
             self.submission.critical_path().mul_f64(self.queue_settings.slack_factor);
-        self.accepted + critical_path + Duration::from_millis(self.queue_settings.objective_ms)
+        self.objective_from
+            + critical_path
+            + Duration::from_millis(self.queue_settings.objective_ms)
     }
 }
--- a/crates/policy/src/fleet/mod.rs
+++ b/crates/policy/src/fleet/mod.rs
@@ -21,14 +21,18 @@
 //! | [`pressure`] | bounds on reports, plans and starts, which follow the load of the owner's processor and link |
 //! | [`start_pools`] | record of the pools in which the tasks of a job may have been started |
 //! | [`progress`] | progress of jobs in the store, and its recovery by a new owner |
+//! | [`silent_records`] | records of the workers that do not answer, and of the tasks that they may be running |
 //! | [`unconfirmed`] | tasks and workers of which a new owner does not know whether they run |
 //! | [`advice`] | workers that the advice service allows for a step |
 //! | [`admission`] | refusal of jobs at submission |
+//! | [`overload`] | choice of the jobs that get the capacity of a pool while it is too small for all |
 //! | [`fairness`] | fair shares of teams in a full pool |
 //! | [`calls`] | calls to a queue and their replies |
 //! | [`config`] | the configuration, and the queue and team of a call |
+//! | [`config_check`] | entries of the configuration that have no effect |
 //! | [`pace`] | throttling of filler tasks beside tasks with a latency target |
 //! | [`maintenance`] | order of the instances in a maintenance wave |
+//! | [`evacuation`] | evacuation of data centres, and the return of their workers |
 //! | [`offered_load`] | measurement of the work that arrives for a pool |
 //! | [`sizing`] | moves of instances between pools |
 //! | [`ownership`] | election and takeover of the fleet's owner |
@@ -38,6 +42,9 @@
 pub mod advice;
 pub mod calls;
 pub mod config;
+pub mod config_check;
+pub mod demand_forecast;
+pub mod evacuation;
 pub mod fairness;
 pub mod job;
 pub mod lease;
@@ -45,6 +52,7 @@
 pub mod maintenance;
 pub mod offered_load;
 pub mod outcomes;
+pub mod overload;
 pub mod ownership;
 pub mod pace;
 pub mod placement;
@@ -53,10 +61,12 @@
 pub mod progress;
 pub mod reports;
 pub mod settings;
+pub mod silent_records;
 pub mod sizing;
 pub mod spec;
 pub mod start_pools;
 pub mod state;
+pub mod surplus;
 pub mod unconfirmed;
 pub mod view;
 pub mod worker;
--- a/crates/policy/src/fleet/placement.rs
+++ b/crates/policy/src/fleet/placement.rs
@@ -26,6 +26,9 @@
 const RACK_PENALTY: f64 = 20.0;
 /// Penalty for each task of the step on the same rack, and for each on the same worker.
 const SIBLING_PENALTY: f64 = 2.0;
+/// Penalty for a worker whose instance its pool does not need now. It exceeds any difference in load, so that the
+/// instance becomes empty without a drain.
+const SURPLUS_PENALTY: f64 = 2.0;
 /// Penalty for each task with a latency target beside a filler, and for each filler beside such a task.
 const INTERFERENCE_PENALTY: f64 = 5.0;
 
@@ -60,7 +63,9 @@
             && worker.restart_suspected_at.is_none()
             && !worker.entry.draining
             && worker.cordon.is_none()
+            && !self.is_barred_by_evacuation(worker, now)
             && worker.clock.is_some()
+            && !self.has_silent_record(&worker.entry.id)
             && self.is_certainly_owner_at(worker.incarnation_known_since)
             && worker.quarantined_until.is_none_or(|until| until <= now)
             && worker
@@ -121,6 +126,9 @@
     ) -> f64 {
         let load = worker.reserved.dominant_share(&worker.entry.capacity);
         let mut penalty = if step.long_running { -load } else { load };
+        if self.surplus_workers.contains(&key) {
+            penalty += SURPLUS_PENALTY;
+        }
         if !step.data_rack.is_empty() && *worker.entry.rack != *step.data_rack {
             penalty += REMOTE_PENALTY;
         }
@@ -160,7 +168,7 @@
 }
 
 /// Returns whether a worker has the label that a step requires and is below its limit per worker.
-fn satisfies_constraints(
+pub(super) fn satisfies_constraints(
     step: &Step,
     worker: &Worker,
     key: WorkerKey,
--- a/crates/policy/src/fleet/sizing.rs
+++ b/crates/policy/src/fleet/sizing.rs
@@ -3,7 +3,7 @@
 //! Queues have bursts of several times their mean load, more than the capacity of their pool, while other
 //! pools are nearly idle. An instance in the standby pool costs nothing. Instances therefore follow the
 //! offered load, refused work included. Pools below their target take empty instances from the standby pool
-//! and from pools above their target. Pools above their target drain their least loaded instances for this,
+//! and from pools above their target. Pools above their target drain those that are empty first for this,
 //! and instances that no pool needs for some time move to the standby pool. Instances under maintenance by a
 //! running wave are not moved.
 
@@ -12,7 +12,9 @@
 
 use super::maintenance::{FleetOrder, FleetOutcome, InstanceState, MaintenanceStage};
 use super::offered_load::OfferedLoad;
+use super::overload::run_left_ms;
 use super::state::{Cordon, Engine, Job, Occurrence, WorkerKey};
+use super::surplus::TargetHistory;
 use super::view::PoolView;
 use crate::ids::{InstanceId, PoolId};
 
@@ -21,14 +23,21 @@
 const TARGET_UTILIZATION: f64 = 0.8;
 /// Minimum number of instances of each pool but the standby pool, so that a first job starts at once.
 const POOL_INSTANCES_MIN: usize = 2;
-/// Time for which a pool must have a surplus before its instances move to the standby pool: about the time after
-/// which an idle instance has cost as much as two moves and the wait for the second.
-const STANDBY_DELAY: Duration = Duration::from_millis(1_500);
+/// Time in addition to the move of an instance for which a pool keeps instances for a forecast peak: an idle instance
+/// has then cost as much as two moves.
+const MOVE_COST_TIME: Duration = Duration::from_millis(2_000);
+/// Time by which instances arrive before a forecast rise: one interval between two plans.
+const FORECAST_MARGIN: Duration = Duration::from_millis(100);
 /// Maximum number of instances that a pool gets only to keep tasks of one step on different workers. The widest
 /// steps in use have about 40 tasks, and a mistake in a submission must not move the whole fleet into one pool.
 const ANTI_AFFINITY_INSTANCES_MAX: usize = 64;
 /// Share of the rate of calls to the instance service that moves may use; waves and retries need the rest.
 const MOVE_CALLS_SHARE: f64 = 0.75;
+/// Time within which the accepted jobs of a pool whose load falls have a run. A job without a run for 3 s counts as lost.
+const BACKLOG_TIME: Duration = Duration::from_millis(2_000);
+/// Minimum time over which work that is due is spread, in milliseconds: work that is due now cannot be sped up by more
+/// processors than it has tasks.
+const COMPLETION_TIME_MIN_MS: f64 = 250.0;
 const SECOND: Duration = Duration::from_secs(1);
 /// Time after which a move without effect is abandoned.
 const MOVE_TIMEOUT: Duration = Duration::from_millis(4_000);
@@ -114,8 +123,9 @@
     pub(super) instances: usize,
     /// Instances without runs, all of whose ends are persisted; they can move at once.
     pub(super) empty: Vec<InstanceId>,
-    /// Instances with short tasks only or with ends that are not persisted, with the number of their runs.
-    drainable: Vec<(usize, InstanceId)>,
+    /// Instances with short tasks only or with ends that are not persisted, with the expected time until they have no
+    /// runs, in milliseconds.
+    drainable: Vec<(u64, InstanceId)>,
     /// Instances that drain for a move.
     draining: Vec<InstanceId>,
 }
@@ -125,11 +135,13 @@
     pub fn record_offered_work(&mut self, pool: &PoolId, work_milli_ms: f64, now: Instant) {
         let load = self.offered_loads.entry(pool.clone()).or_insert_with(|| OfferedLoad::new(now));
         load.add(work_milli_ms, now);
+        self.demand_forecast.add(pool, work_milli_ms, now);
     }
 
     /// Updates the targets of all pools, and returns the moves to start now.
     pub fn plan_moves(&mut self, now: Instant) -> Vec<FleetOrder> {
         self.remove_finished_moves(now);
+        self.demand_forecast.advance(now);
         let Some(standby) = self.standby_pool() else { return Vec::new() };
         if !self.is_directory_populated() {
             return Vec::new();
@@ -138,14 +150,15 @@
         let mut standby_state = pools.remove(&standby).unwrap_or_default();
         let names: Vec<PoolId> = pools.keys().cloned().collect();
         let total = standby_state.empty.len() + pools.values().map(|p| p.instances).sum::<usize>();
-        let want = |accepted_milli: fn(&Engine, &PoolId, Instant) -> f64| -> Vec<usize> {
-            let wanted = |name| self.instances_wanted(name, accepted_milli(self, name, now), now);
-            names.iter().map(wanted).collect()
-        };
-        let in_time = want(Engine::accepted_in_time_milli);
-        let all = want(|engine, pool, _| engine.accepted_milli(pool));
+        let in_time: Vec<usize> =
+            names.iter().map(|name| self.instances_wanted_in_time(name, now)).collect();
+        let all: Vec<usize> = names
+            .iter()
+            .map(|name| self.instances_wanted(name, self.accepted_milli(name), now))
+            .collect();
         let targets = allocate_instances_on_time_first(&in_time, &all, POOL_INSTANCES_MIN, total);
         self.targets = names.iter().cloned().zip(targets.iter().copied()).collect();
+        self.record_targets(now);
         let recent = |moving: &&PendingMove| now.saturating_duration_since(moving.since) < SECOND;
         let started = self.pending_moves.values().filter(recent).count();
         let moves_max = self.moves_per_second().saturating_sub(started);
@@ -154,7 +167,12 @@
         for (name, target) in names.iter().zip(&targets) {
             let shortfall = target.saturating_sub(pools[name].instances);
             for filled in 0..shortfall {
-                let taken = standby_state.empty.pop().or_else(|| self.take_surplus(&mut pools));
+                let settled =
+                    |name: &PoolId, state: &PoolState| self.transferable(name, state, now);
+                let any = |name: &PoolId, state: &PoolState| self.surplus(name, state);
+                let taken = take_surplus(&mut pools, settled)
+                    .or_else(|| standby_state.empty.pop())
+                    .or_else(|| take_surplus(&mut pools, any));
                 let Some(instance) = taken.filter(|_| orders.len() < moves_max) else {
                     missing += shortfall - filled;
                     break;
@@ -162,7 +180,7 @@
                 self.start_move(instance, name, now, &mut orders);
             }
         }
-        self.update_surplus_since(&pools, now);
+        self.mark_surplus_workers(&pools);
         self.drain_surplus(&pools, missing, now);
         self.move_to_standby(&mut pools, &standby, moves_max, now, &mut orders);
         orders
@@ -178,9 +196,12 @@
         let describe = |view: PoolView| {
             let PoolView { pool, instances, workers, target, empty, .. } = view;
             let PoolView { running_milli, offered_milli, accepted_milli, .. } = view;
+            let forecast = self.demand_forecast.load_milli(&pool, now, self.limits.move_time);
+            let forecast = forecast.map_or("none".to_owned(), |milli| format!("{milli:.0}"));
             format!(
                 "{pool}:have={instances},up={workers},target={target},empty={empty},\
-                 running={running_milli},offered={offered_milli},accepted={accepted_milli}"
+                 running={running_milli},offered={offered_milli},accepted={accepted_milli},\
+                 forecast={forecast}"
             )
         };
         let pools: Vec<String> = self.view_pools(now).into_iter().map(describe).collect();
@@ -222,40 +243,58 @@
         self.pools.iter().find(|(_, pool)| pool.standby).map(|(id, _)| id.clone())
     }
 
-    /// Takes an empty instance from the pool with the largest surplus among those that have one.
-    fn take_surplus(&self, pools: &mut BTreeMap<PoolId, PoolState>) -> Option<InstanceId> {
-        let (_, state) = pools
-            .iter_mut()
-            .filter(|(name, state)| !state.empty.is_empty() && self.surplus(name, state) > 0)
-            .max_by_key(|(name, state)| self.surplus(name, state))?;
-        state.instances -= 1;
-        state.empty.pop()
+    /// Adds the current targets to the histories of the pools.
+    fn record_targets(&mut self, now: Instant) {
+        for (name, target) in &self.targets {
+            let history = self.target_histories.entry(name.clone());
+            history.or_insert_with(|| TargetHistory::new(now)).add(*target, now);
+        }
     }
 
+    /// Returns the number of instances of a pool above its present target.
     fn surplus(&self, name: &PoolId, state: &PoolState) -> usize {
-        state
-            .instances
-            .saturating_sub(self.targets.get(name).copied().unwrap_or(POOL_INSTANCES_MIN))
+        let target = self.targets.get(name).copied().unwrap_or(POOL_INSTANCES_MIN);
+        state.instances.saturating_sub(target)
     }
 
-    /// Updates the times since which pools have had a surplus.
-    fn update_surplus_since(&mut self, pools: &BTreeMap<PoolId, PoolState>, now: Instant) {
-        for (name, state) in pools {
-            if self.surplus(name, state) == 0 {
-                self.surplus_since.remove(name);
-            } else {
-                self.surplus_since.entry(name.clone()).or_insert(now);
-            }
-        }
+    /// Returns the number of instances that have exceeded the target of a pool for some time, which go to other pools
+    /// before those of the standby pool.
+    fn transferable(&self, name: &PoolId, state: &PoolState, now: Instant) -> usize {
+        let kept = self.target_histories.get(name).map(|history| history.kept_from_transfer(now));
+        state.instances.saturating_sub(kept.unwrap_or(usize::MAX))
+    }
+
+    /// Returns the number of instances that a pool can give to the standby pool.
+    fn releasable(&self, name: &PoolId, state: &PoolState, now: Instant) -> usize {
+        let back = self.limits.move_time + MOVE_COST_TIME;
+        let forecast = self.demand_forecast.peak_milli(name, now, Duration::ZERO, back);
+        let forecast = forecast.map(|milli| self.instances_for(name, milli));
+        let kept = self.target_histories.get(name);
+        let kept = kept.and_then(|history| history.kept_from_standby(forecast, now));
+        state.instances.saturating_sub(kept.unwrap_or(usize::MAX))
     }
 
-    /// Returns whether a pool has had a surplus for so long that the standby pool is cheaper.
-    fn has_sustained_surplus(&self, pool: &PoolId, now: Instant) -> bool {
-        let since = self.surplus_since.get(pool);
-        since.is_some_and(|since| now.saturating_duration_since(*since) >= STANDBY_DELAY)
+    /// Marks the workers of the instances that exceed the targets, the first to be empty first, so that the others get the
+    /// new tasks.
+    fn mark_surplus_workers(&mut self, pools: &BTreeMap<PoolId, PoolState>) {
+        let mut marked = BTreeSet::new();
+        for (name, state) in pools {
+            let empty = state.empty.iter().map(|id| (0, id));
+            let loaded = state.drainable.iter().map(|(left_ms, id)| (*left_ms, id));
+            let keys = empty
+                .chain(loaded)
+                .filter_map(|(left_ms, id)| Some((left_ms, self.worker_of(id)?)));
+            let mut candidates: Vec<(bool, u64, WorkerKey)> = keys
+                .map(|(left_ms, key)| (!self.surplus_workers.contains(&key), left_ms, key))
+                .collect();
+            candidates.sort();
+            let surplus = self.surplus(name, state).saturating_sub(state.draining.len());
+            marked.extend(candidates.into_iter().take(surplus).map(|(_, _, key)| key));
+        }
+        self.surplus_workers = marked;
     }
 
-    /// Cordons instances of pools with a surplus so that they drain, the least loaded first.
+    /// Cordons instances of pools with a surplus so that they drain, the first to be empty first.
     ///
     /// Drains `missing` instances for other pools, and the whole of a sustained surplus for the standby pool.
     /// Uncordons instances that need not drain any more.
@@ -263,10 +302,9 @@
         let mut drained: BTreeSet<InstanceId> = BTreeSet::new();
         let mut still_missing = missing;
         for (name, state) in pools {
-            let mut surplus = self.surplus(name, state).saturating_sub(state.empty.len());
-            if !self.has_sustained_surplus(name, now) {
-                surplus = surplus.min(still_missing);
-            }
+            let present = self.surplus(name, state).saturating_sub(state.empty.len());
+            let releasable = self.releasable(name, state, now).saturating_sub(state.empty.len());
+            let mut surplus = releasable.max(present.min(still_missing));
             let mut candidates = state.drainable.clone();
             candidates.sort();
             let draining = state.draining.iter().cloned();
@@ -308,10 +346,7 @@
         orders: &mut Vec<FleetOrder>,
     ) {
         for (name, state) in pools {
-            if !self.has_sustained_surplus(name, now) {
-                continue;
-            }
-            for _ in 0..self.surplus(name, state) {
+            for _ in 0..self.releasable(name, state, now) {
                 let Some(instance) = state.empty.pop() else { break };
                 if orders.len() >= moves_max {
                     return;
@@ -321,6 +356,37 @@
         }
     }
 
+    /// Returns the number of instances that a pool needs for the jobs that can meet their objective.
+    ///
+    /// A pool whose load falls needs only what completes its accepted jobs by their objectives. The rest goes to pools
+    /// whose jobs would be late otherwise, and late work runs on what is left.
+    fn instances_wanted_in_time(&self, pool: &PoolId, now: Instant) -> usize {
+        let wanted = self.instances_wanted(pool, self.accepted_in_time_milli(pool, now), now);
+        let load = self.offered_loads.get(pool);
+        let Some(falling_milli) = load.and_then(|load| load.falling_rate_milli(now)) else {
+            return wanted;
+        };
+        let arrival = self.limits.move_time + FORECAST_MARGIN;
+        let forecast = self.demand_forecast.peak_milli(pool, now, Duration::ZERO, arrival);
+        let accepted_milli = self.completion_milli(pool, now);
+        let milli = falling_milli.max(accepted_milli).max(forecast.unwrap_or(0.0));
+        // The backlog may be late work that exceeds the pool, which must not displace work in time.
+        wanted.min(self.instances_for(pool, milli))
+    }
+
+    /// Returns the processors that complete the accepted short jobs of a pool by their objectives, and start each of the
+    /// others within [`BACKLOG_TIME`], in thousandths of a core.
+    fn completion_milli(&self, pool: &PoolId, now: Instant) -> f64 {
+        let mut accepted = self.accepted_claims(pool, now);
+        accepted.parts.sort_by(|a, b| a.due_ms.total_cmp(&b.due_ms));
+        let (mut due_work, mut milli) = (0.0, 0.0f64);
+        for part in &accepted.parts {
+            due_work += part.work;
+            milli = milli.max(due_work / part.due_ms.max(COMPLETION_TIME_MIN_MS));
+        }
+        milli.max(accepted.backlog / (BACKLOG_TIME.as_secs_f64() * 1_000.0))
+    }
+
     /// Returns the number of instances that a pool can use, given the processors that its accepted jobs can use
     /// at once.
     fn instances_wanted(&self, pool: &PoolId, accepted_milli: f64, now: Instant) -> usize {
@@ -328,10 +394,22 @@
         if instance_milli == 0.0 {
             return POOL_INSTANCES_MIN;
         }
-        let offered_milli = self.offered_loads.get(pool).map_or(0.0, |load| load.rate_milli(now));
-        let need_milli = self.long_running_milli(pool) + offered_milli.max(accepted_milli);
-        let by_load = (need_milli / (instance_milli * TARGET_UTILIZATION)).ceil() as usize;
-        by_load.max(self.anti_affinity_instances(pool))
+        let arrival = self.limits.move_time + FORECAST_MARGIN;
+        let forecast = self.demand_forecast.peak_milli(pool, now, Duration::ZERO, arrival);
+        let offered_milli = self.offered_loads.get(pool).map_or(0.0, |load| match forecast {
+            Some(forecast_milli) => load.rate_beside_forecast_milli(forecast_milli, now),
+            None => load.rate_milli(now),
+        });
+        let short_milli = offered_milli.max(accepted_milli).max(forecast.unwrap_or(0.0));
+        self.instances_for(pool, short_milli)
+    }
+
+    /// Returns the number of instances that a pool needs for its long-running tasks and for short tasks that use the
+    /// given processors.
+    fn instances_for(&self, pool: &PoolId, short_milli: f64) -> usize {
+        let need_milli = self.long_running_milli(pool) + short_milli;
+        let by_load = need_milli / (self.instance_milli() * TARGET_UTILIZATION);
+        (by_load.ceil() as usize).max(self.anti_affinity_instances(pool)).max(POOL_INSTANCES_MIN)
     }
 
     /// Returns the number of workers that steps with a limit of tasks per worker need.
@@ -394,6 +472,9 @@
         let mut pools: BTreeMap<PoolId, PoolState> =
             self.pools.keys().map(|id| (id.clone(), PoolState::default())).collect();
         for (id, instance) in &self.instances {
+            if self.is_instance_evacuated(id, instance) {
+                continue;
+            }
             if let Some(moving) = self.pending_moves.get(id) {
                 if let Some(state) = pools.get_mut(&moving.to) {
                     state.instances += 1;
@@ -415,6 +496,7 @@
             }
             self.classify_instance(id, worker, in_standby, state, now);
         }
+        self.take_unknown_data_centres_last(&mut pools);
         pools
     }
 
@@ -440,10 +522,22 @@
         } else if worker.cordon == Some(Cordon::Move) {
             state.draining.push(id.clone());
         } else if !worker.runs.iter().any(|(task, _)| self.is_long_running_task(task)) {
-            state.drainable.push((worker.runs.len(), id.clone()));
+            state.drainable.push((self.time_until_empty_ms(worker, now), id.clone()));
         }
     }
 
+    /// Returns the expected time until a worker's runs have ended, in milliseconds.
+    fn time_until_empty_ms(&self, worker: &super::state::Worker, now: Instant) -> u64 {
+        let left_ms = |(task, attempt): &(super::state::TaskRef, u32)| {
+            let job = self.jobs.get(task.job)?;
+            let step = job.submission.steps.get(task.step as usize)?;
+            let run = job.task(task)?.runs.iter().find(|run| run.attempt == *attempt)?;
+            let expected_ms = self.expected_ms(&job.submission.queue, step);
+            Some(run_left_ms(run, expected_ms, now) as u64)
+        };
+        worker.runs.iter().filter_map(left_ms).max().unwrap_or(0)
+    }
+
     pub(super) fn is_long_running_task(&self, task: &super::state::TaskRef) -> bool {
         let step =
             self.jobs.get(task.job).and_then(|job| job.submission.steps.get(task.step as usize));
@@ -483,3 +577,16 @@
         }
     }
 }
+
+/// Takes an empty instance from the pool with the largest surplus among those that have one.
+fn take_surplus(
+    pools: &mut BTreeMap<PoolId, PoolState>,
+    surplus: impl Fn(&PoolId, &PoolState) -> usize,
+) -> Option<InstanceId> {
+    let (_, state) = pools
+        .iter_mut()
+        .filter(|(name, state)| !state.empty.is_empty() && surplus(name, state) > 0)
+        .max_by_key(|(name, state)| surplus(name, state))?;
+    state.instances -= 1;
+    state.empty.pop()
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod breaker;
 pub mod burn;
 pub mod config;
+pub mod config_check;
 pub mod demand;
 pub mod fleet;
 pub mod generation;
@@ -51,6 +52,7 @@
 pub mod idempotency;
 pub mod ids;
 pub mod instance;
+pub mod intake;
 pub mod jobs;
 pub mod merge;
 pub mod placement;
--- a/crates/policy/tests/fleet_engine/main.rs
+++ b/crates/policy/tests/fleet_engine/main.rs
@@ -2,20 +2,26 @@
 //! delivered late or executed twice.
 
 mod bursts;
+mod demand_forecast;
 mod ends_on_record;
+mod evacuation;
 mod fixtures;
 mod former_incarnations;
 mod head_of_line_blocking;
 mod hot_team;
 mod instance_service;
 mod late_backlog;
+mod overload;
 mod ownership;
+mod peaks;
 mod random_faults;
 mod regressions;
 mod restarted_worker;
+mod silent_records;
 mod simulation;
 mod sizing;
 mod slow_store;
 mod split_brain;
 mod successor;
+mod transition;
 mod worker_capacity;
