--- a/crates/policy/tests/fleet_engine/simulation.rs
+++ b/crates/policy/tests/fleet_engine/simulation.rs
@@ -133,6 +133,8 @@
     stored_silent_workers: BTreeMap<InstanceId, (RowVersion, SilentWorkerRow)>,
     /// Version of the last write to the store.
     store_version: RowVersion,
+    /// Run times of jobs whose declared ones are wrong, in milliseconds, by job.
+    pub run_times_ms: BTreeMap<JobId, u64>,
     /// Objective of each job, kept here because the engine drops the submission of a finished job.
     objectives: BTreeMap<JobId, Instant>,
     /// Jobs of which the store has only the progress row.
@@ -195,6 +197,7 @@
             job_versions: BTreeMap::new(),
             stored_silent_workers: BTreeMap::new(),
             store_version: 0,
+            run_times_ms: BTreeMap::new(),
             objectives: BTreeMap::new(),
             retired: BTreeSet::new(),
             deliveries: Vec::new(),
@@ -601,7 +604,8 @@
             Order::Start { worker, task, name, attempt, submission, until_ms, .. } => {
                 let step = &submission.steps[name.step as usize];
                 let fails = self.rng.f64() < self.faults.failed_tasks;
-                let length = Duration::from_millis(step.estimate_ms);
+                let wrong_ms = self.run_times_ms.get(&name.job).copied();
+                let length = Duration::from_millis(wrong_ms.unwrap_or(step.estimate_ms));
                 let start = FakeStart {
                     task: name,
                     attempt,
