--- a/crates/policy/src/fleet/admission.rs
+++ b/crates/policy/src/fleet/admission.rs
@@ -98,6 +98,7 @@
             return Admission::Accept;
         }
         let pool = &queue_settings.pool;
+        self.admitted.retain(|_, job| now.saturating_duration_since(job.at) < ADMITTED_RETENTION);
         let accepted = self.accepted_claims(pool, now);
         let need = self.need_of(submission, accepted.room.capacity.eventual_milli());
         if !self.refused.contains_key(&submission.job) {
@@ -110,8 +111,6 @@
         match decision {
             Some(due) => {
                 let priority = queue_settings.priority;
-                self.admitted
-                    .retain(|_, job| now.saturating_duration_since(job.at) < ADMITTED_RETENTION);
                 let pool = pool.clone();
                 let admitted = AdmittedJob {
                     pool,
@@ -179,13 +178,22 @@
         // A job that is wider than the whole pool is no reason to leave an idle pool idle.
         let is_idle =
             accepted.ready_milli == 0 && free_milli as f64 >= room.capacity.milli * IDLE_SHARE;
-        if (is_idle && value_ms > 0.0) || (is_free && need.path_ms <= value_ms) {
+        if is_idle || is_free {
             return Some(value_end);
         }
+        // A caller that has been refused until its job has no value any more still wants it: it is taken on like one that
+        // calls for the first time and ends late, or else it would be refused for as long as others call.
+        let late_ms = if need.path_ms <= value_ms {
+            value_ms
+        } else {
+            need.objective_after(queue_settings).as_secs_f64()
+                * 1_000.0
+                * f64::from(VALUE_END_RATIO)
+        };
         let offered_milli = self.offered_loads.get(pool).map_or(0.0, |load| load.rate_milli(now));
         let arriving_milli = offered_milli.min(room.capacity.eventual_milli()) * ARRIVING_SHARE;
-        let left_over = room.work_within(value_ms - need.task_ms / 2.0) - arriving_milli * value_ms;
-        if need.path_ms <= value_ms && accepted.backlog + need.work <= left_over {
+        let left_over = room.work_within(late_ms - need.task_ms / 2.0) - arriving_milli * late_ms;
+        if need.path_ms <= late_ms && accepted.backlog + need.work <= left_over {
             return Some(value_end);
         }
         None
@@ -211,6 +219,14 @@
         at - now
     }
 
+    /// Withdraws the admission of a job that is refused before it is persisted; its objective still counts from the
+    /// first attempt.
+    pub fn withdraw_admission(&mut self, submission: &Submission, now: Instant) {
+        if let Some(admitted) = self.admitted.remove(&submission.job) {
+            self.remember_refused(submission, admitted.at.min(now));
+        }
+    }
+
     /// Remembers a refused job, so that its retries do not count as further load.
     fn remember_refused(&mut self, submission: &Submission, now: Instant) {
         if self.refused.len() >= REFUSED_MAX {
