--- a/crates/policy/src/fleet/admission.rs
+++ b/crates/policy/src/fleet/admission.rs
@@ -7,10 +7,10 @@
 
 use wasabiswitch_derive::derives;
 
-use super::overload::{
-    AdmittedJob, Capacity, ClaimPart, Need, PoolClaims, VALUE_END_RATIO, choose, fits_beside,
-    millis_until,
-};
+use super::claims::{ClaimPart, choose, fits_beside};
+use super::need::{Need, millis_until};
+use super::overload::{AdmittedJob, PoolClaims, VALUE_END_RATIO};
+use super::room::Capacity;
 use super::spec::{ResourceVector, Submission};
 use super::state::{Engine, QueueSettings};
 use crate::ids::{PoolId, TeamId};
--- a/crates/policy/src/fleet/mod.rs
+++ b/crates/policy/src/fleet/mod.rs
@@ -26,6 +26,9 @@
 //! | [`advice`] | workers that the advice service allows for a step |
 //! | [`admission`] | refusal of jobs at submission |
 //! | [`overload`] | choice of the jobs that get the capacity of a pool while it is too small for all |
+//! | [`room`] | room of a pool for waiting tasks |
+//! | [`claims`] | claims of jobs on that room, and their choice |
+//! | [`need`] | remaining need of a job |
 //! | [`fairness`] | fair shares of teams in a full pool |
 //! | [`calls`] | calls to a queue and their replies |
 //! | [`config`] | the configuration, and the queue and team of a call |
@@ -41,6 +44,7 @@
 pub mod admission;
 pub mod advice;
 pub mod calls;
+pub mod claims;
 pub mod config;
 pub mod config_check;
 pub mod demand_forecast;
@@ -50,6 +54,7 @@
 pub mod lease;
 pub mod lease_bounds;
 pub mod maintenance;
+pub mod need;
 pub mod offered_load;
 pub mod outcomes;
 pub mod overload;
@@ -60,6 +65,7 @@
 pub mod pressure;
 pub mod progress;
 pub mod reports;
+pub mod room;
 pub mod settings;
 pub mod silent_records;
 pub mod sizing;
--- a/crates/policy/src/fleet/sizing.rs
+++ b/crates/policy/src/fleet/sizing.rs
@@ -11,8 +11,8 @@
 use std::time::{Duration, Instant};
 
 use super::maintenance::{FleetOrder, FleetOutcome, InstanceState, MaintenanceStage};
+use super::need::run_left_ms;
 use super::offered_load::OfferedLoad;
-use super::overload::run_left_ms;
 use super::state::{Cordon, Engine, Job, Occurrence, WorkerKey};
 use super::surplus::TargetHistory;
 use super::view::PoolView;
