review: case 6 is now a job that can never be done

Its failures outgrow the store's limit for a row, and every write of the owner is refused from then on, for all tenants. The large job of before shows the same fault and stays as a variant in the stand-ins.

--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -60,6 +60,120 @@
     )
 }
 
+/// Hands in jobs of one work unit that lasts; returns their ids.
+fn submit_lasting(client: &Client, queue: &Queue, count: u64) -> Result<Vec<String>, String> {
+    let ids: Vec<String> = (0..count).map(|n| job_id(100 + n)).collect();
+    for id in &ids {
+        let step = vec![
+            ("count", number(1)),
+            ("cpu", number(500)),
+            ("memMb", number(100)),
+            ("longRunning", Json::Bool(true)),
+        ];
+        if !client.submit(queue, id, &job("serves=0", step)) {
+            return Err("a job that lasts is not accepted".to_owned());
+        }
+    }
+    Ok(ids)
+}
+
+/// Cancels jobs at once; returns what breaks the rules on it.
+///
+/// A cancel that has waited `ackMs` counts like one with an ack. Nothing is disrupted, so that all daemons are in touch.
+fn cancel_all(world: &World, client: &Client, ids: &[String], queue: fn() -> Queue) -> Vec<String> {
+    world.fleet.record("the jobs that last are cancelled");
+    let cancelled = Instant::now();
+    let cancels: Vec<_> = ids
+        .iter()
+        .map(|id| {
+            let (client, id) = (client.clone(), id.clone());
+            thread::spawn(move || {
+                while cancelled.elapsed() < ACK {
+                    let answer = client.attempt("DELETE", &queue(), &id, "");
+                    if matches!(answer, Some((200..=299 | 410, _))) {
+                        return cancelled.elapsed() <= ACK;
+                    }
+                    thread::sleep(Duration::from_millis(200));
+                }
+                false
+            })
+        })
+        .collect();
+    let total = cancels.len();
+    let acked = cancels.into_iter().filter_map(|cancel| cancel.join().ok()).filter(|acked| *acked);
+    let unacked = total - acked.count();
+    let gone = ACK + CANCEL + STOP + seconds(0.2);
+    thread::sleep(gone.saturating_sub(cancelled.elapsed()));
+    let mut broken = Vec::new();
+    for (worker, task, attempt) in world.fleet.running() {
+        if ids.iter().any(|id| task.starts_with(id)) {
+            broken.push(format!(
+                "UNASKED: run {attempt} of {task} goes on at {worker} {gone:?} after the cancel of its job was sent"
+            ));
+        }
+    }
+    if total >= 3 && unacked * 10 > total {
+        broken.push(format!(
+            "Acks: {unacked} of {total} cancels of accepted jobs have no 2xx or 410 after {ACK:?}"
+        ));
+    }
+    broken
+}
+
+/// A job whose work units last can never be done, beside the jobs of another tenant.
+pub fn hopeless_service(trouble: bool) -> Result<Outcome, String> {
+    /// The fewer there are, the longer it takes; 38 (the widest on the sheets) take about two minutes.
+    const COUNT: u64 = 100;
+    /// Time after which the play goes on in any case.
+    const WAIT_MAX: Duration = Duration::from_secs(92);
+    fn small() -> Queue {
+        Queue { name: "preview", service: "portal", key: "key-of-the-small-tenant" }
+    }
+    let hopeless = Queue { name: "prep", service: "portal", key: "key-of-the-other-tenant" };
+    let queues = [hopeless, small()];
+    let mut world = World::new(trouble, &queues);
+    for worker in 0..4 {
+        world.fleet.add_worker(worker, "portal", &["a", &format!("r1-{worker}")]);
+    }
+    let client = start_world(&mut world, 3)?;
+    let [hopeless, _] = &queues;
+    if !client.wait_for_owner(&small()) {
+        return Err("no job is accepted".to_owned());
+    }
+    let lasting = submit_lasting(&client, &small(), 6)?;
+    let step = vec![
+        ("count", number(COUNT)),
+        ("cpu", number(200)),
+        ("memMb", number(200)),
+        ("longRunning", Json::Bool(true)),
+        ("mayMiss", number(5)),
+    ];
+    let spec = if trouble { "fails=1" } else { "serves=0" };
+    if !client.submit(hopeless, &job_id(1), &job(spec, step)) {
+        return Err("the job of the other tenant is not accepted".to_owned());
+    }
+    let begun = Instant::now();
+    let mut accepted = (0, 0);
+    while begun.elapsed() < WAIT_MAX
+        && world.fleet.store.refused_as_too_large.load(Ordering::SeqCst) < 3
+    {
+        let is_in = client.submit(&small(), &job_id(1_000 + accepted.1), &small_job());
+        accepted = (accepted.0 + u64::from(is_in), accepted.1 + 1);
+        thread::sleep(seconds(1.0));
+    }
+    world.fleet.record(format!(
+        "{} runs of the other tenant have failed; {} of {} usual jobs were accepted",
+        world.fleet.failures.load(Ordering::SeqCst),
+        accepted.0,
+        accepted.1
+    ));
+    let broken = cancel_all(&world, &client, &lasting, small);
+    for n in 0..3 {
+        client.attempt("POST", &small(), &job_id(5_000 + n), &small_job().to_string());
+    }
+    outcome(&world, broken)
+}
+
 /// A large job, whose work units save their progress, beside the jobs of another tenant.
 pub fn large_job(trouble: bool) -> Result<Outcome, String> {
     const LARGE_COUNT: u64 = 4_000;
@@ -78,19 +192,7 @@
     if !client.wait_for_owner(small) {
         return Err("no job is accepted".to_owned());
     }
-    // Jobs that last, to be cancelled later.
-    let lasting: Vec<String> = (0..6).map(|n| job_id(100 + n)).collect();
-    for id in &lasting {
-        let step = vec![
-            ("count", number(1)),
-            ("cpu", number(500)),
-            ("memMb", number(100)),
-            ("longRunning", Json::Bool(true)),
-        ];
-        if !client.submit(small, id, &job("serves=0", step)) {
-            return Err("a job that lasts is not accepted".to_owned());
-        }
-    }
+    let lasting = submit_lasting(&client, small, 6)?;
     let count = if trouble { LARGE_COUNT } else { USUAL_COUNT };
     let step = vec![
         ("count", number(count)),
@@ -117,64 +219,17 @@
             })
         })
         .collect();
-    world.fleet.record("the jobs that last are cancelled");
-    let cancelled = Instant::now();
-    let cancels: Vec<_> = lasting
-        .iter()
-        .map(|id| {
-            let (client, id) = (client.clone(), id.clone());
-            thread::spawn(move || {
-                let queue =
-                    Queue { name: "preview", service: "portal", key: "key-of-the-small-tenant" };
-                let deadline = Instant::now() + ACK;
-                while Instant::now() < deadline {
-                    let answer = client.attempt("DELETE", &queue, &id, "");
-                    let at = Instant::now();
-                    if matches!(answer, Some((200..=299 | 410, _))) {
-                        return at <= deadline;
-                    }
-                    thread::sleep(Duration::from_millis(200));
-                }
-                false
-            })
-        })
-        .collect();
-    let total = cancels.len();
-    let acked = cancels.into_iter().filter_map(|cancel| cancel.join().ok()).filter(|acked| *acked);
-    let unacked = total - acked.count();
-    // A cancel that has waited `ackMs` counts like one with an ack. Nothing was disrupted, so that all daemons are in touch.
-    let gone = cancelled + ACK + CANCEL + STOP + seconds(0.2);
-    thread::sleep(gone.saturating_duration_since(Instant::now()));
-    let running = world.fleet.running();
-    let running: Vec<_> = running
-        .iter()
-        .filter(|(_, task, _)| lasting.iter().any(|id| task.starts_with(id)))
-        .collect();
-    world.fleet.record(format!("runs of cancelled jobs: {running:?}"));
+    let broken = cancel_all(&world, &client, &lasting, || Queue {
+        name: "preview",
+        service: "portal",
+        key: "key-of-the-small-tenant",
+    });
     for thread in traffic {
         let _ = thread.join();
     }
-    world.fleet.record(format!(
-        "{unacked} of {total} cancels have no ack after {} ms; {} of 24 usual jobs were accepted",
-        ACK.as_millis(),
-        accepted.load(Ordering::SeqCst)
-    ));
-    // `finish_s` after the end of the traffic the accepted jobs are asked for.
-    thread::sleep(seconds(14.0));
-    for id in &lasting {
-        client.attempt("GET", small, id, "");
-    }
-    client.attempt("GET", large, &job_id(1), "");
-    let mut broken = Vec::new();
-    for (worker, task, attempt) in running {
-        broken.push(format!(
-            "UNASKED: run {attempt} of {task} goes on at {worker} {:?} after the cancel of its job was sent",
-            gone - cancelled
-        ));
-    }
-    if total >= 3 && unacked * 10 > total {
-        broken.push(format!("Acks: {unacked} of {total} cancels of accepted jobs have no 2xx or 410 after ackMs"));
-    }
+    world
+        .fleet
+        .record(format!("{} of 24 usual jobs were accepted", accepted.load(Ordering::SeqCst)));
     outcome(&world, broken)
 }
 
@@ -350,7 +405,8 @@
     thread::sleep(seconds(3.7));
     if trouble {
         // One of eight workers: a share of 0.125, for 3 s.
-        let start = world.fleet.starts.lock().unwrap().iter().find(|s| s.task.starts_with(&id)).cloned();
+        let start =
+            world.fleet.starts.lock().unwrap().iter().find(|s| s.task.starts_with(&id)).cloned();
         let Some(start) = start else { return Err("the gang does not start".to_owned()) };
         let worker = workers.iter().find(|worker| worker.id == start.worker);
         let worker = worker.ok_or("the worker is unknown")?.clone();
@@ -378,7 +434,9 @@
     }
     let mut broken = Vec::new();
     for (attempt, members) in &by_attempt {
-        world.fleet.record(format!("run {attempt} of the gang: members and checkpoints {members:?}"));
+        world
+            .fleet
+            .record(format!("run {attempt} of the gang: members and checkpoints {members:?}"));
         if members.values().collect::<BTreeSet<_>>().len() > 1 {
             broken.push(format!(
                 "UNASKED: run {attempt} of the gang is started with different checkpoints: {members:?}"
--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -67,8 +67,11 @@
                     is_silent: AtomicBool::new(false),
                 });
                 connections.lock().unwrap().push(connection.clone());
-                let handler = handler.clone();
-                thread::spawn(move || serve(stream, &connection, &handler));
+                let (handler, connections) = (handler.clone(), connections.clone());
+                thread::spawn(move || {
+                    serve(stream, &connection, &handler);
+                    connections.lock().unwrap().retain(|other| !Arc::ptr_eq(other, &connection));
+                });
             }
         });
         server
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -72,7 +72,8 @@
         let store_server = Server::start(move |request| own.handle(&request));
         let own = fleet.clone();
         let machines = Server::start(move |request| own.receive_call(request));
-        let folder = std::env::temp_dir().join(format!("wasabiswitch-review-{}", std::process::id()));
+        let folder =
+            std::env::temp_dir().join(format!("wasabiswitch-review-{}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("the temporary folder can be created");
         store.put("op", "config", Some(&manifest(queues)));
         let next_daemon = AtomicUsize::new(0);
@@ -168,7 +169,13 @@
 
 impl Client {
     /// Makes one attempt at a call; `None` without an answer.
-    pub fn attempt(&self, method: &str, queue: &Queue, job: &str, body: &str) -> Option<(u16, String)> {
+    pub fn attempt(
+        &self,
+        method: &str,
+        queue: &Queue,
+        job: &str,
+        body: &str,
+    ) -> Option<(u16, String)> {
         let entry = self.entries[self.next.fetch_add(1, Ordering::SeqCst) % self.entries.len()];
         let wait_ms = CLIENT_WAIT.as_millis().to_string();
         let authorization = format!("Bearer {}", queue.key);
@@ -202,7 +209,12 @@
     /// Hands in small jobs until one is accepted, which shows that the fleet has an owner.
     pub fn wait_for_owner(&self, queue: &Queue) -> bool {
         (0..10).any(|number| {
-            let step = object(vec![("count", number_of(1)), ("cpu", number_of(500)), ("memMb", number_of(100)), ("estMs", number_of(200))]);
+            let step = object(vec![
+                ("count", number_of(1)),
+                ("cpu", number_of(500)),
+                ("memMb", number_of(100)),
+                ("estMs", number_of(200)),
+            ]);
             let body = object(vec![("spec", text("ms=200")), ("phases", Json::List(vec![step]))]);
             self.submit(queue, &job_id(90_000 + number), &body)
         })
@@ -282,6 +294,7 @@
     }
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let verdict = match case.as_str() {
+        "hopeless-service" => cases::hopeless_service(trouble),
         "large-job" => cases::large_job(trouble),
         "reborn-kind" => cases::reborn_kind(trouble),
         "late-upkeep" => cases::late_upkeep(trouble),
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -1,6 +1,7 @@
 //! The platform's table store, as PROTOCOL.md describes it, in memory.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -31,11 +32,18 @@
     rows: Mutex<Rows>,
     changed: Condvar,
     started: Instant,
+    /// Number of transactions refused as too large.
+    pub refused_as_too_large: AtomicU64,
 }
 
 impl Store {
     pub fn new() -> Store {
-        Store { rows: Mutex::default(), changed: Condvar::new(), started: Instant::now() }
+        Store {
+            rows: Mutex::default(),
+            changed: Condvar::new(),
+            started: Instant::now(),
+            refused_as_too_large: AtomicU64::new(0),
+        }
     }
 
     /// Writes a row of the operator or of a worker; without a value the row is removed.
@@ -63,9 +71,11 @@
         let entries = expected.len() + puts.len() + removes.len();
         let is_large = |row: &Json| row.get("value").text().len() / 4 * 3 > ROW_BYTES;
         if entries > ENTRIES_MAX || body.len() > TX_BYTES_MAX || puts.iter().any(is_large) {
+            self.refused_as_too_large.fetch_add(1, Ordering::SeqCst);
             return Answer::Send(400, object(vec![("error", text("too large"))]).to_string());
         }
-        let name = |row: &Json| (row.get("table").text().to_owned(), row.get("key").text().to_owned());
+        let name =
+            |row: &Json| (row.get("table").text().to_owned(), row.get("key").text().to_owned());
         let is_foreign = |row: &Json| matches!(row.get("table").text(), "op" | "servers");
         if puts.iter().chain(removes).any(is_foreign) {
             return Answer::Send(403, "{}".to_owned());
@@ -73,8 +83,7 @@
         std::thread::sleep(TX_TIME);
         let mut rows = self.rows.lock().unwrap();
         let version_of = |rows: &Rows, name: &Name| rows.rows.get(name).map_or(0, |row| row.1);
-        let is_met =
-            |row: &Json| row.get("ver").number() == Some(version_of(&rows, &name(row)));
+        let is_met = |row: &Json| row.get("ver").number() == Some(version_of(&rows, &name(row)));
         if !expected.iter().all(is_met) {
             let present = expected.iter().filter_map(|row| {
                 let name = name(row);
--- a/review/standin-2/workers.rs
+++ b/review/standin-2/workers.rs
@@ -36,6 +36,8 @@
     /// Whether the work unit serves users of its own, or fills.
     serves: bool,
     fills: bool,
+    /// Whether the work unit can never be done, and fails at once.
+    fails: bool,
 }
 
 impl Work {
@@ -53,6 +55,7 @@
             gang: value("gang").unwrap_or(0) as usize,
             serves: value("serves") == Some(1),
             fills: value("fills") == Some(1),
+            fails: value("fails") == Some(1),
         }
     }
 }
@@ -225,6 +228,8 @@
     pub workers: Mutex<Vec<Arc<Worker>>>,
     pub starts: Mutex<Vec<Start>>,
     pub samples: Mutex<Vec<Sample>>,
+    /// Number of runs that have ended as failed.
+    pub failures: AtomicU64,
     /// Latency that the load of its own users causes to each serving work unit.
     pub load_ms: AtomicU64,
     pub wave: Mutex<Option<Wave>>,
@@ -244,6 +249,7 @@
             workers: Mutex::default(),
             starts: Mutex::default(),
             samples: Mutex::default(),
+            failures: AtomicU64::new(0),
             load_ms: AtomicU64::new(0),
             wave: Mutex::default(),
             delay_call: Mutex::default(),
@@ -292,7 +298,12 @@
         self.changed.notify_all();
     }
 
-    pub fn add_worker(self: &Arc<Fleet>, number: usize, service: &str, labels: &[&str]) -> Arc<Worker> {
+    pub fn add_worker(
+        self: &Arc<Fleet>,
+        number: usize,
+        service: &str,
+        labels: &[&str],
+    ) -> Arc<Worker> {
         let labels = labels.iter().map(|label| (*label).to_owned()).collect();
         self.add_worker_on(&format!("m-{number:04x}"), number, service, labels)
     }
@@ -342,11 +353,8 @@
         }
         *last = Some(Instant::now());
         let address = worker.server.lock().unwrap().as_ref().map(|server| server.address);
-        let amount = object(vec![
-            ("cpu", number(32_000)),
-            ("memMb", number(131_072)),
-            ("gpu", number(0)),
-        ]);
+        let amount =
+            object(vec![("cpu", number(32_000)), ("memMb", number(131_072)), ("gpu", number(0))]);
         let entry = object(vec![
             ("service", text(&*worker.service)),
             ("addr", text(address.map(|address| address.to_string()).unwrap_or_default())),
@@ -436,7 +444,13 @@
     }
 
     /// Writes the row that requests a wave.
-    pub fn request_wave(&self, number_of_wave: u64, machines: &[&str], cap: usize, deadline_s: u64) {
+    pub fn request_wave(
+        &self,
+        number_of_wave: u64,
+        machines: &[&str],
+        cap: usize,
+        deadline_s: u64,
+    ) {
         let machines: Vec<String> = machines.iter().map(|name| (*name).to_owned()).collect();
         let row = object(vec![
             ("wave", number(number_of_wave)),
@@ -463,9 +477,8 @@
     }
 
     fn upkeep(self: &Arc<Fleet>, request: &Request) -> Answer {
-        let refuse = |reason: &str| {
-            Answer::Send(409, object(vec![("reason", text(reason))]).to_string())
-        };
+        let refuse =
+            |reason: &str| Answer::Send(409, object(vec![("reason", text(reason))]).to_string());
         let body = Json::parse(&request.body).unwrap_or(Json::Null);
         let machine = body.get("machine").text().to_owned();
         let fence = request.headers.get("x-wasabiswitch-fence-token");
@@ -572,6 +585,8 @@
                 }
                 if lapsed {
                     how = Some("lapsed");
+                } else if run.work.fails {
+                    how = Some("failed");
                 } else if run.work.work_ms > 0 && run.done_ms(now) >= run.work.work_ms {
                     how = Some("done");
                 }
@@ -579,9 +594,15 @@
                     Some(how) => {
                         let run = life.end(at, how, now);
                         ended = true;
-                        if run.work.gang > 0 || how != "done" {
+                        if how == "failed" {
+                            self.failures.fetch_add(1, Ordering::SeqCst);
+                        }
+                        if run.work.gang > 0 || !matches!(how, "done" | "failed") {
                             let saved = life.ends.last().map_or("", |end| &end.saved);
-                            let line = format!("{} ends run {} of {} as {how}, saved \"{saved}\"", worker.id, run.attempt, run.task);
+                            let line = format!(
+                                "{} ends run {} of {} as {how}, saved \"{saved}\"",
+                                worker.id, run.attempt, run.task
+                            );
                             self.record(line);
                         }
                     }
@@ -614,10 +635,8 @@
     }
 
     fn carry_out(self: &Arc<Fleet>, worker: &Worker, request: &Request) -> Answer {
-        let is_meant = request
-            .headers
-            .get("x-wasabiswitch-expect-instance")
-            .is_none_or(|id| *id == worker.id);
+        let is_meant =
+            request.headers.get("x-wasabiswitch-expect-instance").is_none_or(|id| *id == worker.id);
         if !is_meant {
             return Answer::Send(421, "{}".to_owned());
         }
