--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -39,6 +39,7 @@
     pub address: SocketAddr,
     handler: Arc<Handler>,
     is_up: Arc<AtomicBool>,
+    is_dark: Arc<AtomicBool>,
     connections: Arc<Mutex<Vec<Arc<Connection>>>>,
 }
 
@@ -50,12 +51,22 @@
             address,
             handler: Arc::new(handler),
             is_up: Arc::new(AtomicBool::new(true)),
+            is_dark: Arc::new(AtomicBool::new(false)),
             connections: Arc::default(),
         };
         let (handler, is_up) = (server.handler.clone(), server.is_up.clone());
+        let is_dark = server.is_dark.clone();
         let connections = server.connections.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if is_dark.load(Ordering::SeqCst) {
+                    // A packet that opens a connection to a dark machine is lost; the daemons wait 0.5 s for its answer.
+                    thread::spawn(move || {
+                        thread::sleep(Duration::from_millis(500));
+                        let _ = stream.shutdown(Shutdown::Both);
+                    });
+                    continue;
+                }
                 if !is_up.load(Ordering::SeqCst) {
                     let _ = stream.shutdown(Shutdown::Both);
                     continue;
@@ -87,6 +98,16 @@
         }
     }
 
+    /// Lets the machine go dark: all connections go silent without a reset, and new ones are not answered.
+    pub fn set_dark(&self, is_dark: bool) {
+        self.is_dark.store(is_dark, Ordering::SeqCst);
+        if is_dark {
+            for connection in self.connections.lock().unwrap().iter() {
+                connection.is_silent.store(true, Ordering::SeqCst);
+            }
+        }
+    }
+
     /// Returns whether a request is in progress.
     pub fn is_busy(&self) -> bool {
         let connections = self.connections.lock().unwrap();
@@ -128,6 +149,11 @@
             false => handler(request),
         };
         match answer {
+            // The machine has gone dark meanwhile.
+            Answer::Send(..) if connection.is_silent.load(Ordering::SeqCst) => {
+                let _ = reader.read_to_end(&mut Vec::new());
+                return;
+            }
             Answer::Send(status, body) => {
                 let head = format!(
                     "HTTP/1.1 {status} Status\r\ncontent-type: application/json\r\n\
