Tasks no longer wait 23 s after a takeover for workers that have left

Cause: the wait for a worker that does not answer at a takeover could end early only by a list of instances with another worker on its instance. An instance that is removed, goes into standby, moves or is down for maintenance never shows one.

worker_ends says from a list what became of the worker's instance. An end for good ends the wait; an instance of the pool without a worker does not, since the worker may restart under its id and carry out a late order, until no order of the predecessor can arrive any more. So the orders for which the wait was made are still waited for. While tasks wait, instances are listed every 0.4 s; one log line says for whom, on what evidence, how old, and until when.

--- a/crates/plugins/src/fleet/instances.rs
+++ b/crates/plugins/src/fleet/instances.rs
@@ -20,9 +20,9 @@
 const PLAN_INTERVAL: Duration = Duration::from_millis(100);
 /// Number of plans between two log lines about all pools.
 const PLANS_PER_LOG_LINE: u64 = 10;
-/// Number of plans between two lists of the instances while a wave or a move is in progress.
+/// Number of plans between two lists of the instances while a wave or a move is in progress, or tasks wait for silent workers.
 const ACTIVE_PLANS_PER_LIST: u32 = 4;
-/// Number of plans between two lists of the instances while no wave and no move is in progress.
+/// Number of plans between two lists of the instances at other times.
 const IDLE_PLANS_PER_LIST: u32 = 20;
 
 /// Plans waves and moves until the term with `fence` ends.
@@ -59,6 +59,7 @@
 fn is_active(kernel: &Kernel, fence: u64) -> bool {
     let is_active = |term: &mut Term| {
         !term.engine.pending_moves.is_empty()
+            || term.engine.has_silent_workers()
             || term.engine.waves.values().any(|wave| wave.reported != Some(true))
     };
     with_term(kernel, fence, is_active).unwrap_or(false)
--- a/crates/plugins/src/fleet/takeover.rs
+++ b/crates/plugins/src/fleet/takeover.rs
@@ -102,10 +102,10 @@
         engine.workers.values().filter(|worker| worker.last_contact.is_none()).count();
     let orphans: usize = engine.workers.values().map(|worker| worker.orphans.len()).sum();
     let unconfirmed = engine.mark_unconfirmed(&unlisted, predecessor_deadline, kernel.clock.now());
-    if let Some(instances) = &instances {
-        engine.locate_silent_workers(instances);
+    match &instances {
+        Some(instances) => engine.locate_silent_workers(instances, started_at),
+        None => engine.report_unlocated_silent_workers(),
     }
-    log_silent_workers(&engine, kernel.clock.now());
     log::info!(
         "fleet rebuilt fence={fence} jobs={} live={} workers={} silent={unresponsive} replaced={replaced} \
          orphans={orphans} unseen_pools={} recorded={recorded} doubted={unconfirmed} rows_ms={} took_ms={}",
@@ -119,19 +119,6 @@
     Ok(RebuiltEngine { engine, directory_cursor })
 }
 
-/// Logs each worker that did not answer the holds, with the start that its entry names and the time for which its leases bind.
-fn log_silent_workers(engine: &Engine, now: Instant) {
-    for worker in engine.workers.values().filter(|worker| worker.last_contact.is_none()) {
-        log::info!(
-            "worker silent at the takeover worker={} pool={} listed_incarnation={} wait_ms={}",
-            worker.entry.id,
-            worker.entry.pool,
-            worker.entry.incarnation,
-            worker.leases_expire_at.saturating_duration_since(now).as_millis()
-        );
-    }
-}
-
 /// Sends holds to all listed workers. A worker that a newer incarnation has replaced has most likely ended, so
 /// it gets only one.
 async fn hold_listed(
--- a/crates/plugins/src/fleet/term.rs
+++ b/crates/plugins/src/fleet/term.rs
@@ -135,6 +135,7 @@
                 kernel.wake_signals.write.notify_one();
             }
             log_forgotten_workers(&mut term.engine, now);
+            log_wait_changes(&mut term.engine, now);
             orders
         });
         let Some(orders) = orders else { return };
@@ -167,6 +168,17 @@
     }
 }
 
+/// Logs for which workers tasks wait after a takeover, and on what evidence they wait or wait no longer.
+fn log_wait_changes(engine: &mut Engine, now: Instant) {
+    for change in engine.take_wait_changes() {
+        let subject = match change.until {
+            Some(_) => "tasks wait for a silent worker",
+            None => "tasks wait no longer for a silent worker",
+        };
+        log::info!("{subject} {}", change.describe(now));
+    }
+}
+
 /// Ends the term with `fence` as superseded, because `source` has shown that the fleet has a newer owner.
 pub(crate) fn end_term(kernel: &Kernel, fence: u64, source: &str) {
     let ended = with_term(kernel, fence, |term| !std::mem::replace(&mut term.superseded, true));
--- a/crates/policy/src/fleet/evacuation.rs
+++ b/crates/policy/src/fleet/evacuation.rs
@@ -25,7 +25,7 @@
 /// the data centre have room for it only once short tasks have ended.
 const ROOM_WAIT_MARGIN: Duration = Duration::from_millis(1_000);
 /// Index of the rack among the labels of an instance.
-const RACK_LABEL: usize = 1;
+pub(super) const RACK_LABEL: usize = 1;
 
 /// A change in the state of an evacuation, for the log.
 #[derives(record)]
--- a/crates/policy/src/fleet/mod.rs
+++ b/crates/policy/src/fleet/mod.rs
@@ -22,7 +22,9 @@
 //! | [`start_pools`] | record of the pools in which the tasks of a job may have been started |
 //! | [`progress`] | progress of jobs in the store, and its recovery by a new owner |
 //! | [`silent_records`] | records of the workers that do not answer, and of the tasks that they may be running |
+//! | [`silent_waits`] | evidence that ends the wait for a worker which did not answer at a takeover |
 //! | [`unconfirmed`] | tasks and workers of which a new owner does not know whether they run |
+//! | [`worker_ends`] | evidence in a list of instances that a worker has ended |
 //! | [`advice`] | workers that the advice service allows for a step |
 //! | [`admission`] | refusal of jobs at submission |
 //! | [`overload`] | choice of the jobs that get the capacity of a pool while it is too small for all |
@@ -68,6 +70,7 @@
 pub mod room;
 pub mod settings;
 pub mod silent_records;
+pub mod silent_waits;
 pub mod sizing;
 pub mod spec;
 pub mod start_pools;
@@ -76,6 +79,7 @@
 pub mod unconfirmed;
 pub mod view;
 pub mod worker;
+pub mod worker_ends;
 
 pub use plan::Order;
 pub use state::{Engine, Limits};
--- a/crates/policy/src/fleet/state.rs
+++ b/crates/policy/src/fleet/state.rs
@@ -19,6 +19,7 @@
 use super::pressure::StartWindow;
 pub use super::settings::{Limits, PoolSettings, QueueSettings, Team};
 use super::silent_records::{PossibleTasks, SilentRecord};
+use super::silent_waits::WaitChange;
 use super::sizing::PendingMove;
 use super::spec::{ResourceVector, Submission};
 use super::start_pools::StartPools;
@@ -183,6 +184,8 @@
     pub(super) advice: BTreeMap<TaskRef, Advice>,
     /// Workers that may be running tasks of an earlier owner.
     pub(super) silent_workers: SilentWorkers,
+    /// Changes in what tasks wait for that have not been taken yet.
+    pub(super) wait_changes: Vec<WaitChange>,
     /// Workers that get no starts until the store has confirmed the removal of their records.
     pub(super) silent_records: BTreeMap<InstanceId, SilentRecord>,
     /// Tasks that may be running on workers of which an earlier owner has left a record.
@@ -250,6 +253,7 @@
             retry_at: BTreeMap::new(),
             advice: BTreeMap::new(),
             silent_workers: SilentWorkers::default(),
+            wait_changes: Vec::new(),
             silent_records: BTreeMap::new(),
             restored_silent_records: BTreeMap::new(),
             charges: Vec::new(),
--- a/crates/policy/src/fleet/unconfirmed.rs
+++ b/crates/policy/src/fleet/unconfirmed.rs
@@ -16,9 +16,11 @@
 use super::maintenance::{Instance, InstanceState, PREDECESSOR_CALL_TIMEOUT};
 use super::outcomes::DELIVERY_DELAY_MAX;
 use super::silent_records::{PossibleTasks, RowVersion};
+use super::silent_waits::WaitEvidence;
 use super::spec::{ResourceVector, Step};
 use super::state::{Engine, Job, JobKey, Phase, TaskRef, WorkerKey};
-use crate::ids::{InstanceId, PoolId, TeamId};
+use super::worker_ends::{ListedState, WorkerPlace};
+use crate::ids::{FailureDomain, InstanceId, PoolId, TeamId};
 
 /// Resources that count as used by a team, since its tasks may be running on workers that cannot be reached.
 #[derives(record)]
@@ -74,6 +76,8 @@
 struct SilentWorker {
     /// Capacity of the worker; `None` if it is not known.
     capacity: Option<ResourceVector>,
+    /// Rack of the worker; `None` if it is not known.
+    rack: Option<FailureDomain>,
     /// Tasks that may be running on the worker.
     tasks: PossibleTasks,
 }
@@ -85,7 +89,9 @@
     /// The workers of each pool; no pool is without workers.
     pools: BTreeMap<PoolId, BTreeMap<InstanceId, SilentWorker>>,
     /// Instance of each worker that a list of instances has shown.
-    hosts: BTreeMap<InstanceId, InstanceId>,
+    pub(super) instances: BTreeMap<InstanceId, InstanceId>,
+    /// What the last list of instances showed of each worker.
+    pub(super) listed_states: BTreeMap<InstanceId, ListedState>,
     /// Whether any pool may have further workers, since there was no list of instances.
     is_any_pool: bool,
     /// Jobs with unconfirmed tasks, with the pools in which the earlier owner may have started them. Pools that this owner adds
@@ -94,12 +100,12 @@
     /// Time at which the earlier owner sends its last order.
     predecessor_deadline: Option<Instant>,
     /// Time from which no run that an order of the earlier owner started or renewed is left on the workers.
-    until: Option<Instant>,
+    pub(super) until: Option<Instant>,
 }
 
 impl SilentWorkers {
     /// Returns whether there are none.
-    fn is_empty(&self) -> bool {
+    pub(super) fn is_empty(&self) -> bool {
         self.pools.is_empty() && !self.is_any_pool
     }
 
@@ -118,8 +124,25 @@
         self.pools.values().flat_map(BTreeMap::keys)
     }
 
+    /// Returns the place of each worker.
+    pub(super) fn places(&self) -> impl Iterator<Item = WorkerPlace> {
+        self.pools.iter().flat_map(|(pool, workers)| {
+            workers.iter().map(|(id, worker)| WorkerPlace {
+                worker: id.clone(),
+                pool: pool.clone(),
+                rack: worker.rack.clone(),
+                instance: self.instances.get(id).cloned(),
+            })
+        })
+    }
+
+    /// Returns whether no order of the earlier owner can arrive after a time.
+    pub(super) fn have_orders_arrived(&self, time: Instant) -> bool {
+        self.predecessor_deadline.is_none_or(|deadline| time >= deadline + DELIVERY_DELAY_MAX)
+    }
+
     /// Removes a worker; returns whether it was one of the silent workers.
-    fn remove(&mut self, worker: &InstanceId) -> bool {
+    pub(super) fn remove(&mut self, worker: &InstanceId) -> bool {
         let removed = self.pools.values_mut().any(|workers| workers.remove(worker).is_some());
         self.pools.retain(|_, workers| !workers.is_empty());
         removed
@@ -262,18 +285,16 @@
         let mut silent = SilentWorkers::default();
         for worker in self.workers.values().filter(|worker| worker.last_contact.is_none()) {
             let entry = &worker.entry;
-            silent.insert(
-                &entry.pool,
-                &entry.id,
-                self.silent_worker(&entry.id, Some(entry.capacity)),
-            );
+            let rack = Some(entry.rack.clone());
+            let silent_worker = self.silent_worker(&entry.id, Some(entry.capacity), rack);
+            silent.insert(&entry.pool, &entry.id, silent_worker);
         }
         match unlisted {
             UnlistedWorkers::InPools(unlisted) => {
                 // Without any listed worker there is nothing to compare the capacity of an unlisted one with.
                 let largest = self.largest_worker();
                 for (id, pool) in unlisted {
-                    silent.insert(pool, id, self.silent_worker(id, largest));
+                    silent.insert(pool, id, self.silent_worker(id, largest, None));
                 }
             }
             UnlistedWorkers::Unknown => silent.is_any_pool = true,
@@ -281,9 +302,14 @@
         silent
     }
 
-    fn silent_worker(&self, id: &InstanceId, capacity: Option<ResourceVector>) -> SilentWorker {
+    fn silent_worker(
+        &self,
+        id: &InstanceId,
+        capacity: Option<ResourceVector>,
+        rack: Option<FailureDomain>,
+    ) -> SilentWorker {
         let recorded = self.restored_silent_records.get(id).cloned();
-        SilentWorker { capacity, tasks: recorded.unwrap_or(PossibleTasks::Any) }
+        SilentWorker { capacity, rack, tasks: recorded.unwrap_or(PossibleTasks::Any) }
     }
 
     /// Marks as unconfirmed the unfinished tasks that may be running on silent workers, and returns their number.
@@ -316,52 +342,13 @@
     /// the predecessor.
     pub(super) fn confirm_silent_worker(&mut self, key: WorkerKey) {
         let Some(worker) = self.workers.get(key) else { return };
-        if self.silent_workers.remove(&worker.entry.id) {
+        let id = worker.entry.id.clone();
+        let place = self.silent_workers.places().find(|place| place.worker == id);
+        if self.silent_workers.remove(&id) {
             self.update_unconfirmed_charges();
         }
-    }
-
-    /// Notes the instance of each silent worker that a list of instances shows.
-    pub fn locate_silent_workers(&mut self, instances: &BTreeMap<InstanceId, Instance>) {
-        let silent: BTreeSet<InstanceId> = self.silent_workers.ids().cloned().collect();
-        for (id, instance) in instances {
-            if let Some(worker) = instance.worker.as_ref().filter(|worker| silent.contains(*worker))
-            {
-                self.silent_workers.hosts.insert(worker.clone(), id.clone());
-            }
-        }
-    }
-
-    /// Ends the wait for the silent workers whose instance runs another worker according to a list that was requested at
-    /// `requested`.
-    ///
-    /// An instance runs one worker at a time, so such a worker has ended with all its runs. A list that lacks a worker without
-    /// showing another one on its instance is no evidence, since the worker may be restarting under its id.
-    fn forget_replaced_silent_workers(
-        &mut self,
-        instances: &BTreeMap<InstanceId, Instance>,
-        requested: Instant,
-    ) {
-        if !self.silent_workers.has_predecessor_ended(requested) {
-            return;
-        }
-        let present: BTreeSet<&InstanceId> =
-            instances.values().filter_map(|instance| instance.worker.as_ref()).collect();
-        let is_replaced = |worker: &&InstanceId| {
-            let host = self.silent_workers.hosts.get(*worker).and_then(|id| instances.get(id));
-            !present.contains(worker) && host.is_some_and(|instance| instance.worker.is_some())
-        };
-        let replaced: Vec<InstanceId> =
-            self.silent_workers.ids().filter(is_replaced).cloned().collect();
-        for id in &replaced {
-            self.silent_workers.remove(id);
-            if let Some(key) = self.worker_key(id) {
-                self.workers[key].listed = false;
-                self.remove_worker(key);
-            }
-        }
-        if !replaced.is_empty() {
-            self.update_unconfirmed_charges();
+        if let Some(place) = place {
+            self.report_wait(place, WaitEvidence::Report, false);
         }
     }
 
@@ -374,8 +361,8 @@
         instances: &BTreeMap<InstanceId, Instance>,
         requested: Instant,
     ) {
-        self.locate_silent_workers(instances);
-        self.forget_replaced_silent_workers(instances, requested);
+        self.locate_silent_workers(instances, requested);
+        self.forget_ended_silent_workers(requested);
         let silent = &self.silent_workers;
         let is_recent = silent.predecessor_deadline.is_some_and(|deadline| requested >= deadline);
         let has_workers = instances.values().any(|instance| instance.worker.is_some());
@@ -394,13 +381,17 @@
     /// Ends the wait for all silent workers once no order of the predecessor can have an effect any more.
     pub(super) fn expire_silent_workers(&mut self, now: Instant) {
         if self.silent_workers.until.is_some_and(|until| until <= now) {
+            let places: Vec<WorkerPlace> = self.silent_workers.places().collect();
+            for place in places {
+                self.report_wait(place, WaitEvidence::LastLease, false);
+            }
             self.silent_workers = SilentWorkers::default();
             self.update_unconfirmed_charges();
         }
     }
 
     /// Charges each team for its unconfirmed tasks, but for no more than the capacity of the silent workers and its fillers.
-    fn update_unconfirmed_charges(&mut self) {
+    pub(super) fn update_unconfirmed_charges(&mut self) {
         for charge in std::mem::take(&mut self.charges) {
             if let Some(team) = self.teams.get_mut(&charge.team) {
                 team.used = team.used.saturating_sub(&charge.resources);
--- a/crates/policy/tests/fleet_engine/main.rs
+++ b/crates/policy/tests/fleet_engine/main.rs
@@ -25,3 +25,4 @@
 mod successor;
 mod transition;
 mod worker_capacity;
+mod workers_leaving_at_takeover;
--- a/crates/policy/tests/fleet_engine/silent_records.rs
+++ b/crates/policy/tests/fleet_engine/silent_records.rs
@@ -109,7 +109,7 @@
     sim.take_over();
     let own_instance = |id: &str| (id.into(), instance(id, "p"));
     let instances = ["w0", "w1"].into_iter().map(own_instance).collect();
-    sim.engine.locate_silent_workers(&instances);
+    sim.engine.locate_silent_workers(&instances, sim.now);
     sim.run(SECOND);
     assert_eq!(sim.starts.len(), 2);
     let mut later = instances;
@@ -132,7 +132,7 @@
     let own_instance = |id: &str| (id.into(), instance(id, "p"));
     let mut instances: std::collections::BTreeMap<_, _> =
         ["w0", "w1"].into_iter().map(own_instance).collect();
-    sim.engine.locate_silent_workers(&instances);
+    sim.engine.locate_silent_workers(&instances, sim.now);
     instances.get_mut(&lost).expect("the instance is listed").worker = None;
     sim.engine.apply_instance_list(instances, sim.now, sim.now, &mut Vec::new());
     sim.run(2 * SECOND);
