A restarted worker gets tasks only by the entry of its own incarnation

Cause: is_usable asked whether the directory lists the worker, not whether the entry is that of the incarnation that reports; pool, capacity, labels and draining state of the former incarnation served for the next one, also after a takeover. Both numbers were known, and logged as differing.

A worker is usable only while the entry is of the incarnation that reports. It is of no use until the entry is renewed, since nothing else that the owner can read states its kind.

The tests of policy, plugins, platform, standin, measure, bench and daemon pass.

The simulation restarted workers without ever listing the new entry to the present owner. Simulation::restart lists it once the owner has a report of the incarnation, so that histories are the same and the owner still does not learn of a restart from the directory. All assertions are as they were.

--- a/crates/policy/src/fleet/placement.rs
+++ b/crates/policy/src/fleet/placement.rs
@@ -53,11 +53,15 @@
     /// A worker that may be running more than the engine accounts for gets none, since not every worker refuses what
     /// exceeds its capacity. After a missed report the worker may have restarted, and starts of before may begin there.
     ///
+    /// The directory's entry has to be that of the incarnation that reports: a worker that restarts may be of another kind and have
+    /// other capacity, and its new entry is late while it is cut off from the store.
+    ///
     /// An incarnation gets none either while a successor may have taken over before it reported. The successor may not have called
     /// it, so that it would carry out orders of this owner. Calls that the successor sends later reach it first, or the successor
     /// counts it as silent.
     pub fn is_usable(&self, worker: &Worker, now: Instant) -> bool {
         worker.listed
+            && worker.has_own_entry()
             && worker.is_reconciled()
             && worker.report_missed_at.is_none()
             && worker.restart_suspected_at.is_none()
--- a/crates/policy/src/fleet/worker.rs
+++ b/crates/policy/src/fleet/worker.rs
@@ -180,6 +180,12 @@
         self.entry = entry;
     }
 
+    /// Returns whether the entry is that of the incarnation that sent the last report, so that its pool, capacity, labels and state
+    /// hold for that incarnation.
+    pub fn has_own_entry(&self) -> bool {
+        self.entry.incarnation == self.incarnation
+    }
+
     /// Returns whether all runs on the worker are known: the worker has reported, and has no orphans.
     pub fn is_reconciled(&self) -> bool {
         self.last_contact.is_some() && self.orphans.is_empty()
--- a/crates/policy/tests/fleet_engine/evacuation.rs
+++ b/crates/policy/tests/fleet_engine/evacuation.rs
@@ -76,7 +76,7 @@
         sim.engine.set_evacuations(&set(&["east"]), sim.now);
         let set_at = sim.now;
         run_with_load(&mut sim, "during", ms(3_000));
-        sim.crash("e0");
+        sim.restart("e0");
         run_with_load(&mut sim, "crash", ms(1_000));
         sim.take_over();
         sim.engine.set_evacuations(&set(&["east"]), sim.now);
--- a/crates/policy/tests/fleet_engine/former_incarnations.rs
+++ b/crates/policy/tests/fleet_engine/former_incarnations.rs
@@ -84,7 +84,6 @@
 
 // A restarted worker got tasks by the capacity of the incarnation before, until the directory had its new entry.
 #[test]
-#[ignore = "known to fail, see KNOWN-RED.txt"]
 fn restarted_worker_gets_tasks_by_the_capacity_in_its_own_entry() {
     let mut sim = Simulation::new(1, 0, Faults::default(), 1);
     sim.run(SECOND);
@@ -104,7 +103,6 @@
 
 // A restarted worker of another kind got tasks that require the kind of the incarnation before.
 #[test]
-#[ignore = "known to fail, see KNOWN-RED.txt"]
 fn restarted_worker_gets_tasks_by_the_labels_in_its_own_entry() {
     let mut sim = Simulation::new(1, 0, Faults::default(), 1);
     sim.run(SECOND);
@@ -120,6 +118,23 @@
     assert_eq!(sim.starts, Vec::new(), "the worker is of the kind b");
 }
 
+// As above, for an owner that took the fleet over while the directory still had the entry of the incarnation before.
+#[test]
+fn successor_gives_a_restarted_worker_no_tasks_by_the_entry_of_its_former_incarnation() {
+    let mut sim = Simulation::new(1, 0, Faults::default(), 1);
+    sim.run(SECOND);
+    let former = sim.workers["w0"].entry.clone();
+    sim.workers.get_mut("w0").expect("the worker exists").entry.labels[0] = "b".to_owned();
+    sim.crash("w0");
+    sim.take_over();
+    sim.engine.upsert_worker(former, sim.now);
+    let mut of_kind_a = step(1, 200);
+    of_kind_a.required_label = "a".to_owned();
+    sim.submit(submission("a", vec![of_kind_a]));
+    sim.run(SECOND);
+    assert_eq!(sim.starts, Vec::new(), "the worker is of the kind b");
+}
+
 // A task ran twice at once: a request for a report went to the address that a restarted worker had had, another worker answered
 // there, and the owner dropped a run that the new incarnation had begun meanwhile.
 #[test]
--- a/crates/policy/tests/fleet_engine/random_faults.rs
+++ b/crates/policy/tests/fleet_engine/random_faults.rs
@@ -84,7 +84,7 @@
                 let until = sim.now + Duration::from_millis(choices.u64(100..9_000));
                 sim.partitioned.insert(worker.as_str().into(), until);
             }
-            2 => sim.crash(&worker),
+            2 => sim.restart(&worker),
             _ => {}
         }
         sim.run(Duration::from_millis(choices.u64(50..1_200)));
@@ -132,7 +132,7 @@
                 let until = sim.now + Duration::from_millis(choices.u64(100..3_000));
                 sim.partitioned.insert(worker.as_str().into(), until);
             }
-            2 | 3 => sim.crash(&worker),
+            2 | 3 => sim.restart(&worker),
             4 | 5 => {
                 let job = format!("job-{}", choices.u32(0..=round));
                 sim.engine.cancel(&job, sim.now);
@@ -216,7 +216,7 @@
                 let until = sim.now + Duration::from_millis(choices.u64(100..9_000));
                 sim.partitioned.insert(worker.as_str().into(), until);
             }
-            3 => sim.crash(&worker),
+            3 => sim.restart(&worker),
             4 | 5 => sim.apply_config(random_config(2 + round, &mut choices)),
             _ => {}
         }
@@ -262,7 +262,7 @@
                 );
             }
             2 => drop(sim.partitioned.insert(worker.as_str().into(), until)),
-            3 => sim.crash(&worker),
+            3 => sim.restart(&worker),
             4 => {
                 let pool = POOLS[choices.usize(0..POOLS.len())];
                 sim.apply_config(two_pool_config(2 + round, pool, 0));
@@ -307,7 +307,7 @@
         let worker: InstanceId = format!("w{}", choices.usize(0..RESTARTED_WORKERS)).into();
         let event = choices.u8(0..8);
         if event < 5 {
-            sim.crash(&worker);
+            sim.restart(&worker);
             sim.run(Duration::from_millis(choices.u64(0..2_500)));
         }
         if event < 7 {
--- a/crates/policy/tests/fleet_engine/restarted_worker.rs
+++ b/crates/policy/tests/fleet_engine/restarted_worker.rs
@@ -53,7 +53,7 @@
 #[test]
 fn renewal_for_a_previous_incarnation_extends_the_leases_of_the_next_one() {
     let mut sim = two_workers_with_long_tasks();
-    sim.crash("w0");
+    sim.restart("w0");
     sim.run(SECOND);
     assert_eq!(runs(&sim, "w0"), 2, "the tasks start on the restarted worker");
     tasks_move_once_the_leases_have_expired(&mut sim);
@@ -63,7 +63,7 @@
 #[test]
 fn unanswered_renewal_for_a_previous_incarnation_is_covered() {
     let mut sim = two_workers_with_long_tasks();
-    sim.workers.get_mut("w0").expect("the worker exists").crash(sim.now);
+    sim.restart_between_requests("w0");
     sim.faults.lost_reports = 1.0;
     sim.run(5 * SECOND / 2);
     sim.faults.lost_reports = 0.0;
@@ -77,7 +77,7 @@
 #[test]
 fn successor_waits_for_the_longest_lease_on_a_worker_that_does_not_answer() {
     let mut sim = two_workers_with_long_tasks();
-    sim.crash("w0");
+    sim.restart("w0");
     sim.run(SECOND);
     assert_eq!(runs(&sim, "w0"), 2, "the tasks start on the restarted worker");
     sim.partitioned.insert("w0".into(), sim.now + ALL_LEASES_EXPIRED);
@@ -90,8 +90,8 @@
 #[test]
 fn successor_waits_for_the_longest_lease_whatever_the_times_of_day_are() {
     let mut sim = two_workers_with_long_tasks();
-    let worker = sim.workers.get_mut("w0").expect("the worker exists");
-    worker.crash_as(worker.entry.incarnation + 1, sim.now);
+    // The incarnation states a time of day just after that of the former one.
+    sim.restart_between_requests("w0");
     sim.run(2 * SECOND);
     assert_eq!(runs(&sim, "w0"), 2, "the tasks start on the restarted worker");
     sim.partitioned.insert("w0".into(), sim.now + ALL_LEASES_EXPIRED);
@@ -103,7 +103,7 @@
 #[test]
 fn successor_waits_for_the_longest_lease_on_a_worker_that_is_cut_off_after_the_takeover() {
     let mut sim = two_workers_with_long_tasks();
-    sim.crash("w0");
+    sim.restart("w0");
     sim.run(SECOND);
     assert_eq!(runs(&sim, "w0"), 2, "the tasks start on the restarted worker");
     sim.take_over();
@@ -115,7 +115,7 @@
 fn successor_waits_for_the_longest_lease_on_a_worker_that_is_not_listed() {
     for is_instance_list_known in [false, true] {
         let mut sim = two_workers_with_long_tasks();
-        sim.crash("w0");
+        sim.restart("w0");
         sim.run(SECOND);
         assert_eq!(runs(&sim, "w0"), 2, "the tasks start on the restarted worker");
         let instances = sim.workers.keys().map(|id| (id.clone(), instance(id, "p"))).collect();
@@ -134,7 +134,7 @@
     let until_ms = sim.workers["w0"].clock_ms(sim.now) + 4_500;
     sim.take_over();
     sim.run(SECOND);
-    sim.crash("w0");
+    sim.restart("w0");
     // The worker is back before it counts as unresponsive; after that its tasks would start on the other worker first.
     sim.partitioned.insert("w0".into(), sim.now + 12 * SECOND / 10);
     sim.run(SECOND);
@@ -151,7 +151,7 @@
     sim.partitioned.insert(id.into(), sim.now + 6 * SECOND);
     sim.engine.mark_worker_unlisted(id);
     sim.run(6 * SECOND);
-    sim.crash(id);
+    sim.restart(id);
     let entry = sim.workers[id].entry.clone();
     sim.engine.upsert_worker(entry, sim.now);
     sim.run(SECOND);
@@ -212,7 +212,7 @@
     let mut sim = two_workers_with_long_tasks();
     let predecessor = sim.engine.fence;
     let until_ms = sim.workers["w0"].clock_ms(sim.now) + 4_500;
-    sim.crash("w0");
+    sim.restart("w0");
     sim.run(SECOND);
     assert_eq!(runs(&sim, "w0"), 2, "the tasks start on the restarted worker");
     sim.partitioned.insert("w0".into(), sim.now + ALL_LEASES_EXPIRED);
@@ -238,7 +238,7 @@
     let mut workers = sim.engine.workers.values();
     let worker = workers.find(|worker| !worker.starts_in_doubt.is_empty());
     let worker = worker.expect("the start is under way").entry.id.clone();
-    sim.crash(&worker);
+    sim.restart(&worker);
     sim.unreachable_for_newest.insert(worker.clone(), sim.now + ALL_LEASES_EXPIRED);
     sim.take_over();
     let taken_over = sim.now;
@@ -257,7 +257,7 @@
     let mut sim = Simulation::new(3, 0, Faults::default(), 1);
     sim.run(SECOND);
     sim.submit(submission("a", vec![step(3, 60_000)]));
-    sim.workers.get_mut("w0").expect("the worker exists").crash(sim.now);
+    sim.restart_between_requests("w0");
     sim.faults.lost_acks = lost_acks;
     sim.plan();
     sim.run(SECOND / 50);
@@ -302,7 +302,7 @@
         sim.run(SECOND);
         assert_eq!(runs(&sim, "w0"), 1);
         let key = sim.engine.worker_key("w0").expect("the engine knows the worker");
-        sim.workers.get_mut("w0").expect("the worker exists").crash(sim.now);
+        sim.restart_between_requests("w0");
         let late = match renewals {
             Renewals::Late => sim.engine.begin_renewal(key, sim.now),
             Renewals::Next => None,
@@ -351,7 +351,7 @@
     sim.write_progress();
     let key = sim.engine.worker_key("w0").expect("the engine knows the worker");
     assert_eq!(sim.engine.workers[key].ack_cursor(), 2);
-    sim.workers.get_mut("w0").expect("the worker exists").crash(sim.now);
+    sim.restart_between_requests("w0");
     sim.submit(submission("b", vec![step(1, 50)]));
     let job = sim.engine.job_key("b").expect("the job was accepted");
     sim.plan();
@@ -393,7 +393,7 @@
     sim.run_without_writes(2 * SECOND);
     let changes = sim.engine.take_changes(usize::MAX);
     assert_eq!(changes.ends.len(), 1);
-    sim.crash("w0");
+    sim.restart("w0");
     sim.run_without_writes(SECOND);
     sim.engine.confirm_changes(&changes);
     let key = sim.engine.worker_key("w0").expect("the engine knows the worker");
@@ -455,7 +455,7 @@
     sim.run(SECOND);
     assert_eq!(runs(&sim, "w0"), 1);
     sim.submit(submission("b", vec![step(3, 60_000)]));
-    sim.workers.get_mut("w0").expect("the worker exists").crash(sim.now);
+    sim.restart_between_requests("w0");
     sim.faults.lost_acks = 1.0;
     sim.plan();
     sim.faults.lost_reports = 1.0;
@@ -480,7 +480,7 @@
     sim.plan();
     let busy = sim.engine.workers.values().find(|worker| !worker.runs.is_empty());
     let id = busy.expect("the task is started").entry.id.clone();
-    sim.workers.get_mut(&id).expect("the worker exists").crash(sim.now);
+    sim.restart_between_requests(&id);
     sim.run(SECOND / 50);
     sim.faults.lost_acks = 0.0;
     assert_eq!(runs(&sim, &id), 1, "the restarted worker carries out the start");
@@ -524,11 +524,11 @@
 #[test]
 fn restart_without_an_order_that_lasts_does_not_hold_tasks_back() {
     let mut sim = two_workers_with_long_tasks();
-    sim.crash("w0");
+    sim.restart("w0");
     sim.run(30 * SECOND);
     assert_eq!(sim.engine.fence, 1);
     let before = sim.workers["w0"].clock_ms(sim.now);
-    sim.crash("w0");
+    sim.restart("w0");
     assert!(sim.workers["w0"].clock_ms(sim.now) > before + 10_000);
     sim.run(SECOND);
     let moved = runs(&sim, "w0");
--- a/crates/policy/tests/fleet_engine/simulation.rs
+++ b/crates/policy/tests/fleet_engine/simulation.rs
@@ -103,6 +103,8 @@
     pub unreachable_for_newest: BTreeMap<InstanceId, Instant>,
     /// Workers that the directory does not list at a takeover.
     pub unlisted: BTreeSet<InstanceId>,
+    /// Restarted workers whose new entry the directory lists once the owner has their first report.
+    renewed_entries: BTreeSet<InstanceId>,
     stale_owner: Option<StaleOwner>,
     newest_fence: u64,
     /// Workers whose next call fails because a restart has closed their connections.
@@ -181,6 +183,7 @@
             partitioned: BTreeMap::new(),
             unreachable_for_newest: BTreeMap::new(),
             unlisted: BTreeSet::new(),
+            renewed_entries: BTreeSet::new(),
             stale_owner: None,
             newest_fence: 0,
             disconnected: BTreeSet::new(),
@@ -264,6 +267,33 @@
         self.trace_worker(&id.into(), "restarts".to_owned());
     }
 
+    /// Restarts a worker as [`Simulation::crash`] does, and lists its new entry once the owner has its first report.
+    ///
+    /// The owner does not learn of the restart from the directory. A worker that crashes without this keeps the entry of its former
+    /// incarnation in the directory of the present owner, as one does that is cut off from the store.
+    pub fn restart(&mut self, id: &str) {
+        self.crash(id);
+        self.renewed_entries.insert(id.into());
+    }
+
+    /// Restarts a worker between two requests, so that none fails, and lists its new entry once the owner has its first report.
+    pub fn restart_between_requests(&mut self, id: &str) {
+        self.workers.get_mut(id).expect("the worker exists").crash(self.now);
+        self.renewed_entries.insert(id.into());
+    }
+
+    /// Lists the entry of a restarted worker if it is [to be renewed](Simulation::restart) and the owner has a report of it.
+    pub fn renew_entry(&mut self, key: WorkerKey) {
+        let worker = &self.engine.workers[key];
+        let Some(fake) = self.workers.get(&worker.entry.id) else { return };
+        if self.renewed_entries.contains(&worker.entry.id)
+            && worker.incarnation == fake.entry.incarnation
+            && !worker.has_own_entry()
+        {
+            self.engine.upsert_worker(fake.entry.clone(), self.now);
+        }
+    }
+
     /// Starts the term of a new owner; orders of the old one remain in flight.
     pub fn take_over(&mut self) {
         self.take_over_with(Some(&BTreeMap::new()));
@@ -407,6 +437,7 @@
             AnswerContent::Report { sent, report } => {
                 let timing = ReportTiming { sent, received: self.now };
                 let applied = self.engine.apply_report(worker, timing, &report, &mut Vec::new());
+                self.renew_entry(worker);
                 let id = self.engine.workers[worker].entry.id.clone();
                 let age_ms = self.now.saturating_duration_since(sent).as_millis();
                 self.trace_worker(
--- a/crates/policy/tests/fleet_engine/split_brain.rs
+++ b/crates/policy/tests/fleet_engine/split_brain.rs
@@ -96,7 +96,7 @@
     sim.submit(submission("a", vec![step(1, 5_000)]));
     sim.take_over_with_overlap(OVERLAP_MAX, sim.now + OVERLAP_MAX);
     sim.unreachable_for_newest.insert("w0".into(), sim.now + 2 * SECOND);
-    sim.crash("w0");
+    sim.restart("w0");
     let spare = FakeWorker::new(worker_entry("w9", "p"), sim.now, 1.0);
     sim.engine.upsert_worker(spare.entry.clone(), sim.now);
     sim.workers.insert("w9".into(), spare);
@@ -114,7 +114,7 @@
     let mut sim = Simulation::new(1, 0, Faults::default(), 1);
     sim.run(SECOND);
     sim.run_without_writes(OWNER_UNRESPONSIVE_AFTER);
-    sim.crash("w0");
+    sim.restart("w0");
     sim.run_without_writes(SECOND);
     sim.submit(submission("a", vec![step(1, 60_000)]));
     sim.run_without_writes(SECOND);
--- a/crates/policy/tests/fleet_engine/successor.rs
+++ b/crates/policy/tests/fleet_engine/successor.rs
@@ -70,7 +70,7 @@
     sim.submit(submission("a", vec![long_running_step()]));
     sim.run(SECOND);
     sim.apply_config(config_with_pool(2, "p2"));
-    sim.crash("w-p");
+    sim.restart("w-p");
     sim.run(2 * SECOND);
     assert_eq!(started_on(&sim), ["w-p", "w-p2"]);
     sim.apply_config(config_with_pool(3, "p3"));
@@ -309,7 +309,7 @@
 fn tasks_of_a_pool_start_once_a_silent_worker_has_reported_as_another_incarnation() {
     let mut sim = take_over_with_silent_workers(&[("w0", 3 * SECOND)]);
     sim.run(SECOND);
-    sim.crash("w0");
+    sim.restart("w0");
     sim.run(3 * SECOND);
     assert_eq!(sim.starts.len(), 1, "the task waits for a worker that has reported");
 }
--- a/crates/policy/tests/fleet_engine/worker_capacity.rs
+++ b/crates/policy/tests/fleet_engine/worker_capacity.rs
@@ -57,6 +57,7 @@
     let timing = ReportTiming { sent, received: sim.now };
     let key = sim.engine.worker_key(id).expect("the engine knows the worker");
     sim.engine.apply_report(key, timing, report, &mut Vec::new());
+    sim.renew_entry(key);
 }
 
 /// Returns the resources that the engine accounts for on a worker, in thousandths of a core.
@@ -86,7 +87,7 @@
     let unknown = StartOutcome::Unknown.into();
     sim.engine.apply_start_outcome(key, task, 1, unknown, now, &mut Vec::new());
     sim.now += SECOND / 10;
-    sim.workers.get_mut("w0").expect("the worker exists").crash(sim.now);
+    sim.restart_between_requests("w0");
     let first = report(&mut sim, "w0");
     let sent = sim.now;
     apply(&mut sim, "w0", sent, &first);
@@ -108,7 +109,7 @@
     let mut sim = Simulation::new(1, 0, Faults::default(), 1);
     sim.run(SECOND);
     let (overtaken, sent) = (report(&mut sim, "w0"), sim.now);
-    sim.crash("w0");
+    sim.restart("w0");
     sim.run(SECOND);
     sim.submit(submission("a", vec![step(4, 60_000)]));
     sim.run(SECOND);
@@ -125,7 +126,7 @@
 fn first_report_of_a_restarted_worker_keeps_runs_that_were_confirmed_after_it() {
     let mut sim = Simulation::new(1, 0, Faults::default(), 1);
     sim.run(SECOND);
-    sim.workers.get_mut("w0").expect("the worker exists").crash(sim.now);
+    sim.restart_between_requests("w0");
     let (first, sent) = (report(&mut sim, "w0"), sim.now);
     sim.submit(submission("a", vec![step(4, 60_000)]));
     sim.plan();
@@ -156,7 +157,7 @@
     sim.now += SECOND / 10;
     let stop_sent = sim.now;
     sim.now += SECOND / 10;
-    sim.workers.get_mut("w0").expect("the worker exists").crash(sim.now);
+    sim.restart_between_requests("w0");
     for _ in 0..2 {
         let (newest, sent) = (report(&mut sim, "w0"), sim.now);
         apply(&mut sim, "w0", sent, &newest);
@@ -174,7 +175,7 @@
     let mut sim = Simulation::new(1, 0, Faults::default(), 1);
     sim.run(SECOND);
     assert!(is_usable(&sim, "w0"));
-    sim.crash("w0");
+    sim.restart("w0");
     let key = sim.engine.worker_key("w0").expect("the engine knows the worker");
     sim.poll_worker(key, true);
     assert!(!is_usable(&sim, "w0"));
@@ -254,7 +255,7 @@
     let (empty, sent) = (report(&mut sim, "w0"), sim.now);
     apply(&mut sim, "w0", sent, &empty);
     assert_eq!(reserved_milli(&sim, "w0"), 0, "this incarnation will not begin the run");
-    sim.workers.get_mut("w0").expect("the worker exists").crash(sim.now);
+    sim.restart_between_requests("w0");
     sim.now += SECOND / 10;
     let (first, sent) = (report(&mut sim, "w0"), sim.now);
     apply(&mut sim, "w0", sent, &first);
@@ -268,7 +269,7 @@
     let mut sim = Simulation::new(1, 0, Faults::default(), 1);
     let sent = sim.now;
     let delayed = report(&mut sim, "w0");
-    sim.crash("w0");
+    sim.restart("w0");
     sim.now += SECOND / 10;
     sim.take_over();
     sim.run(SECOND);
