A start in doubt is kept while its worker may restart under its id

The worker restarted under its id and carried out the first start.

Cause: remove_ended_workers dropped all runs of such a worker, also those whose start can still be delivered to its next incarnation. expire_leases kept these.

The list is now read by worker_ends: only an instance that is gone, moves, is in maintenance or runs another worker ends all runs. Otherwise the runs that had begun are dropped, and those in doubt are kept for the next incarnation's barrier.

--- a/crates/policy/src/fleet/maintenance.rs
+++ b/crates/policy/src/fleet/maintenance.rs
@@ -14,6 +14,7 @@
 use super::placement::UNRESPONSIVE_AFTER;
 use super::reports::JobEvent;
 use super::state::{Cordon, Engine, TaskRef, WorkerKey};
+use super::worker_ends::{EndEvidence, ListedState, listed_state};
 use crate::ids::{InstanceId, PoolId};
 
 /// Number with which the platform's operator identifies a wave.
@@ -191,42 +192,82 @@
         self.identify_silent_workers(&instances, requested);
         self.instances = instances;
         self.instances_requested = Some(requested);
+        self.locate_workers();
         self.record_data_centres();
         self.remove_ended_workers(requested, events);
     }
 
+    /// Notes the instance of each worker that the current list of instances shows.
+    fn locate_workers(&mut self) {
+        for (id, instance) in &self.instances {
+            let key = instance.worker.as_ref().and_then(|worker| self.worker_keys.get(worker));
+            if let Some(worker) = key.and_then(|key| self.workers.get_mut(*key)) {
+                worker.instance = Some(id.clone());
+            }
+        }
+    }
+
     /// Removes the workers that have ended according to the list of instances that was requested at `requested`,
     /// and lifts the cordon of those that a call has not ended.
     fn remove_ended_workers(&mut self, requested: Instant, events: &mut Vec<JobEvent>) {
         let up = self.instances.values().filter(|i| i.state == InstanceState::Up);
         let alive: BTreeSet<InstanceId> = up.filter_map(|i| i.worker.clone()).collect();
-        let present: BTreeSet<InstanceId> =
-            self.instances.values().filter_map(|i| i.worker.clone()).collect();
         let mut ended = Vec::new();
         for (key, worker) in &mut self.workers {
-            // An unresponsive worker whose instance has no worker or another one has ended with its runs.
             let unresponsive =
                 worker.last_contact.is_some_and(|at| at + UNRESPONSIVE_AFTER < requested);
-            if unresponsive && !present.is_empty() && !present.contains(&worker.entry.id) {
-                ended.push(key);
-                continue;
+            if unresponsive {
+                let state = listed_state(&self.instances, &worker.place());
+                if state == ListedState::Down || state.has_ended() {
+                    ended.push((key, state));
+                    continue;
+                }
             }
             match worker.cordon {
                 Some(Cordon::Called(at)) if at > requested => {}
                 Some(Cordon::Called(_)) if alive.contains(&worker.entry.id) => worker.cordon = None,
-                Some(Cordon::Called(_)) => ended.push(key),
+                Some(Cordon::Called(_)) => {
+                    ended.push((key, ListedState::Ended(EndEvidence::Moved)));
+                }
                 _ => {}
             }
         }
-        for key in ended {
+        for (key, state) in ended {
             self.workers[key].listed = false;
-            self.drop_all_runs(key, "its instance has no worker or another one", events);
-            if !self.workers[key].awaits_delivery(requested) {
+            self.drop_ended_runs(key, state, requested, events);
+            let worker = &self.workers[key];
+            if worker.runs.is_empty() && !worker.awaits_delivery(requested) {
                 self.remove_worker(key);
             }
         }
     }
 
+    /// Drops the runs of a worker that has ended or is down according to a list of instances that was requested at `requested`.
+    ///
+    /// A start without an answer may still begin on the worker's next incarnation, unless the worker has certainly ended for
+    /// good. Its run is kept until that incarnation has the barrier, or no longer has to be expected.
+    fn drop_ended_runs(
+        &mut self,
+        key: WorkerKey,
+        state: ListedState,
+        requested: Instant,
+        events: &mut Vec<JobEvent>,
+    ) {
+        // Without a list that has shown the worker, its instance may be one that the list leaves out.
+        let is_certain =
+            state.has_ended() && state != ListedState::Ended(EndEvidence::OnNoInstance);
+        let reason = format!("its instance does not run it, list={}", state.as_str());
+        let runs: Vec<_> = self.workers[key].runs.iter().copied().collect();
+        for (task, attempt) in runs {
+            let name = self.task_name(&task);
+            let starts_in_doubt = &self.workers[key].starts_in_doubt;
+            let order = name.and_then(|name| starts_in_doubt.get(&(name, attempt)));
+            if is_certain || order.is_none_or(|order| order.arrives_by <= requested) {
+                self.drop_run(key, task, attempt, &reason, events);
+            }
+        }
+    }
+
     /// Cordons a worker after a call for its instance was accepted.
     pub(super) fn cordon_after_call(&mut self, key: WorkerKey, now: Instant) {
         if let Some(worker) = self.workers.get_mut(key) {
--- a/crates/policy/src/fleet/state.rs
+++ b/crates/policy/src/fleet/state.rs
@@ -450,6 +450,7 @@
         let id = entry.id.clone();
         let key = self.workers.insert(Worker {
             listed: true,
+            instance: None,
             incarnation: 0,
             incarnation_known_since: None,
             clock: None,
--- a/crates/policy/src/fleet/worker.rs
+++ b/crates/policy/src/fleet/worker.rs
@@ -11,6 +11,7 @@
 use super::reports::WorkerReport;
 use super::spec::ResourceVector;
 use super::state::JobKey;
+use super::worker_ends::WorkerPlace;
 use crate::ids::{BootId, DataCentre, FailureDomain, InstanceId, PoolId};
 
 /// Entry of a worker in the platform's directory.
@@ -100,6 +101,8 @@
     pub entry: WorkerEntry,
     /// Whether the directory still lists the worker.
     pub listed: bool,
+    /// Instance on which a list of instances last showed the worker; `None` if none did.
+    pub instance: Option<InstanceId>,
     /// Incarnation that sent the last report; zero before the first report.
     pub incarnation: BootId,
     /// Time at which the first report of the current incarnation arrived; `None` before the first report.
@@ -180,6 +183,16 @@
         self.entry = entry;
     }
 
+    /// Returns what is known of the worker's place in the fleet.
+    pub fn place(&self) -> WorkerPlace {
+        WorkerPlace {
+            worker: self.entry.id.clone(),
+            pool: self.entry.pool.clone(),
+            rack: Some(self.entry.rack.clone()),
+            instance: self.instance.clone(),
+        }
+    }
+
     /// Returns whether the entry is that of the incarnation that sent the last report, so that its pool, capacity, labels and state
     /// hold for that incarnation.
     pub fn has_own_entry(&self) -> bool {
--- a/crates/policy/tests/fleet_engine/former_incarnations.rs
+++ b/crates/policy/tests/fleet_engine/former_incarnations.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use wasabiswitch_policy::fleet::lease_bounds::OrderOutcome;
-use wasabiswitch_policy::fleet::maintenance::Instance;
+use wasabiswitch_policy::fleet::maintenance::{Instance, InstanceState};
 use wasabiswitch_policy::fleet::outcomes::StartOutcome;
 use wasabiswitch_policy::fleet::plan::Order;
 use wasabiswitch_policy::fleet::reports::RunEnd;
@@ -216,7 +216,6 @@
 // A task ran twice at once: its start was in doubt at a worker that was not listed on any instance, and the task started
 // elsewhere at once, although the start could still begin on the worker's next incarnation.
 #[test]
-#[ignore = "known to fail, see KNOWN-RED.txt"]
 fn start_in_doubt_outlives_a_worker_that_is_on_no_instance() {
     let mut sim = Simulation::new(1, 0, Faults::default(), 1);
     sim.run(SECOND);
@@ -237,6 +236,35 @@
     );
 }
 
+// As above, for a worker whose instance the lists show: a task with a start in doubt waits while the instance is down, and starts
+// elsewhere once the instance runs another worker.
+#[test]
+fn start_in_doubt_waits_while_the_instance_of_its_worker_is_down() {
+    let mut sim = Simulation::new(1, 0, Faults::default(), 1);
+    sim.run(SECOND);
+    let mut list =
+        BTreeMap::from([("m0".into(), instance("w0", "p")), ("m9".into(), instance("w9", "p"))]);
+    let (listed, now) = (list.clone(), sim.now);
+    sim.engine.apply_instance_list(listed, now, now, &mut Vec::new());
+    sim.submit(submission("a", vec![step(1, 60_000)]));
+    sim.partitioned.insert("w0".into(), sim.now + ALL_LEASES_EXPIRED);
+    sim.plan();
+    let (key, task) = (key(&sim), only_task(&sim, "a"));
+    let unknown = StartOutcome::Unknown.into();
+    sim.engine.apply_start_outcome(key, task, 1, unknown, sim.now, &mut Vec::new());
+    sim.run(5 * SECOND / 2);
+    let host: &mut Instance = list.get_mut("m0").expect("the instance is listed");
+    (host.worker, host.state) = (None, InstanceState::Down);
+    let (listed, now) = (list.clone(), sim.now);
+    sim.engine.apply_instance_list(listed, now, now, &mut Vec::new());
+    let runs = |sim: &Simulation| sim.engine.jobs[task.job].task(&task).map(|t| t.runs.len());
+    assert_eq!(runs(&sim), Some(1), "the start may still begin on the next incarnation");
+    let host = list.get_mut("m0").expect("the instance is listed");
+    (host.worker, host.state) = (Some("w8".into()), InstanceState::Up);
+    sim.engine.apply_instance_list(list, now, now, &mut Vec::new());
+    assert_eq!(runs(&sim), Some(0), "the worker does not come back");
+}
+
 // A filler stayed paused after a takeover: the successor took it for one at full speed, whatever its predecessor had ordered.
 #[test]
 fn successor_orders_the_pace_of_a_filler_that_it_adopts() {
