--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -9,7 +9,8 @@
 //!
 //! The test in `stops` stops daemons in the planned way only, and checks that each call is answered. The test in `restarts`
 //! restarts workers under their ids and cuts them off while long tasks run. The test in `evacuations` evacuates data centres,
-//! cuts workers off before the owner is killed, and submits several times as many jobs as the workers have room for.
+//! cuts workers off before the owner is killed, and submits several times as many jobs as the workers have room for. The test in
+//! `departures` removes workers around stops and kills of the owner, and restarts others as another kind behind a cut.
 //!
 //! ```text
 //! cargo test -p wasabiswitchd --test soak                        the seeds of CI
@@ -18,6 +19,7 @@
 
 mod callers;
 mod daemons;
+mod departures;
 mod evacuations;
 mod proxy;
 mod restarts;
