--- a/crates/policy/src/fleet/unconfirmed.rs
+++ b/crates/policy/src/fleet/unconfirmed.rs
@@ -19,7 +19,7 @@
 use super::silent_waits::WaitEvidence;
 use super::spec::{ResourceVector, Step};
 use super::state::{Engine, Job, JobKey, Phase, TaskRef, WorkerKey};
-use super::worker_ends::{ListedState, WorkerPlace, listed_state};
+use super::worker_ends::{ListedState, WorkerPlace};
 use crate::ids::{FailureDomain, InstanceId, PoolId, TeamId};
 
 /// Resources that count as used by a team, since its tasks may be running on workers that cannot be reached.
@@ -78,8 +78,6 @@
     capacity: Option<ResourceVector>,
     /// Rack of the worker; `None` if it is not known.
     rack: Option<FailureDomain>,
-    /// Whether the worker has announced that it is about to shut down.
-    is_draining: bool,
     /// Tasks that may be running on the worker.
     tasks: PossibleTasks,
 }
@@ -134,7 +132,6 @@
                 pool: pool.clone(),
                 rack: worker.rack.clone(),
                 instance: self.instances.get(id).cloned(),
-                is_draining: worker.is_draining,
             })
         })
     }
@@ -217,16 +214,22 @@
         UnlistedWorkers::InPools(unlisted.map(|(id, pool)| (id.clone(), pool.clone())).collect())
     }
 
-    /// Returns the workers that have not answered and have [ended](ListedState::Ended) according to a list of instances.
+    /// Returns the workers that have not answered and no longer run on any instance.
     ///
-    /// The directory lists a worker for some seconds after its instance has moved to another pool. A worker that an instance of its
-    /// pool may be restarting is not among them.
+    /// The directory lists a worker for some seconds after its instance has moved to another pool. An instance
+    /// runs one worker at a time, so such a worker has ended with all its runs.
     pub fn replaced_workers(
         &self,
         instances: &BTreeMap<InstanceId, Instance>,
     ) -> BTreeSet<WorkerKey> {
+        let present: BTreeSet<&InstanceId> =
+            instances.values().filter_map(|instance| instance.worker.as_ref()).collect();
+        if present.is_empty() {
+            // A list without any worker is no evidence that a worker has been replaced.
+            return BTreeSet::new();
+        }
         let replaced = self.workers.iter().filter(|(_, worker)| {
-            worker.last_contact.is_none() && listed_state(instances, &worker.place()).has_ended()
+            worker.last_contact.is_none() && !present.contains(&worker.entry.id)
         });
         replaced.map(|(key, _)| key).collect()
     }
@@ -282,23 +285,16 @@
         let mut silent = SilentWorkers::default();
         for worker in self.workers.values().filter(|worker| worker.last_contact.is_none()) {
             let entry = &worker.entry;
-            let listed = SilentWorker {
-                capacity: Some(entry.capacity),
-                rack: Some(entry.rack.clone()),
-                is_draining: entry.draining,
-                tasks: self.recorded_tasks(&entry.id),
-            };
-            silent.insert(&entry.pool, &entry.id, listed);
+            let rack = Some(entry.rack.clone());
+            let silent_worker = self.silent_worker(&entry.id, Some(entry.capacity), rack);
+            silent.insert(&entry.pool, &entry.id, silent_worker);
         }
         match unlisted {
             UnlistedWorkers::InPools(unlisted) => {
                 // Without any listed worker there is nothing to compare the capacity of an unlisted one with.
                 let largest = self.largest_worker();
                 for (id, pool) in unlisted {
-                    let tasks = self.recorded_tasks(id);
-                    let unlisted =
-                        SilentWorker { capacity: largest, rack: None, is_draining: false, tasks };
-                    silent.insert(pool, id, unlisted);
+                    silent.insert(pool, id, self.silent_worker(id, largest, None));
                 }
             }
             UnlistedWorkers::Unknown => silent.is_any_pool = true,
@@ -306,9 +302,14 @@
         silent
     }
 
-    /// Returns the tasks that may be running on a silent worker, by the record of an earlier owner if there is one.
-    fn recorded_tasks(&self, worker: &InstanceId) -> PossibleTasks {
-        self.restored_silent_records.get(worker).cloned().unwrap_or(PossibleTasks::Any)
+    fn silent_worker(
+        &self,
+        id: &InstanceId,
+        capacity: Option<ResourceVector>,
+        rack: Option<FailureDomain>,
+    ) -> SilentWorker {
+        let recorded = self.restored_silent_records.get(id).cloned();
+        SilentWorker { capacity, rack, tasks: recorded.unwrap_or(PossibleTasks::Any) }
     }
 
     /// Marks as unconfirmed the unfinished tasks that may be running on silent workers, and returns their number.
--- a/crates/policy/src/fleet/worker.rs
+++ b/crates/policy/src/fleet/worker.rs
@@ -190,7 +190,6 @@
             pool: self.entry.pool.clone(),
             rack: Some(self.entry.rack.clone()),
             instance: self.instance.clone(),
-            is_draining: self.entry.draining,
         }
     }
 
--- a/crates/policy/src/fleet/worker_ends.rs
+++ b/crates/policy/src/fleet/worker_ends.rs
@@ -24,8 +24,6 @@
     pub rack: Option<FailureDomain>,
     /// Instance on which an earlier list showed the worker; `None` if none did.
     pub instance: Option<InstanceId>,
-    /// Whether the worker has announced in the directory that it is about to shut down.
-    pub is_draining: bool,
 }
 
 /// What a list of instances shows of a worker.
@@ -56,8 +54,6 @@
     Moved,
     /// The worker's instance is down for maintenance, after which a new worker starts.
     Maintenance,
-    /// The worker had announced a planned shutdown, and no instance runs it.
-    Drained,
     /// No earlier list has shown the worker, and none of the listed instances without a worker can be its own.
     OnNoInstance,
 }
@@ -73,7 +69,6 @@
             ListedState::Ended(EndEvidence::OtherWorker) => "other-worker",
             ListedState::Ended(EndEvidence::Moved) => "moved",
             ListedState::Ended(EndEvidence::Maintenance) => "maintenance",
-            ListedState::Ended(EndEvidence::Drained) => "drained",
             ListedState::Ended(EndEvidence::OnNoInstance) => "on-no-instance",
         }
     }
@@ -100,8 +95,6 @@
         Some(id) => instances
             .get(id)
             .map_or(ListedState::Ended(EndEvidence::InstanceGone), |i| state_without(i, place)),
-        // New instances of the pool have no worker either, and must not be taken for that of a worker that has shut down.
-        None if place.is_draining => ListedState::Ended(EndEvidence::Drained),
         // The instance without a worker that may restart the worker is one of its pool and its rack.
         None if instances.values().any(|instance| may_be_own(instance, place)) => ListedState::Down,
         None => ListedState::Ended(EndEvidence::OnNoInstance),
