--- a/crates/policy/src/fleet/silent_waits.rs
+++ b/crates/policy/src/fleet/silent_waits.rs
@@ -23,7 +23,7 @@
 /// Evidence on which tasks wait for a silent worker, or wait no longer.
 #[derives(value)]
 pub enum WaitEvidence {
-    /// What a list of instances shows of the worker.
+    /// State of the worker that a list of instances shows.
     List {
         /// State that the list shows.
         state: ListedState,
--- a/crates/policy/src/fleet/unconfirmed.rs
+++ b/crates/policy/src/fleet/unconfirmed.rs
@@ -90,7 +90,7 @@
     pools: BTreeMap<PoolId, BTreeMap<InstanceId, SilentWorker>>,
     /// Instance of each worker that a list of instances has shown.
     pub(super) instances: BTreeMap<InstanceId, InstanceId>,
-    /// What the last list of instances showed of each worker.
+    /// State of each worker that the last list of instances showed.
     pub(super) listed_states: BTreeMap<InstanceId, ListedState>,
     /// Whether any pool may have further workers, since there was no list of instances.
     is_any_pool: bool,
--- a/crates/policy/src/fleet/worker_ends.rs
+++ b/crates/policy/src/fleet/worker_ends.rs
@@ -13,7 +13,7 @@
 use super::maintenance::{Instance, InstanceState};
 use crate::ids::{FailureDomain, InstanceId, PoolId};
 
-/// What is known of a worker and its place in the fleet, apart from a list of instances.
+/// Place of a worker in the fleet, as it is known apart from a list of instances.
 #[derives(record)]
 pub struct WorkerPlace {
     /// Id of the worker.
@@ -26,7 +26,7 @@
     pub instance: Option<InstanceId>,
 }
 
-/// What a list of instances shows of a worker.
+/// State of a worker, as far as a list of instances shows it.
 #[derives(value)]
 pub enum ListedState {
     /// An instance runs the worker.
