Split the simulated fleet and the platform's test server by their jobs

Change: terms and restarts of the simulation, and the store calls and the workers' life of the server, are modules of their own; methods are moved, no line of them is changed but for visibility.

--- a/crates/policy/tests/fleet_engine/simulation.rs
+++ b/crates/policy/tests/fleet_engine/simulation.rs
@@ -4,6 +4,8 @@
 //! does not use leases, fences or attempt numbers.
 
 mod checks;
+mod restarts;
+mod terms;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
@@ -12,13 +14,11 @@
 use wasabiswitch_policy::fleet::Engine;
 use wasabiswitch_policy::fleet::config::FleetConfig;
 use wasabiswitch_policy::fleet::lease_bounds::OrderOutcome;
-use wasabiswitch_policy::fleet::maintenance::Instance;
 use wasabiswitch_policy::fleet::outcomes::{StartAnswer, StartOutcome};
-use wasabiswitch_policy::fleet::ownership::{OWNER_LEASE, OWNER_LEASE_MARGIN};
 use wasabiswitch_policy::fleet::plan::Order;
 use wasabiswitch_policy::fleet::progress::{JobRow, ProgressRow};
 use wasabiswitch_policy::fleet::reports::{ReportTiming, RunEnd, WorkerReport};
-use wasabiswitch_policy::fleet::silent_records::{RowVersion, SilentWorkerRow, StoredSilentWorker};
+use wasabiswitch_policy::fleet::silent_records::{RowVersion, SilentWorkerRow};
 use wasabiswitch_policy::fleet::spec::{Step, Submission};
 use wasabiswitch_policy::fleet::start_pools::StartPoolsRow;
 use wasabiswitch_policy::fleet::state::{TaskName, TaskRef, WorkerEntry, WorkerKey};
@@ -258,128 +258,6 @@
         (WORKER_AGE + elapsed).as_millis() as u64
     }
 
-    /// Restarts a worker as a new incarnation and closes its connections.
-    pub fn crash(&mut self, id: &str) {
-        let incarnation = self.unix_ms();
-        let worker = self.workers.get_mut(id).expect("the worker exists");
-        worker.crash_as(incarnation.max(worker.entry.incarnation + 1), self.now);
-        self.disconnected.insert(id.into());
-        self.trace_worker(&id.into(), "restarts".to_owned());
-    }
-
-    /// Restarts a worker as [`Simulation::crash`] does, and lists its new entry once the owner has its first report.
-    ///
-    /// The owner does not learn of the restart from the directory. A worker that crashes without this keeps the entry of its former
-    /// incarnation in the directory of the present owner, as one does that is cut off from the store.
-    pub fn restart(&mut self, id: &str) {
-        self.crash(id);
-        self.renewed_entries.insert(id.into());
-    }
-
-    /// Restarts a worker between two requests, so that none fails, and lists its new entry once the owner has its first report.
-    pub fn restart_between_requests(&mut self, id: &str) {
-        self.workers.get_mut(id).expect("the worker exists").crash(self.now);
-        self.renewed_entries.insert(id.into());
-    }
-
-    /// Lists the entry of a restarted worker if it is [to be renewed](Simulation::restart) and the owner has a report of it.
-    pub fn renew_entry(&mut self, key: WorkerKey) {
-        let worker = &self.engine.workers[key];
-        let Some(fake) = self.workers.get(&worker.entry.id) else { return };
-        if self.renewed_entries.contains(&worker.entry.id)
-            && worker.incarnation == fake.entry.incarnation
-            && !worker.has_own_entry()
-        {
-            self.engine.upsert_worker(fake.entry.clone(), self.now);
-        }
-    }
-
-    /// Starts the term of a new owner; orders of the old one remain in flight.
-    pub fn take_over(&mut self) {
-        self.take_over_with(Some(&BTreeMap::new()));
-    }
-
-    /// Starts the term of a new owner that reads the given list of instances; `None` means that the read failed.
-    pub fn take_over_with(&mut self, instances: Option<&BTreeMap<InstanceId, Instance>>) {
-        self.stale_owner = None;
-        self.begin_term(instances, self.now);
-    }
-
-    /// Lists all workers in the directory again.
-    pub fn list_all_workers(&mut self) {
-        for id in std::mem::take(&mut self.unlisted) {
-            self.engine.upsert_worker(self.workers[&id].entry.clone(), self.now);
-        }
-    }
-
-    /// Starts the term of a new owner while the old one, whose writes are fenced, sends orders for `overlap`.
-    ///
-    /// The new owner assumes that its predecessor sends its last order at `predecessor_deadline`.
-    pub fn take_over_with_overlap(&mut self, overlap: Duration, predecessor_deadline: Instant) {
-        self.take_over_with_overlap_and_list(overlap, predecessor_deadline, &BTreeMap::new());
-    }
-
-    /// Starts a term as [`Simulation::take_over_with_overlap`] does, of an owner that reads the given list of instances.
-    pub fn take_over_with_overlap_and_list(
-        &mut self,
-        overlap: Duration,
-        predecessor_deadline: Instant,
-        instances: &BTreeMap<InstanceId, Instance>,
-    ) {
-        let mut engine = std::mem::replace(&mut self.engine, Engine::new(limits(), 0));
-        // The old owner acts until its lease has expired.
-        engine.confirmed_sent = Some(self.now + overlap - OWNER_LEASE - OWNER_LEASE_MARGIN);
-        self.engine.fence = engine.fence;
-        let next_report = std::mem::take(&mut self.next_report);
-        self.stale_owner = Some(StaleOwner { engine, next_report, until: self.now + overlap });
-        self.begin_term(Some(instances), predecessor_deadline);
-    }
-
-    fn begin_term(
-        &mut self,
-        instances: Option<&BTreeMap<InstanceId, Instance>>,
-        predecessor_deadline: Instant,
-    ) {
-        let mut engine = Engine::new(limits(), self.engine.fence + 1);
-        engine.confirmed_sent = Some(self.now);
-        engine.apply_config(&self.config);
-        for (id, (row, progress)) in &self.stored_jobs {
-            match progress {
-                Some(progress) if self.retired.contains(id) => {
-                    engine.restore_retired(id.clone(), progress.phase, self.now);
-                }
-                _ => engine.restore(row.clone(), progress.clone(), self.now, 0),
-            }
-        }
-        for (id, row) in &self.stored_start_pools {
-            engine.restore_start_pools(id, row);
-        }
-        for (id, version) in &self.job_versions {
-            engine.restore_row_version(id, *version);
-        }
-        let records = self.stored_silent_workers.iter().map(|(worker, (version, row))| {
-            let (worker, version, row) = (worker.clone(), *version, Some(row.clone()));
-            StoredSilentWorker { worker, version, row }
-        });
-        engine.restore_silent_records(records.collect());
-        let listed = self.workers.values().filter(|w| !self.unlisted.contains(&w.entry.id));
-        for worker in listed {
-            engine.upsert_worker(worker.entry.clone(), self.now);
-        }
-        self.engine = engine;
-        self.newest_fence = self.engine.fence;
-        self.next_report.clear();
-        let keys: Vec<WorkerKey> = self.engine.workers.keys().collect();
-        for key in keys {
-            self.poll_worker(key, false);
-        }
-        if let Some(instances) = instances {
-            self.engine.remove_replaced_workers(instances);
-        }
-        let unlisted = self.engine.find_unlisted_workers(instances);
-        self.engine.mark_unconfirmed(&unlisted, predecessor_deadline, self.now);
-    }
-
     /// Returns whether the owner with this fence cannot reach a worker.
     fn is_partitioned(&self, id: &InstanceId, fence: u64) -> bool {
         let active = |partitions: &BTreeMap<_, Instant>| {
