An instance whose entry cannot be read does not count as gone

The adapter left out an entry that it could not decode, so that one odd field (a state that is not known, say) would have released tasks that may be running on a worker that is cut off.

A list is indexed once, where it was walked for each unresponsive worker.

--- a/crates/policy/src/fleet/maintenance.rs
+++ b/crates/policy/src/fleet/maintenance.rs
@@ -14,7 +14,7 @@
 use super::placement::UNRESPONSIVE_AFTER;
 use super::reports::JobEvent;
 use super::state::{Cordon, Engine, TaskRef, WorkerKey};
-use super::worker_ends::{EndEvidence, ListedState, listed_state};
+use super::worker_ends::{EndEvidence, ListedInstances, ListedState};
 use crate::ids::{InstanceId, PoolId};
 
 /// Number with which the platform's operator identifies a wave.
@@ -45,6 +45,10 @@
     Maintenance,
     /// The instance is down for another reason.
     Down,
+    /// The entry of the instance cannot be read, apart from the instance's id.
+    ///
+    /// The instance exists, and may run a worker. A list without the instance would show that its worker has ended.
+    Unreadable,
 }
 
 /// An instance of the fleet; it outlives the workers that run on it.
@@ -212,12 +216,13 @@
     fn remove_ended_workers(&mut self, requested: Instant, events: &mut Vec<JobEvent>) {
         let up = self.instances.values().filter(|i| i.state == InstanceState::Up);
         let alive: BTreeSet<InstanceId> = up.filter_map(|i| i.worker.clone()).collect();
+        let listed = ListedInstances::new(&self.instances);
         let mut ended = Vec::new();
         for (key, worker) in &mut self.workers {
             let unresponsive =
                 worker.last_contact.is_some_and(|at| at + UNRESPONSIVE_AFTER < requested);
             if unresponsive {
-                let state = listed_state(&self.instances, &worker.place());
+                let state = listed.state_of(&worker.place());
                 if state == ListedState::Down || state.has_ended() {
                     ended.push((key, state));
                     continue;
--- a/crates/policy/src/fleet/silent_waits.rs
+++ b/crates/policy/src/fleet/silent_waits.rs
@@ -17,7 +17,7 @@
 
 use super::maintenance::Instance;
 use super::state::Engine;
-use super::worker_ends::{ListedState, WorkerPlace, listed_state};
+use super::worker_ends::{ListedInstances, ListedState, WorkerPlace};
 use crate::ids::InstanceId;
 
 /// Evidence on which tasks wait for a silent worker, or wait no longer.
@@ -92,8 +92,9 @@
             }
         }
         let places: Vec<WorkerPlace> = self.silent_workers.places().collect();
+        let listed = ListedInstances::new(instances);
         for place in places {
-            let state = listed_state(instances, &place);
+            let state = listed.state_of(&place);
             let known = self.silent_workers.listed_states.insert(place.worker.clone(), state);
             if known != Some(state) && !state.has_ended() {
                 self.report_wait(place, WaitEvidence::List { state, requested }, true);
--- a/crates/policy/src/fleet/worker_ends.rs
+++ b/crates/policy/src/fleet/worker_ends.rs
@@ -5,7 +5,7 @@
 //! entry for some seconds; and its absence from the list of instances shows an end only together with what its instance does
 //! instead. This module says which of them a list shows. See docs/design/silent-workers.md.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use wasabiswitch_derive::derives;
 
@@ -31,7 +31,7 @@
 pub enum ListedState {
     /// An instance runs the worker.
     Running,
-    /// The list has no worker at all, so that it is no evidence of any.
+    /// The list has no worker at all, or the entry of the worker's instance cannot be read, so that it is no evidence.
     NoEvidence,
     /// The worker's instance, or one that may be it, has no worker. The runs that had begun have ended, but the worker may restart
     /// there under its id, and then carries out orders that are delivered late.
@@ -79,25 +79,50 @@
     }
 }
 
-/// Returns what a list of instances shows of a worker.
-pub fn listed_state(
-    instances: &BTreeMap<InstanceId, Instance>,
-    place: &WorkerPlace,
-) -> ListedState {
-    let mut workers = instances.values().filter_map(|instance| instance.worker.as_ref()).peekable();
-    if workers.peek().is_none() {
-        return ListedState::NoEvidence;
+/// List of instances, indexed by what says something of workers that it does not have.
+pub struct ListedInstances<'a> {
+    instances: &'a BTreeMap<InstanceId, Instance>,
+    workers: BTreeSet<&'a InstanceId>,
+    /// Instances that run no worker, which are few beside the others.
+    without_worker: Vec<&'a Instance>,
+}
+
+impl<'a> ListedInstances<'a> {
+    /// Indexes a list of instances.
+    pub fn new(instances: &'a BTreeMap<InstanceId, Instance>) -> ListedInstances<'a> {
+        ListedInstances {
+            instances,
+            workers: instances.values().filter_map(|instance| instance.worker.as_ref()).collect(),
+            without_worker: instances.values().filter(|i| i.worker.is_none()).collect(),
+        }
     }
-    if workers.any(|worker| *worker == place.worker) {
-        return ListedState::Running;
+
+    /// Returns what the list shows of a worker.
+    pub fn state_of(&self, place: &WorkerPlace) -> ListedState {
+        if self.workers.is_empty() {
+            return ListedState::NoEvidence;
+        }
+        if self.workers.contains(&place.worker) {
+            return ListedState::Running;
+        }
+        match &place.instance {
+            Some(id) => self
+                .instances
+                .get(id)
+                .map_or(ListedState::Ended(EndEvidence::InstanceGone), |i| state_without(i, place)),
+            None => self.state_of_unlocated(place),
+        }
     }
-    match &place.instance {
-        Some(id) => instances
-            .get(id)
-            .map_or(ListedState::Ended(EndEvidence::InstanceGone), |i| state_without(i, place)),
-        // The instance without a worker that may restart the worker is one of its pool and its rack.
-        None if instances.values().any(|instance| may_be_own(instance, place)) => ListedState::Down,
-        None => ListedState::Ended(EndEvidence::OnNoInstance),
+
+    /// Returns what the list shows of a worker that no earlier list has shown.
+    ///
+    /// Only an instance of its pool and its rack may restart it.
+    fn state_of_unlocated(&self, place: &WorkerPlace) -> ListedState {
+        let own = self.without_worker.iter().filter(|instance| may_be_on_rack(instance, place));
+        let mut states = own.map(|instance| state_without(instance, place));
+        states
+            .find(|state| !state.has_ended())
+            .unwrap_or(ListedState::Ended(EndEvidence::OnNoInstance))
     }
 }
 
@@ -107,6 +132,7 @@
         return ListedState::Ended(EndEvidence::OtherWorker);
     }
     match instance.state {
+        InstanceState::Unreadable => ListedState::NoEvidence,
         InstanceState::Moving => ListedState::Ended(EndEvidence::Moved),
         InstanceState::Maintenance => ListedState::Ended(EndEvidence::Maintenance),
         InstanceState::Up | InstanceState::Down if instance.pool != place.pool => {
@@ -116,11 +142,10 @@
     }
 }
 
-/// Returns whether an instance may be that of a worker which no earlier list has shown.
-fn may_be_own(instance: &Instance, place: &WorkerPlace) -> bool {
-    let is_on_rack = match (&place.rack, instance.labels.get(RACK_LABEL)) {
+/// Returns whether an instance may be on the rack of a worker.
+fn may_be_on_rack(instance: &Instance, place: &WorkerPlace) -> bool {
+    match (&place.rack, instance.labels.get(RACK_LABEL)) {
         (Some(rack), Some(label)) => rack.is_empty() || **rack == **label,
         _ => true,
-    };
-    is_on_rack && state_without(instance, place) == ListedState::Down
+    }
 }
--- a/crates/policy/tests/fleet_engine/workers_leaving_at_takeover.rs
+++ b/crates/policy/tests/fleet_engine/workers_leaving_at_takeover.rs
@@ -102,6 +102,19 @@
     assert_eq!(sim.violations, Vec::<String>::new());
 }
 
+// Guards against a wait that ends because the entry of the worker's instance could not be read.
+#[test]
+fn unreadable_entry_of_the_instance_does_not_end_the_wait() {
+    let mut sim = take_over_while_a_worker_leaves();
+    let unreadable = |i: &mut Instance| {
+        (i.worker, i.state, i.pool) = (None, InstanceState::Unreadable, "".into());
+    };
+    assert_eq!(starts_after(&mut sim, &list_after(unreadable)), 0);
+    sim.run(DELIVERY_DELAY_MAX);
+    assert_eq!(starts_after(&mut sim, &list_after(unreadable)), 0);
+    assert_eq!(sim.violations, Vec::<String>::new());
+}
+
 // Guards against a wait that ends because a list without any worker was read, which the instance service may answer in an outage.
 #[test]
 fn list_without_any_worker_does_not_end_the_wait() {
