--- a/crates/policy/src/intake.rs
+++ b/crates/policy/src/intake.rs
@@ -176,7 +176,7 @@
 /// Connection, as the choice of one to close sees it.
 #[derives(value)]
 pub struct Connection {
-    /// What it is doing.
+    /// Phase in which the connection is.
     pub phase: Phase,
     /// Time since the phase began or, in [`Phase::Body`], since its last byte arrived; in [`Phase::Unread`], time since
     /// the client last read.
