The processing of reports is split by its jobs

reports.rs (664 lines) held four: what a report says, the ends of runs, runs that were lost without an end, and the barriers for the next incarnation. They are reports, run_ends, lost_runs and barriers now.

--- a/crates/policy/src/fleet/mod.rs
+++ b/crates/policy/src/fleet/mod.rs
@@ -15,6 +15,9 @@
 //! | [`lease`] | bounds on the time in which an order can take effect on a worker |
 //! | [`lease_bounds`] | leases on workers: renewals, orders that another incarnation may carry out, expired leases |
 //! | [`reports`] | processing of the workers' reports |
+//! | [`run_ends`] | ends of runs that workers report |
+//! | [`lost_runs`] | runs that have ended without a report of their end |
+//! | [`barriers`] | stops that keep starts in doubt from beginning on the next incarnation of a worker |
 //! | [`outcomes`] | processing of the outcomes of starts and stops |
 //! | [`placement`] | choice of a worker for a task |
 //! | [`plan`] | choice of the tasks to start and to stop |
@@ -45,6 +48,7 @@
 
 pub mod admission;
 pub mod advice;
+pub mod barriers;
 pub mod calls;
 pub mod claims;
 pub mod config;
@@ -55,6 +59,7 @@
 pub mod job;
 pub mod lease;
 pub mod lease_bounds;
+pub mod lost_runs;
 pub mod maintenance;
 pub mod need;
 pub mod offered_load;
@@ -68,6 +73,7 @@
 pub mod progress;
 pub mod reports;
 pub mod room;
+pub mod run_ends;
 pub mod settings;
 pub mod silent_records;
 pub mod silent_waits;
--- a/crates/policy/src/fleet/placement.rs
+++ b/crates/policy/src/fleet/placement.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use super::ownership::precedes_successor;
-use super::reports::CONSECUTIVE_FAILURES_MAX;
+use super::run_ends::CONSECUTIVE_FAILURES_MAX;
 use super::spec::Step;
 use super::state::{Engine, Job, TaskRef, Worker, WorkerKey};
 
--- a/crates/policy/src/fleet/reports.rs
+++ b/crates/policy/src/fleet/reports.rs
@@ -1,40 +1,23 @@
-//! Processing of worker reports: ended runs are recorded, runs of earlier owners are adopted, and runs
-//! that a worker no longer has are dropped.
+//! Reports of workers: what they list, runs in progress, and the adoption of the runs of earlier owners.
+//!
+//! [`run_ends`](super::run_ends) records the ends, [`lost_runs`](super::lost_runs) drops what a worker no longer has, and
+//! [`barriers`](super::barriers) are for its next incarnation.
 
-use std::collections::{BTreeMap, BTreeSet};
-use std::time::{Duration, Instant};
+use std::collections::BTreeSet;
+use std::time::Instant;
 
 use wasabiswitch_derive::derives;
 
-use super::lease::{ClockSample, LeaseOrder};
-use super::outcomes::DELIVERY_DELAY_MAX;
+use super::barriers::barrier_stops;
+use super::lease::ClockSample;
 use super::pace::ADOPTED_FILLER_PACE_PERCENT;
 use super::state::{
-    Engine, FORGOTTEN_WORKERS_MAX, Orphan, Phase, Run, RunState, TaskName, TaskRef, WorkerKey,
+    Engine, FORGOTTEN_WORKERS_MAX, Phase, Run, RunState, TaskName, TaskRef, WorkerKey,
 };
 use crate::ids::{BootId, InstanceId, JobId};
 
 /// Maximum number of ended runs in one report; a report with fewer lists all of them.
 pub const ENDS_PER_REPORT_MAX: usize = 500;
-/// Delay before the next attempt at a task that failed, so that a transient fault can pass.
-pub const FAILED_TASK_RETRY_DELAY: Duration = Duration::from_millis(100);
-/// Number of consecutive failures after which a worker is quarantined for [`QUARANTINE_TIME`].
-pub(super) const CONSECUTIVE_FAILURES_MAX: u32 = 3;
-/// Time for which a quarantined worker gets no new tasks; its next success resets the failure count.
-const QUARANTINE_TIME: Duration = Duration::from_secs(3);
-
-/// Returns the barriers for a new incarnation of a worker: stops that it has to acknowledge, so that no start
-/// whose answer was lost takes effect there.
-fn barrier_stops(
-    starts_in_doubt: &BTreeMap<(TaskName, u32), LeaseOrder>,
-    now: Instant,
-) -> BTreeMap<(TaskName, u32), Orphan> {
-    let open = starts_in_doubt.iter().filter(|(_, order)| order.arrives_by > now);
-    open.map(|(run, order)| (run.clone(), Orphan::barrier(order.arrives_by))).collect()
-}
-
-/// Time after which a start without a known bound expires; an acknowledged stop ends such a run long before.
-const NO_KNOWN_BOUND: Duration = Duration::from_secs(3_600);
 
 /// Reason why a run ended.
 #[derives(value)]
@@ -116,10 +99,6 @@
     pub detail: String,
 }
 
-/// Least progress in percent of the last report before the end of a run from which its run time on the worker is
-/// extrapolated.
-const PURE_RUN_TIME_PERCENT_MIN: u32 = 20;
-
 impl Engine {
     /// Applies a worker's report, unless a newer one has overtaken it; returns whether it was applied.
     pub fn apply_report(
@@ -284,27 +263,6 @@
         worker.orphans.entry(orphan).or_default();
     }
 
-    /// Reports an event for each start in doubt that the new incarnation of a worker may still carry out.
-    fn report_barriers(
-        &self,
-        key: WorkerKey,
-        barriers: &BTreeMap<(TaskName, u32), Orphan>,
-        events: &mut Vec<JobEvent>,
-    ) {
-        let Some(worker) = self.workers.get(key) else { return };
-        for (name, attempt) in barriers.keys() {
-            events.push(JobEvent {
-                job: name.job.clone(),
-                kind: "start in doubt at a restarted worker",
-                detail: format!(
-                    "{} incarnation={}",
-                    describe_run(name, *attempt, &worker.entry.id),
-                    worker.incarnation
-                ),
-            });
-        }
-    }
-
     /// Reports an event if the known runs of a worker exceed its capacity.
     fn report_excess(&self, key: WorkerKey, job: &JobId, events: &mut Vec<JobEvent>) {
         let Some(worker) = self.workers.get(key) else { return };
@@ -324,317 +282,6 @@
         }
     }
 
-    fn apply_end(
-        &mut self,
-        key: WorkerKey,
-        end: &EndEntry,
-        now: Instant,
-        events: &mut Vec<JobEvent>,
-    ) {
-        let worker = &mut self.workers[key];
-        worker.orphans.remove(&(end.task.clone(), end.attempt));
-        if end.number <= worker.last_end_received {
-            return;
-        }
-        worker.last_end_received = end.number;
-        let Some(task) = self.task_ref(&end.task) else { return };
-        self.workers[key].ends_to_persist.push_back((end.number, task.job));
-        let run = self.remove_run(task, end.attempt, key);
-        events.push(JobEvent {
-            job: end.task.job.clone(),
-            kind: match end.end {
-                RunEnd::Done => "run done",
-                RunEnd::Failed => "run failed",
-                RunEnd::Stopped => "run stopped",
-                RunEnd::LeaseExpired => "run lapsed",
-                RunEnd::GangMemberEnded => "run broken by its gang",
-                RunEnd::GangIncomplete => "run without its gang",
-            },
-            detail: self.describe(key, &task, end.attempt),
-        });
-        match end.end {
-            RunEnd::Done => self.task_done(key, task, run.as_ref(), now),
-            RunEnd::Failed => self.task_failed(key, task, end, now),
-            RunEnd::Stopped
-            | RunEnd::LeaseExpired
-            | RunEnd::GangMemberEnded
-            | RunEnd::GangIncomplete => {
-                self.task_interrupted(task, &end.checkpoint);
-            }
-        }
-    }
-
-    fn task_done(&mut self, key: WorkerKey, task: TaskRef, run: Option<&Run>, now: Instant) {
-        self.workers[key].consecutive_failures = 0;
-        self.workers[key].quarantined_until = None;
-        self.mark_started(&task);
-        let Some(job) = self.jobs.get_mut(task.job) else { return };
-        let submission = job.submission.clone();
-        let Some(step) = submission.steps.get(task.step as usize) else { return };
-        if step.long_running {
-            // A long-running task is started again whatever the reason for its end.
-            return self.task_interrupted(task, "");
-        }
-        let Some(occurrence) = job.occurrences.get_mut(&task.occurrence) else { return };
-        let step_state = &mut occurrence.steps[task.step as usize];
-        let indices = match step.gang {
-            // The members of a gang end together, so the end of one counts for all.
-            true => 0..step.count as usize,
-            false => task.index as usize..task.index as usize + 1,
-        };
-        for index in indices {
-            let Some(entry) = step_state.tasks.get_mut(index) else { continue };
-            if !entry.done {
-                entry.done = true;
-                step_state.done += 1;
-            }
-            entry.is_unconfirmed = false;
-            entry.barred_until = None;
-            for run in entry.runs.iter_mut().filter(|run| !run.is_stopping()) {
-                run.state = RunState::Stopping { sent: None, acknowledged: None };
-            }
-        }
-        self.unpersisted.insert(task.job);
-        if let Some(run) = run {
-            self.record_run_time(&task, run, now);
-        }
-        self.finish_if_done(task, now);
-    }
-
-    fn finish_if_done(&mut self, task: TaskRef, now: Instant) {
-        let Some(job) = self.jobs.get_mut(task.job) else { return };
-        if !job.occurrences.get(&task.occurrence).is_some_and(|o| o.is_done()) {
-            return;
-        }
-        let all_opened = job.next_occurrence == job.occurrences_total();
-        let others_done =
-            job.occurrences.iter().all(|(number, o)| *number == task.occurrence || o.is_done());
-        if all_opened && others_done && !job.phase.is_ended() {
-            self.end_job(task.job, Phase::Done, now);
-        }
-    }
-
-    fn record_run_time(&mut self, task: &TaskRef, run: &Run, now: Instant) {
-        let Some(job) = self.jobs.get(task.job) else { return };
-        let Some(step) = job.submission.steps.get(task.step as usize) else { return };
-        if step.estimate_ms == 0 {
-            return;
-        }
-        let ms = |until: Instant| until.saturating_duration_since(run.sent).as_secs_f64() * 1_000.0;
-        let (declared_ms, took_ms) = (step.estimate_ms as f64, ms(now));
-        let learned = self.run_times.entry(job.submission.queue.clone()).or_default();
-        learned.record(declared_ms, took_ms);
-        learned.record_in_step(task.first_task_of_step(), took_ms);
-        if run.percent >= PURE_RUN_TIME_PERCENT_MIN {
-            // The worker rounds the progress down.
-            let pure_ms = ms(run.last_progress) * 100.0 / (f64::from(run.percent) + 0.5);
-            learned.record_pure(took_ms, pure_ms);
-        }
-    }
-
-    fn task_failed(&mut self, key: WorkerKey, task: TaskRef, end: &EndEntry, now: Instant) {
-        self.count_failure(key, &task, now);
-        self.mark_started(&task);
-        let Some(job) = self.jobs.get_mut(task.job) else { return };
-        let submission = job.submission.clone();
-        let Some(step) = submission.steps.get(task.step as usize) else { return };
-        let attempts_max =
-            self.queues.get(&submission.queue).unwrap_or(&job.queue_settings).attempts_max;
-        let ended = job.phase.is_ended();
-        let Some(occurrence) = job.occurrences.get_mut(&task.occurrence) else { return };
-        let tasks = &mut occurrence.steps[task.step as usize].tasks;
-        let members =
-            if step.gang { 0..tasks.len() } else { task.index as usize..task.index as usize + 1 };
-        let mut failures = 0;
-        for index in members {
-            let Some(entry) = tasks.get_mut(index) else { continue };
-            if !entry.failures.contains(&end.attempt) {
-                entry.failures.push(end.attempt);
-                entry.failed_on.push(key);
-                entry.not_before = Some(now + FAILED_TASK_RETRY_DELAY);
-            }
-            failures = entry.failures.len();
-            if !end.checkpoint.is_empty() {
-                entry.checkpoint.clone_from(&end.checkpoint);
-            }
-        }
-        self.unpersisted.insert(task.job);
-        if !ended && !step.long_running && failures >= attempts_max as usize {
-            self.end_job(task.job, Phase::Failed, now);
-        }
-    }
-
-    /// Counts a failure against a worker, unless the task has also failed on another worker: then the task
-    /// is the likely cause.
-    fn count_failure(&mut self, key: WorkerKey, task: &TaskRef, now: Instant) {
-        let entry = self.jobs.get(task.job).and_then(|job| job.task(task));
-        let failed_elsewhere =
-            entry.is_some_and(|entry| entry.failed_on.iter().any(|failed| *failed != key));
-        if failed_elsewhere {
-            return;
-        }
-        let worker = &mut self.workers[key];
-        worker.consecutive_failures += 1;
-        if worker.consecutive_failures >= CONSECUTIVE_FAILURES_MAX {
-            worker.quarantined_until = Some(now + QUARANTINE_TIME);
-        }
-    }
-
-    /// Records the end of a run that did not complete its task.
-    ///
-    /// An unconfirmed task stays so: the end may be that of an earlier attempt, which a worker reports late, while a later
-    /// attempt runs on a worker that does not answer.
-    fn task_interrupted(&mut self, task: TaskRef, checkpoint: &str) {
-        let Some(job) = self.jobs.get_mut(task.job) else { return };
-        let Some(entry) = job.task_mut(&task) else { return };
-        if entry.done {
-            return;
-        }
-        if !checkpoint.is_empty() {
-            entry.checkpoint = checkpoint.to_owned();
-        }
-        self.unpersisted.insert(task.job);
-    }
-
-    /// Drops the runs that a complete report does not list although it would list them if they existed.
-    fn drop_unlisted_runs(
-        &mut self,
-        key: WorkerKey,
-        listed: &BTreeSet<(TaskName, u32)>,
-        timing: ReportTiming,
-        events: &mut Vec<JobEvent>,
-    ) {
-        let runs: Vec<_> = self.workers[key].runs.iter().copied().collect();
-        for (task, attempt) in runs {
-            let Some(name) = self.task_name(&task) else { continue };
-            let entry = self.jobs.get(task.job).and_then(|job| job.task(&task));
-            let run = entry.and_then(|t| {
-                t.runs.iter().find(|run| run.attempt == attempt && run.worker == key)
-            });
-            let Some(run) = run else { continue };
-            let certain = match run.state {
-                RunState::Running(confirmed) => confirmed < timing.sent,
-                RunState::Starting => false,
-                RunState::Unconfirmed => run.start_expires_by <= timing.sent,
-                RunState::Stopping { acknowledged, .. } => {
-                    acknowledged.is_some_and(|at| at < timing.sent)
-                        || run.start_expires_by <= timing.sent
-                }
-            };
-            if certain && !listed.contains(&(name, attempt)) {
-                self.drop_run(key, task, attempt, "the worker's report does not list it", events);
-            }
-        }
-        self.drop_unlisted_orphans(key, listed, timing);
-    }
-
-    /// Drops the orphans that a complete report does not list, and unblocks the tasks of barriers among them.
-    fn drop_unlisted_orphans(
-        &mut self,
-        key: WorkerKey,
-        listed: &BTreeSet<(TaskName, u32)>,
-        timing: ReportTiming,
-    ) {
-        let orphans = std::mem::take(&mut self.workers[key].orphans).into_iter();
-        let (kept, gone): (BTreeMap<_, _>, BTreeMap<_, _>) = orphans
-            .partition(|(run, orphan)| listed.contains(run) || orphan.may_begin_after(timing.sent));
-        self.workers[key].orphans = kept;
-        for ((name, _), orphan) in gone {
-            if orphan.is_barrier() {
-                self.unblock_after_barriers(&name);
-            }
-        }
-    }
-
-    /// Removes a run that has certainly ended without a report of its end.
-    pub(super) fn drop_run(
-        &mut self,
-        key: WorkerKey,
-        task: TaskRef,
-        attempt: u32,
-        reason: &str,
-        events: &mut Vec<JobEvent>,
-    ) {
-        let detail = format!("{}, {reason}", self.describe(key, &task, attempt));
-        self.remove_run(task, attempt, key);
-        if let Some(job) = self.jobs.get(task.job) {
-            let job = job.submission.job.clone();
-            events.push(JobEvent { job, kind: "run lost", detail });
-        }
-    }
-
-    /// Drops the runs that ended with the previous incarnation of a worker.
-    ///
-    /// The new incarnation has none of the barriers and fences of the previous one, so a start whose answer was
-    /// lost could still take effect there. The run of such a start is kept until the new incarnation acknowledges
-    /// a stop. A run that was confirmed after its report was requested may be one of the new incarnation, and is
-    /// kept until a later report shows whether it is.
-    fn drop_runs_of_previous_incarnation(
-        &mut self,
-        key: WorkerKey,
-        timing: ReportTiming,
-        events: &mut Vec<JobEvent>,
-    ) {
-        let runs: Vec<_> = self.workers[key].runs.iter().copied().collect();
-        for (task, attempt) in runs {
-            let entry = self.jobs.get_mut(task.job).and_then(|job| job.task_mut(&task));
-            let run = entry.and_then(|entry| {
-                entry.runs.iter_mut().find(|run| run.attempt == attempt && run.worker == key)
-            });
-            let Some(run) = run else { continue };
-            match run.state {
-                RunState::Running(confirmed) if confirmed >= timing.sent => {}
-                RunState::Running(_) => {
-                    self.drop_run(key, task, attempt, "the worker has restarted", events);
-                }
-                _ => {
-                    run.state = RunState::Stopping { sent: None, acknowledged: None };
-                    run.start_expires_by = timing.received + NO_KNOWN_BOUND;
-                }
-            }
-        }
-    }
-
-    /// Blocks the tasks whose starts are in doubt until the new incarnation of their worker has the barrier,
-    /// or the starts can no longer be delivered.
-    fn block_until_barriers(&mut self, barriers: &BTreeMap<(TaskName, u32), Orphan>, now: Instant) {
-        for (name, _) in barriers.keys() {
-            let Some(task) = self.task_ref(name) else { continue };
-            if let Some(entry) = self.jobs.get_mut(task.job).and_then(|job| job.task_mut(&task)) {
-                entry.barred_until = Some(now + DELIVERY_DELAY_MAX);
-            }
-        }
-    }
-
-    /// Drops all runs of a worker, because its incarnation has ended or all its leases have expired.
-    pub fn drop_all_runs(&mut self, key: WorkerKey, reason: &str, events: &mut Vec<JobEvent>) {
-        let Some(worker) = self.workers.get(key) else { return };
-        let runs: Vec<_> = worker.runs.iter().copied().collect();
-        for (task, attempt) in runs {
-            self.drop_run(key, task, attempt, reason, events);
-        }
-    }
-
-    /// Drops the runs that were started on a worker before a request for its report was sent, because the incarnation that the
-    /// request was meant for has ended.
-    ///
-    /// A run that was started later may be one of the next incarnation, which may have another address.
-    pub fn drop_runs_started_before(
-        &mut self,
-        key: WorkerKey,
-        requested: Instant,
-        reason: &str,
-        events: &mut Vec<JobEvent>,
-    ) {
-        let Some(worker) = self.workers.get(key) else { return };
-        let runs: Vec<_> = worker.runs.iter().copied().collect();
-        for (task, attempt) in runs {
-            if self.run(key, &task, attempt).is_some_and(|run| run.sent < requested) {
-                self.drop_run(key, task, attempt, reason, events);
-            }
-        }
-    }
-
     /// Removes a worker that is gone and has no runs.
     pub(super) fn remove_worker(&mut self, key: WorkerKey) {
         if let Some(worker) = self.workers.remove(key) {
@@ -658,7 +305,7 @@
 }
 
 /// Describes a run for the log by the name of its task.
-fn describe_run(name: &TaskName, attempt: u32, worker: &InstanceId) -> String {
+pub(super) fn describe_run(name: &TaskName, attempt: u32, worker: &InstanceId) -> String {
     let TaskName { occurrence, step, index, .. } = name;
     format!("task={occurrence}.{step}.{index} attempt={attempt} worker={worker}")
 }
