--- a/review/standin-3/workers.rs
+++ b/review/standin-3/workers.rs
@@ -69,7 +69,6 @@
     ended: Vec<(u64, String, u32, &'static str, String)>,
     ends: u64,
     listed: u64,
-    acknowledged: u64,
     /// All attempts that have ended, with how, for the checks.
     history: Vec<(Instant, String, u32, &'static str)>,
 }
@@ -243,9 +242,7 @@
     fn hold(&self, body: &Json) -> Answer {
         let mut state = self.state.lock().unwrap();
         self.extend(&mut state, body);
-        let acknowledged = body.get("ackCursor").u64().unwrap_or(0);
-        state.acknowledged = state.acknowledged.max(acknowledged);
-        let cursor = state.acknowledged;
+        let cursor = body.get("ackCursor").u64().unwrap_or(0);
         state.ended.retain(|end| end.0 > cursor);
         let wait_ms = body.get("waitMs").u64().unwrap_or(0).min(2_000);
         let until = Instant::now() + Duration::from_millis(wait_ms);
