--- a/review/standin-3/record.rs
+++ b/review/standin-3/record.rs
@@ -1,5 +1,6 @@
 //! The record of a case: what was sent, answered and run, with the time since the start.
 
+use std::collections::BTreeSet;
 use std::fs::File;
 use std::io::Write as _;
 use std::sync::Mutex;
@@ -11,6 +12,8 @@
     pub began: Instant,
     file: Mutex<File>,
     starts: Mutex<Vec<Start>>,
+    /// Tasks and attempts whose ends were taken note of.
+    noted: Mutex<BTreeSet<(String, u32)>>,
     /// Whether each start has a line of its own.
     pub writes_starts: bool,
 }
@@ -22,6 +25,7 @@
             began: Instant::now(),
             file: Mutex::new(file),
             starts: Mutex::default(),
+            noted: Mutex::default(),
             writes_starts,
         }
     }
@@ -45,6 +49,14 @@
         self.starts.lock().unwrap().push(start);
     }
 
+    pub fn note_end(&self, task: String, attempt: u32) {
+        self.noted.lock().unwrap().insert((task, attempt));
+    }
+
+    pub fn is_noted(&self, task: &str, attempt: u32) -> bool {
+        self.noted.lock().unwrap().contains(&(task.to_owned(), attempt))
+    }
+
     pub fn starts(&self) -> Vec<Start> {
         self.starts.lock().unwrap().clone()
     }
