--- a/review/standin-3/cases.rs
+++ b/review/standin-3/cases.rs
@@ -11,9 +11,6 @@
 use crate::workers::Start;
 use crate::world::{World, config, job};
 
-/// Longest time for the acknowledgement of a cancelling in steady state (`ackMs`).
-const ACK: Duration = Duration::from_millis(4_000);
-
 /// Time limit of a case.
 const LONGEST: Duration = Duration::from_secs(117);
 /// Time after the acknowledgement of a cancelling in which tasks may still start (`cancel_ms`).
@@ -25,11 +22,10 @@
 pub fn play(case: &str, path: &str, trouble: bool) -> u8 {
     let (machines, writes_starts, run): (usize, bool, fn(&Arc<World>, bool) -> Broken) = match case
     {
-        "crash-loop" => (8, false, crash_loop),
-        "takeover" => (8, false, takeover),
-        "gang" => (15, true, gang),
-        "upkeep" => (8, false, upkeep),
+        "late-holds" => (15, false, late_holds),
+        "upkeep" => (14, false, upkeep),
         "cancel" => (4, true, cancel),
+        "advice" => (8, true, advice),
         _ => return 2,
     };
     let world = World::start(Record::new(path, writes_starts), machines, &config());
@@ -76,137 +72,41 @@
     world.record.starts().into_iter().filter(|start| start.task.starts_with(&prefix)).collect()
 }
 
-/// A job that lasts and whose tasks fail soon after each start runs beside jobs that last and jobs that end.
-fn crash_loop(world: &Arc<World>, trouble: bool) -> Broken {
-    let last = |number| path_of("/other/", number);
-    let lasting =
-        |spec: &str, count| job(count, 100, spec, vec![("longRunning", Json::Bool(true))]);
-    for number in 0..16 {
-        if !world.submit(&last(number), &lasting("last=1", 4), "lasting job") {
-            return None;
-        }
-    }
-    let spec = if trouble { "fail=20" } else { "last=1" };
-    let failing = last(16);
-    if !world.submit(&failing, &lasting(spec, 128), "lasting job of 128 tasks") {
-        return None;
-    }
-    // Every two seconds a client hands in a short job.
-    let mut accepted: Vec<(String, Instant)> = Vec::new();
-    let mut refused = 0;
-    let mut number = 100;
-    let mut first_invalid: Option<Instant> = None;
-    while world.record.began.elapsed() < Duration::from_secs(84)
-        && first_invalid.is_none_or(|at| at.elapsed() < Duration::from_secs(6))
-    {
-        let path = path_of("/plates/", number);
-        number += 1;
-        let body = job(4, 500, "work=3000", vec![("estMs", Json::number(3_000))]);
-        let answer = world.ask(number as usize, "POST", &path, &body, 3_000).map(|a| a.0);
-        world.record.line(&format!("client: POST {path} (short job) answered {answer:?}"));
-        match answer {
-            Some(200..=299) => accepted.push((path, Instant::now())),
-            _ => refused += 1,
-        }
-        if first_invalid.is_none()
-            && let Some((at, reason)) = world.store.refused.lock().unwrap().first().cloned()
-        {
-            world.record.line(&format!("store: refuses a write: {reason}"));
-            first_invalid = Some(at);
-        }
-        let failures = starts_of(world, &failing).len();
-        let longest = world.store.longest("progress");
-        world
-            .record
-            .line(&format!("starts of the failing job: {failures}; longest row: {longest}"));
-        pause(2_000);
-    }
-    // Four of the sound jobs are cancelled, each for as long as an acknowledgement may take and a second more.
-    let cancelled: Vec<String> = (0..4).map(last).collect();
-    let clients = cancelled.iter().cloned().map(|path| {
-        let world = world.clone();
-        thread::spawn(move || {
-            let sent = Instant::now();
-            let mut daemon = 0;
-            while sent.elapsed() < ACK + Duration::from_secs(1) {
-                let answer = world.ask(daemon, "DELETE", &path, "", 3_000).map(|a| a.0);
-                world.record.line(&format!("client: DELETE {path} answered {answer:?}"));
-                if matches!(answer, Some(200..=299 | 410)) {
-                    return (sent, true);
-                }
-                daemon += 1;
-            }
-            (sent, false)
-        })
-    });
-    let clients: Vec<_> = clients.collect();
-    let answers: Vec<(Instant, bool)> = clients.into_iter().map(|c| c.join().unwrap()).collect();
-    let unanswered = answers.iter().filter(|(_, answered)| !answered).count();
-    pause(12_000);
-    let mut late = 0;
-    for (path, (sent, _)) in cancelled.iter().zip(&answers) {
-        for start in starts_of(world, path).iter().filter(|start| start.at > *sent + ACK + CANCEL) {
-            world.record.line(&format!(
-                "worker {} started {} attempt {} at {} ms, {} ms after the first DELETE",
-                start.worker,
-                start.task,
-                start.attempt,
-                world.record.ms(start.at),
-                (start.at - *sent).as_millis()
-            ));
-            late += 1;
-        }
-    }
-    let states = accepted.iter().map(|(path, at)| (path, at, world.state(1, path)));
-    let mut not_done = 0;
-    for (path, at, state) in states.filter(|(_, _, state)| state != "done") {
-        let at_ms = world.record.ms(*at);
-        world.record.line(&format!("client: GET {path}: {state}; accepted at {at_ms} ms"));
-        not_done += 1;
-    }
-    world.record.line(&format!(
-        "short jobs accepted {}, of them not done {not_done}, refused {refused}; cancels without answer {unanswered} of \
-         4; starts of cancelled jobs {} ms or more after the first DELETE: {late}; writes that the store refused: {}",
-        accepted.len(),
-        (ACK + CANCEL).as_millis(),
-        world.store.refused.lock().unwrap().len()
-    ));
-    Some(late > 0 || unanswered >= 3)
-}
-
-/// A worker crashes and restarts under its id, and the owner is killed while the worker is down, behind late starts.
-fn takeover(world: &Arc<World>, trouble: bool) -> Broken {
+/// Workers crash and restart under their ids while half of the orders to workers are carried out late.
+fn late_holds(world: &Arc<World>, trouble: bool) -> Broken {
     let began = Instant::now();
     let of_clients = world.clone();
     let clients = thread::spawn(move || {
         let mut number = 0;
-        while began.elapsed() < Duration::from_secs(66) {
+        while began.elapsed() < Duration::from_secs(76) {
             let path = path_of("/plates/", number);
             number += 1;
-            let more = vec![("estMs", Json::number(1_000)), ("maxPerServer", Json::number(1))];
-            let body = job(8, 2_000, "work=1000", more);
+            let body = job(8, 2_000, "work=400", vec![("estMs", Json::number(400))]);
             let world = of_clients.clone();
-            thread::spawn(move || world.submit(&path, &body, "job of 8 tasks of 1 s"));
-            pause(400);
+            thread::spawn(move || world.submit(&path, &body, "job of 8 tasks of 0.4 s"));
+            pause(150);
         }
     });
-    for _ in 0..5 {
-        pause(4_000);
+    for round in 0..7 {
+        pause(2_500);
         if trouble {
-            world
-                .record
-                .line("half of the starts get no answer and are carried out 4.4 s later, for 1 s");
-            *world.late_starts.lock().unwrap() = Some(Duration::from_millis(4_400));
-            pause(1_000);
-            *world.late_starts.lock().unwrap() = None;
-            world.record.line("the worker of m-01 crashes, for 3 s");
-            world.crash_and_restart("m-01", Duration::from_secs(3));
-            world.kill_owner(Duration::from_secs(3));
+            world.record.line("half of the orders get no answer and are carried out 2 to 6 s later, for 5.5 s");
+            *world.late_orders.lock().unwrap() = true;
+            pause(2_000);
+            for number in [2 * round + 1, 2 * round + 2] {
+                let machine = format!("m-{number:02}");
+                world.record.line(&format!("the worker of {machine} crashes, for 0.6 s"));
+                world.crash_and_restart(&machine, Duration::from_millis(600));
+            }
+            pause(3_500);
+            *world.late_orders.lock().unwrap() = false;
+        } else {
+            pause(5_000);
         }
-        pause(8_000);
+        pause(3_000);
     }
     let _ = clients.join();
-    pause(10_000);
+    pause(12_000);
     Some(count_double_runs(world) > 0)
 }
 
@@ -251,84 +151,21 @@
     count
 }
 
-/// Two workers crash while gangs run.
-fn gang(world: &Arc<World>, trouble: bool) -> Broken {
-    let gangs: Vec<String> = (0..3).map(|number| path_of("/plates/", number)).collect();
-    let body = job(
-        4,
-        8_000,
-        "work=12000,gang=4,saves=1",
-        vec![
-            ("estMs", Json::number(12_000)),
-            ("gang", Json::Bool(true)),
-            ("savesProgress", Json::Bool(true)),
-            ("maxPerServer", Json::number(1)),
-        ],
-    );
-    for path in &gangs {
-        if !world.submit(path, &body, "gang of 4") {
-            return None;
-        }
-    }
-    pause(5_150);
-    let mut crashed = None;
-    if trouble {
-        // The workers of the first member of two gangs.
-        let machine_of = |path: &String| {
-            let start = starts_of(world, path).into_iter().next()?;
-            Some(format!("m-{}", start.worker.split('-').nth(1)?))
-        };
-        let machines: Vec<String> = gangs.iter().take(2).filter_map(machine_of).collect();
-        for machine in &machines {
-            world.record.line(&format!("the worker of {machine} crashes, for good"));
-            world.crash(machine);
-        }
-        crashed = Some(Instant::now());
-    }
-    pause(40_000);
-    let histories = world.workers().into_iter().flat_map(|worker| worker.history());
-    let alone: Vec<_> = histories.filter(|(_, _, _, how)| *how == "alone").collect();
-    let mut broken = false;
-    for path in &gangs {
-        let state = world.state(0, path);
-        let mut values: BTreeMap<u32, Vec<String>> = BTreeMap::new();
-        for start in starts_of(world, path) {
-            values.entry(start.attempt).or_default().push(start.checkpoint);
-        }
-        let mixed: Vec<u32> = values
-            .iter()
-            .filter(|(_, values)| values.iter().any(|value| *value != values[0]))
-            .map(|(attempt, _)| *attempt)
-            .collect();
-        let prefix = job_of(path);
-        // Ends more than 10 s after the crash have no impairment near.
-        let ends = alone.iter().filter(|(at, task, _, _)| {
-            task.starts_with(prefix)
-                && crashed.is_some_and(|crashed| *at > crashed + Duration::from_secs(10))
-        });
-        let ends = ends.count();
-        world.record.line(&format!(
-            "gang {path}: state {state}; attempts with unequal checkpoints {mixed:?}; runs that ended alone more than \
-             10 s after the crash: {ends}"
-        ));
-        broken |= ends > 0;
-    }
-    Some(broken)
-}
-
-/// A wave takes one machine down at a time; some calls to the instance service get no answer and are carried out later.
+/// A wave takes one machine down at a time; six calls to the instance service get no answer and are carried out later, and the owner
+/// that sent one is killed.
 fn upkeep(world: &Arc<World>, trouble: bool) -> Broken {
     if trouble {
-        // Every second call; 2 to 12 s later.
+        // Six of the calls; 4 to 8 s later.
         *world.late_upkeep.lock().unwrap() = Some(|call| {
-            (call % 2 == 1).then(|| Duration::from_millis(2_000 + call * 1_973 % 10_000))
+            let is_late = call % 2 == 1 && call < 12;
+            is_late.then(|| Duration::from_millis(4_000 + call * 1_973 % 4_000))
         });
     }
     let wave = crate::json::object(vec![
         ("wave", Json::number(1)),
         (
             "machines",
-            Json::Array((1..=6).map(|number| Json::text(format!("m-{number:02}"))).collect()),
+            Json::Array((1..=12).map(|number| Json::text(format!("m-{number:02}"))).collect()),
         ),
         ("deadlineS", Json::number(90)),
         ("cap", Json::number(1)),
@@ -337,12 +174,17 @@
     world.store.put("op", "wave/1", Some(&wave));
     let began = Instant::now();
     let mut number = 0;
+    let mut kills = 0;
     while began.elapsed() < Duration::from_secs(75) {
+        if world.late_calls() > kills {
+            kills += 1;
+            world.kill_owner(Duration::from_secs(3));
+        }
         let body = job(6, 1_800, "work=1000", vec![("estMs", Json::number(1_000))]);
         let path = path_of("/plates/", number);
         number += 1;
         let _ = world.ask(number as usize, "POST", &path, &body, 3_000);
-        pause(300);
+        pause(200);
     }
     let upkeeps = world.cloud.lock().unwrap().upkeeps.clone();
     let mut broken = false;
@@ -360,7 +202,40 @@
             broken = true;
         }
     }
-    world.record.line(&format!("{} of 6 machines have had their maintenance", upkeeps.len()));
+    world.record.line(&format!("{} of 12 machines have had their maintenance", upkeeps.len()));
+    Some(broken)
+}
+
+/// Jobs of a queue with advice come 2.6 times as often for four seconds.
+fn advice(world: &Arc<World>, trouble: bool) -> Broken {
+    let began = Instant::now();
+    let mut accepted = Vec::new();
+    let mut number = 0;
+    while began.elapsed() < Duration::from_secs(30) {
+        let path = path_of("/advised/", number);
+        number += 1;
+        let body = job(4, 500, "work=300", vec![("estMs", Json::number(300))]);
+        if world.submit(&path, &body, "job of an advised queue") {
+            accepted.push(path);
+        }
+        let in_burst = trouble && (10..14).contains(&began.elapsed().as_secs());
+        // 0.8 jobs a second, in the burst 2.1.
+        pause(if in_burst { 480 } else { 1_250 });
+    }
+    world.record.line("the traffic ends");
+    pause(14_000);
+    let asked = Instant::now();
+    pause(3_000);
+    let mut broken = false;
+    for path in &accepted {
+        let state = world.state(0, path);
+        let starts = starts_of(world, path);
+        let has_run = !starts.is_empty();
+        if !has_run {
+            world.record.line(&format!("client: GET {path}: {state}; nothing of it has ever started"));
+        }
+        broken |= !has_run || starts.iter().all(|start| start.at > asked);
+    }
     Some(broken)
 }
 
--- a/review/standin-3/store.rs
+++ b/review/standin-3/store.rs
@@ -43,13 +43,6 @@
         self.changed.notify_all();
     }
 
-    /// Returns the length of the longest value of a table, in bytes.
-    pub fn longest(&self, table: &str) -> usize {
-        let state = self.state.lock().unwrap();
-        let values = state.rows.iter().filter(|((name, _, _), _)| name == table);
-        values.filter_map(|(_, (value, _))| value.as_deref().map(decoded_length)).max().unwrap_or(0)
-    }
-
     pub fn handle(&self, request: &Request) -> Answer {
         match (request.method.as_str(), request.path.as_str()) {
             ("POST", "/-/rows-tx") => self.commit(&request.body),
--- a/review/standin-3/workers.rs
+++ b/review/standin-3/workers.rs
@@ -71,6 +71,8 @@
     ended: Vec<(u64, String, u32, &'static str, String)>,
     ends: u64,
     listed: u64,
+    /// Number of the last end in an answer that was sent.
+    read: u64,
     /// All attempts that have ended, with how, for the checks.
     history: Vec<(Instant, String, u32, &'static str)>,
 }
@@ -134,7 +136,8 @@
         self.state.lock().unwrap().history.clone()
     }
 
-    pub fn handle(&self, request: &Request) -> Answer {
+    /// Carries a request out; the answer is not sent if the request `is_late`.
+    pub fn handle(&self, request: &Request, is_late: bool) -> Answer {
         if self.is_down() {
             return Answer::Close;
         }
@@ -156,7 +159,7 @@
         match request.path.as_str() {
             "/-/run-start" => self.start(&body),
             "/-/run-stop" => self.stop(&body),
-            "/-/hold" => self.hold(&body),
+            "/-/hold" => self.hold(&body, is_late),
             "/-/pace" => self.answer(Vec::new()),
             _ => Answer::Reply(404, "{}".into()),
         }
@@ -255,6 +258,15 @@
             std::mem::take(&mut state.ended).into_iter().partition(|end| end.0 <= cursor);
         state.ended = kept;
         let noted: Vec<(u64, String, u32, &'static str, String)> = noted;
+        let unread: Vec<&str> =
+            noted.iter().filter(|end| end.0 > state.read).map(|end| end.1.as_str()).collect();
+        if !unread.is_empty() {
+            self.record.line(&format!(
+                "worker {}: ackCursor {cursor} makes it forget ends that no answer has had: {}",
+                self.id,
+                unread.join(" ")
+            ));
+        }
         for (_, task, attempt, _, _) in noted {
             let ended = state.history.iter().rev().find(|end| end.1 == task && end.2 == attempt);
             if ended.is_some_and(|end| state.expired_at.is_none_or(|expired| expired < end.0)) {
@@ -263,7 +275,7 @@
         }
     }
 
-    fn hold(&self, body: &Json) -> Answer {
+    fn hold(&self, body: &Json, is_late: bool) -> Answer {
         let mut state = self.state.lock().unwrap();
         self.extend(&mut state, body);
         let cursor = body.get("ackCursor").u64().unwrap_or(0);
@@ -292,6 +304,9 @@
         });
         let running = Json::Array(running.collect());
         let ends: Vec<_> = state.ended.iter().take(ENDS_MAX).cloned().collect();
+        if !is_late {
+            state.read = state.read.max(ends.last().map_or(0, |end| end.0));
+        }
         state.listed = state.listed.max(ends.last().map_or(0, |end| end.0));
         let finished = ends.into_iter().map(|(number, task, attempt, how, saved)| {
             Json::Array(vec![
--- a/review/standin-3/world.rs
+++ b/review/standin-3/world.rs
@@ -20,11 +20,6 @@
 /// Time that the maintenance of a machine takes (`upkeepS`), and its move to another pool (`moveS`).
 const UPKEEP: Duration = Duration::from_millis(2_000);
 const MOVE: Duration = Duration::from_millis(1_500);
-/// Time after which a worker that has restarted writes its entry: within one interval of its status reports (`heartbeatMs`, 1,500).
-const FIRST_REPORT: Duration = Duration::from_millis(1_400);
-/// Time after which the entry of a worker that is silent is removed: three intervals of its status reports.
-const ENTRY_EXPIRY: Duration = Duration::from_millis(4_500);
-
 pub struct Machine {
     pub pool: String,
     pub state: &'static str,
@@ -44,17 +39,20 @@
     pub machines: BTreeMap<String, Machine>,
     pub upkeeps: Vec<Upkeep>,
     calls: u64,
+    late_calls: u64,
 }
 
 /// Times of the advice service, in milliseconds: `decideMs` and `intervalMs`.
 pub const DECIDE_MS: u64 = 200;
 pub const INTERVAL_MS: u64 = 100;
 
-/// Counts the starts while half of them are late.
-static LATE_START: AtomicU32 = AtomicU32::new(0);
+/// Counts the orders to workers while half of them are late.
+static ORDER: AtomicU32 = AtomicU32::new(0);
 
-fn is_late(start: u32) -> bool {
-    start.wrapping_mul(2_654_435_761) >> 31 == 0
+/// Returns whether an order is late, and by how much: 2 to 6 s.
+fn draw(order: u32) -> (bool, Duration) {
+    let drawn = order.wrapping_mul(2_654_435_761);
+    (drawn >> 31 == 0, Duration::from_millis(2_000 + u64::from(drawn >> 8) % 4_000))
 }
 
 pub struct World {
@@ -63,8 +61,8 @@
     pub record: Arc<Record>,
     /// Decides for each call for maintenance, by its number, whether it gets no answer and is carried out later.
     pub late_upkeep: Mutex<Option<fn(u64) -> Option<Duration>>>,
-    /// Time after which half of the starts are carried out, without an answer.
-    pub late_starts: Mutex<Option<Duration>>,
+    /// Whether half of the orders to workers get no answer and are carried out later.
+    pub late_orders: Mutex<bool>,
     /// Workers that have crashed and started again.
     former: Mutex<Vec<Arc<Worker>>>,
     advice_turn: Mutex<u64>,
@@ -105,7 +103,7 @@
             cloud: Mutex::default(),
             record: Arc::new(record),
             late_upkeep: Mutex::default(),
-            late_starts: Mutex::default(),
+            late_orders: Mutex::default(),
             former: Mutex::default(),
             advice_turn: Mutex::default(),
             advice_waiting: Mutex::default(),
@@ -139,14 +137,14 @@
             listener,
             Arc::new(move |request| {
                 let worker = world.cloud.lock().unwrap().machines[&name].worker.clone();
-                let delay = *world.late_starts.lock().unwrap();
-                if let Some(delay) = delay.filter(|_| request.path == "/-/run-start")
-                    && is_late(LATE_START.fetch_add(1, Ordering::Relaxed))
-                {
-                    world.carry_out_later(&name, request, delay);
-                    return Answer::Silence;
+                if *world.late_orders.lock().unwrap() && worker.is_some() {
+                    let (is_late, delay) = draw(ORDER.fetch_add(1, Ordering::Relaxed));
+                    if is_late {
+                        world.carry_out_later(&name, request, delay);
+                        return Answer::Silence;
+                    }
                 }
-                worker.map_or(Answer::Close, |worker| worker.handle(&request))
+                worker.map_or(Answer::Close, |worker| worker.handle(&request, false))
             }),
         );
         self.begin_life(id);
@@ -169,7 +167,7 @@
             thread::sleep(delay);
             let worker = world.cloud.lock().unwrap().machines[&machine].worker.clone();
             if let Some(worker) = worker {
-                let _ = worker.handle(&request);
+                let _ = worker.handle(&request, true);
             }
         });
     }
@@ -197,10 +195,7 @@
                 entry_of(machine, &worker)
             };
             world.record.line(&format!("the worker of {id} starts again"));
-            thread::sleep(FIRST_REPORT);
-            if !worker.is_down() {
-                world.store.put("servers", &worker.id, Some(&entry));
-            }
+            world.store.put("servers", &worker.id, Some(&entry));
         });
     }
 
@@ -250,25 +245,18 @@
         workers
     }
 
-    /// Ends the worker of a machine; its entry is removed at once if it has left, or after its expiry.
-    fn end_life(self: &Arc<World>, cloud: &mut Cloud, id: &str, has_left: bool) {
+    /// Ends the worker of a machine, which has left; its entry is removed.
+    fn end_life(&self, cloud: &mut Cloud, id: &str) {
         let machine = cloud.machines.get_mut(id).expect("a machine");
-        let Some(worker) = machine.worker.take() else { return };
-        worker.end();
-        let (world, id) = (self.clone(), worker.id.clone());
-        thread::spawn(move || {
-            if !has_left {
-                thread::sleep(ENTRY_EXPIRY);
-            }
-            world.store.put("servers", &id, None);
-        });
+        if let Some(worker) = machine.worker.take() {
+            worker.end();
+            self.store.put("servers", &worker.id, None);
+        }
     }
 
-    /// Crashes the worker of a machine for good; the machine stays down.
-    pub fn crash(self: &Arc<World>, id: &str) {
-        let mut cloud = self.cloud.lock().unwrap();
-        cloud.machines.get_mut(id).expect("a machine").state = "down";
-        self.end_life(&mut cloud, id, false);
+    /// Returns the number of calls for maintenance that got no answer.
+    pub fn late_calls(&self) -> u64 {
+        self.cloud.lock().unwrap().late_calls
     }
 
     pub fn workers(&self) -> Vec<Arc<Worker>> {
@@ -309,7 +297,7 @@
             cloud.upkeeps.push((id.to_owned(), now, now + UPKEEP));
             self.record.line(&format!("instance service: the maintenance of {id} begins"));
         }
-        self.end_life(&mut cloud, id, true);
+        self.end_life(&mut cloud, id);
         let (world, id) = (self.clone(), id.to_owned());
         thread::spawn(move || {
             thread::sleep(time);
@@ -344,6 +332,7 @@
                 "instance service: call {number}, maintenance of {id}, gets no answer and is carried out {} ms later",
                 delay.as_millis()
             ));
+            self.cloud.lock().unwrap().late_calls += 1;
             let world = self.clone();
             thread::spawn(move || {
                 thread::sleep(delay);
