--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -7,4 +7,4 @@
         exit 2
     fi
 done
-exec target/review-3/world cancel review/13/record.txt
+exec target/review-3/world advice review/13/record.txt
