--- a/review/standin-3/cases.rs
+++ b/review/standin-3/cases.rs
@@ -267,7 +267,18 @@
         world.record.line("the store answers after 240 ms, for 4.5 s");
         *world.store.slow_ms.lock().unwrap() = 240;
     }
-    pause(1_000);
+    // Four other clients wait for their answers, so that one client of five leaves early.
+    let others: Vec<_> = (10..14)
+        .map(|number| {
+            let world = world.clone();
+            thread::spawn(move || {
+                pause((number - 10) * 100);
+                let body = job(2, 500, "work=500", vec![("estMs", Json::number(500))]);
+                world.submit(&path_of("/plates/", number), &body, "job of another client")
+            })
+        })
+        .collect();
+    pause(700);
     let answer = world.ask(0, "POST", &path, &body.write(), 100).map(|a| a.0);
     world.record.line(&format!("client: POST {path} answered {answer:?}, gives up after 100 ms"));
     let answer = world.ask(1, "DELETE", &path, "", 3_000).map(|a| a.0);
@@ -278,6 +289,9 @@
     }
     pause(3_400);
     *world.store.slow_ms.lock().unwrap() = 0;
+    for other in others {
+        let _ = other.join();
+    }
     pause(12_000);
     let late = starts_of(world, &path);
     let late = late.iter().filter(|start| start.at > acknowledged + CANCEL).count();
