--- a/crates/daemon/tests/soak/restarts.rs
+++ b/crates/daemon/tests/soak/restarts.rs
@@ -74,6 +74,8 @@
 const HEARTBEAT_MS: u64 = 1_500;
 /// Late orders: one in this number of orders.
 const LATE_ORDER_INTERVAL: u8 = 20;
+/// Late requests for reports among those that acknowledge ends: one in this number.
+const LATE_ACKNOWLEDGEMENT_INTERVAL: u8 = 4;
 /// Range of the delay of a late order, in milliseconds.
 const LATE_ORDER_DELAY_MS: Range<u64> = 2_000..12_000;
 /// Interval at which the runs of the workers are ended in time, also while no daemon sends orders.
@@ -284,7 +286,10 @@
     history: History,
 ) -> impl FnMut(&Order) -> Option<Duration> + Send + 'static {
     move |order| {
-        if rng.u8(0..LATE_ORDER_INTERVAL) > 0 {
+        let acknowledges = order.body["ackCursor"].as_u64().is_some_and(|cursor| cursor > 0);
+        let interval =
+            if acknowledges { LATE_ACKNOWLEDGEMENT_INTERVAL } else { LATE_ORDER_INTERVAL };
+        if rng.u8(0..interval) > 0 {
             return None;
         }
         let delay = Duration::from_millis(rng.u64(LATE_ORDER_DELAY_MS));
--- a/crates/kernel/src/platform/fleet.rs
+++ b/crates/kernel/src/platform/fleet.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use wasabiswitch_derive::derives;
@@ -15,9 +15,9 @@
 use wasabiswitch_policy::fleet::config::FleetConfig;
 use wasabiswitch_policy::fleet::maintenance::{FleetOutcome, Instance, WaveNumber};
 use wasabiswitch_policy::fleet::outcomes::StartAnswer;
-use wasabiswitch_policy::fleet::reports::WorkerReport;
+use wasabiswitch_policy::fleet::reports::{ReportTiming, WorkerReport};
 use wasabiswitch_policy::fleet::state::{TaskName, WorkerEntry};
-use wasabiswitch_policy::ids::{BootId, DaemonId, DataCentre, InstanceId, PoolId};
+use wasabiswitch_policy::ids::{BootId, DaemonId, DataCentre, InstanceId, OrderFence, PoolId};
 
 use super::{PlatformFn, Version};
 
@@ -155,8 +155,8 @@
     pub spec: String,
     /// Time on the worker's clock, in milliseconds, after which the task must not start.
     pub until_ms: u64,
-    /// Fencing token of the owner.
-    pub fence: u64,
+    /// Fencing token of the order.
+    pub fence: OrderFence,
     /// Checkpoint from which the task resumes; empty to start from the beginning.
     pub checkpoint: String,
     /// Ticket of the advice service; empty for none.
@@ -172,8 +172,8 @@
     pub task: TaskName,
     /// Number of the attempt.
     pub attempt: u32,
-    /// Fencing token of the owner.
-    pub fence: u64,
+    /// Fencing token of the order.
+    pub fence: OrderFence,
 }
 
 /// Order that renews leases, acknowledges reported ends and requests a report.
@@ -181,8 +181,8 @@
 pub struct HoldOrder {
     /// Worker whose leases are renewed.
     pub target: WorkerTarget,
-    /// Fencing token of the owner.
-    pub fence: u64,
+    /// Fencing token of the order.
+    pub fence: OrderFence,
     /// Number of the last reported end that the owner has stored.
     pub acknowledged: u64,
     /// Time on the worker's clock, in milliseconds, at which the leases expire; `None` to leave them.
@@ -191,12 +191,19 @@
     pub wait: Duration,
 }
 
+impl HoldOrder {
+    /// Returns the times of a request with this order, with its fencing token.
+    pub fn timing(&self, sent: Instant, received: Instant) -> ReportTiming {
+        ReportTiming { order_fence: self.fence, sent, received }
+    }
+}
+
 /// Response of a worker to an order other than a start.
 #[derives(record)]
 pub enum WorkerReply<T> {
     /// The order was carried out.
     Done(T),
-    /// The worker has seen the fencing token of a newer owner.
+    /// The worker has seen a higher fencing token.
     Fenced,
     /// Another incarnation of the worker responded.
     OtherLife,
--- a/crates/plugins/src/fleet/takeover.rs
+++ b/crates/plugins/src/fleet/takeover.rs
@@ -262,7 +262,7 @@
 async fn hold_workers(kernel: &Arc<Kernel>, engine: &mut Engine, workers: Vec<(WorkerKey, u32)>) {
     let orders = workers.into_iter().filter_map(|(key, attempts)| {
         let worker = engine.workers.get(key)?;
-        let order = workers::hold_order(worker, engine.fence, None, Duration::ZERO)?;
+        let order = workers::hold_order(worker, None, Duration::ZERO)?;
         Some((key, order, attempts))
     });
     let calls = orders.map(|(key, order, attempts)| async move {
@@ -293,7 +293,7 @@
         let sent = kernel.clock.now();
         let call = (port(kernel).hold)(order.clone());
         let reply = tokio::time::timeout(HOLD_TIMEOUT, call).await;
-        let timing = ReportTiming { sent, received: kernel.clock.now() };
+        let timing = order.timing(sent, kernel.clock.now());
         match reply {
             Ok(Ok(reply)) => return (timing, Ok(reply)),
             Ok(Err(error)) if attempts >= attempts_max => return (timing, Err(error)),
--- a/crates/plugins/src/fleet/workers.rs
+++ b/crates/plugins/src/fleet/workers.rs
@@ -14,6 +14,7 @@
 use wasabiswitch_policy::Verdict;
 use wasabiswitch_policy::fleet::Engine;
 use wasabiswitch_policy::fleet::lease_bounds::OrderOutcome;
+use wasabiswitch_policy::fleet::order_fence::PROMPT_REPORT_INTERVAL;
 use wasabiswitch_policy::fleet::outcomes::{StartAnswer, StartOutcome};
 use wasabiswitch_policy::fleet::ownership::may_act;
 use wasabiswitch_policy::fleet::plan::Order;
@@ -47,47 +48,58 @@
 
 /// Starts to poll a worker for reports until the engine has removed it or the term with `fence` has ended.
 pub(crate) fn poll_worker(kernel: &Arc<Kernel>, fence: u64, tasks: &TaskTree, key: WorkerKey) {
-    let kernel = kernel.clone();
+    let (kernel, polls) = (kernel.clone(), tasks.clone());
     tasks.spawn_until_stopped("worker reports", async move {
-        while let NextPoll::After(pause) = poll_once(&kernel, fence, key).await {
+        while let NextPoll::After(pause) = poll_once(&kernel, fence, &polls, key).await {
             sleep(pause).await;
         }
     });
 }
 
-async fn poll_once(kernel: &Arc<Kernel>, fence: u64, key: WorkerKey) -> NextPoll {
+async fn poll_once(kernel: &Arc<Kernel>, fence: u64, tasks: &TaskTree, key: WorkerKey) -> NextPoll {
     let now = kernel.clock.now();
     let order = with_term(kernel, fence, |term| {
         let worker = term.engine.workers.get(key)?;
         let busy = !worker.runs.is_empty();
         let wait = match (worker.clock, busy) {
-            // No task can start on a worker before its clock is known.
+            // No task can start on a worker before its clock is known and it has seen its token.
             (None, _) => Duration::ZERO,
+            _ if !worker.is_order_fence_seen => Duration::ZERO,
             (Some(_), true) => BUSY_WAIT,
             (Some(_), false) => IDLE_WAIT,
         };
         let can_act = !term.superseded && may_act(term.confirmed_sent, now);
         let until_ms = if can_act { term.engine.begin_renewal(key, now) } else { None };
-        Some(hold_order(&term.engine.workers[key], fence, until_ms, wait))
+        Some(hold_order(&term.engine.workers[key], until_ms, wait))
     });
     let Some(order) = order.flatten() else { return NextPoll::Never };
     let Some(order) = order else { return NextPoll::After(REPORT_RETRY_DELAY) };
-    let reply = (port(kernel).hold)(order.clone()).await;
-    let timing = ReportTiming { sent: now, received: kernel.clock.now() };
+    let Some(reply) = request_report(kernel, fence, tasks, key, &order).await else {
+        let now = kernel.clock.now();
+        with_term(kernel, fence, |term| {
+            term.engine.end_renewal(key, OrderOutcome::Unknown, now);
+        });
+        return NextPoll::After(Duration::ZERO);
+    };
+    let timing = order.timing(now, kernel.clock.now());
     let mut events = Vec::new();
     let applied = with_term(kernel, fence, |term| {
         let outcome = match &reply {
             Ok(WorkerReply::Done(report)) => OrderOutcome::Answered(Some(report.clock_ms)),
+            Ok(WorkerReply::Fenced) => OrderOutcome::NotDelivered,
             Err(error) if error.verdict == Verdict::NotRun => OrderOutcome::NotDelivered,
             _ => OrderOutcome::Unknown,
         };
         term.engine.end_renewal(key, outcome, timing.received);
         let applied = apply_reply(&mut term.engine, key, &order, timing, reply, &mut events);
-        (applied, term.pressure.report_interval())
+        let worker = term.engine.workers.get(key);
+        let is_fence_seen = worker.is_none_or(|worker| worker.is_order_fence_seen);
+        (applied, if is_fence_seen { term.pressure.report_interval() } else { Duration::ZERO })
     });
     let pause = match applied {
         Some((AppliedReply::Report, interval)) => interval,
         Some((AppliedReply::NoReport, _)) => REPORT_RETRY_DELAY,
+        Some((AppliedReply::Outdated, _)) => Duration::ZERO,
         Some((AppliedReply::Fenced, _)) => {
             term::end_term(kernel, fence, "a worker's report");
             return NextPoll::Never;
@@ -99,6 +111,38 @@
     NextPoll::After(pause)
 }
 
+/// Sends a request for a report, and further ones at short intervals while [`Engine::needs_prompt_report`]; returns the reply to
+/// the first, or `None` if a further one has been answered meanwhile.
+async fn request_report(
+    kernel: &Arc<Kernel>,
+    fence: u64,
+    tasks: &TaskTree,
+    key: WorkerKey,
+    order: &HoldOrder,
+) -> Option<PlatformResult<WorkerReply<WorkerReport>>> {
+    let call = (port(kernel).hold)(order.clone());
+    tokio::pin!(call);
+    let needs_prompt_report = || {
+        let now = kernel.clock.now();
+        with_term(kernel, fence, |term| term.engine.needs_prompt_report(key, now))
+    };
+    while needs_prompt_report() == Some(true) {
+        tokio::select! {
+            reply = &mut call => return Some(reply),
+            () = sleep(PROMPT_REPORT_INTERVAL) => {}
+        }
+        let is_answered = with_term(kernel, fence, |term| {
+            let worker = term.engine.workers.get(key);
+            worker.is_some_and(|w| w.is_order_fence_seen && w.order_fence == order.fence)
+        });
+        if is_answered == Some(true) {
+            return None;
+        }
+        spawn_poll(kernel, fence, tasks, key);
+    }
+    Some(call.await)
+}
+
 /// Logs the first report of an incarnation, with what its request held for the incarnation before: the time to which it
 /// renewed leases, on the clock of that incarnation, and the number of the last end that it acknowledged.
 ///
@@ -133,6 +177,29 @@
     }
 }
 
+/// Logs whether a worker that has restarted, or that may have, gets starts now, and the reason if it gets none.
+fn log_start_block(
+    engine: &Engine,
+    key: WorkerKey,
+    is_new_incarnation: bool,
+    was_fence_seen: bool,
+    now: Instant,
+) {
+    let Some(worker) = engine.workers.get(key) else { return };
+    let Some(raised_at) = worker.order_fence_raised_at else { return };
+    if is_new_incarnation || worker.is_order_fence_seen != was_fence_seen {
+        log::info!(
+            "starts at a worker that may have restarted worker={} incarnation={} order_fence={} waited_ms={} \
+             held_back_by={}",
+            worker.entry.id,
+            worker.incarnation,
+            worker.order_fence,
+            now.saturating_duration_since(raised_at).as_millis(),
+            engine.start_block(worker, now).unwrap_or("nothing")
+        );
+    }
+}
+
 /// Requests a report of a worker that has restarted in a separate task, which is joined at the end of the term.
 ///
 /// The regular request may still wait for an answer of the previous incarnation, while late orders for that one begin on the new
@@ -149,14 +216,14 @@
 /// Only a report that is requested after an unanswered order shows whether the order took effect.
 async fn poll_now(kernel: &Arc<Kernel>, fence: u64, key: WorkerKey) {
     let order = with_term(kernel, fence, |term| {
-        hold_order(term.engine.workers.get(key)?, fence, None, Duration::ZERO)
+        hold_order(term.engine.workers.get(key)?, None, Duration::ZERO)
     });
     let Some(order) = order.flatten() else { return };
     // Ends are left to the regular request: the worker may have restarted.
     let order = HoldOrder { acknowledged: 0, ..order };
     let sent = kernel.clock.now();
     let reply = (port(kernel).hold)(order.clone()).await;
-    let timing = ReportTiming { sent, received: kernel.clock.now() };
+    let timing = order.timing(sent, kernel.clock.now());
     // A failure is ignored, since the regular request detects it as well.
     if !matches!(reply, Ok(WorkerReply::Done(_) | WorkerReply::Fenced)) {
         return;
@@ -175,7 +242,10 @@
 /// Kind of a reply to a hold, after the engine has applied it.
 pub(crate) enum AppliedReply {
     Report,
+    /// The worker has seen the token of a newer owner.
     Fenced,
+    /// The worker has seen a later token of this owner.
+    Outdated,
     NoReport,
 }
 
@@ -192,6 +262,7 @@
     let id = &order.target.id;
     let worker = engine.workers.get(key);
     let known = worker.map_or(0, |worker| worker.incarnation);
+    let was_fence_seen = worker.is_none_or(|worker| worker.is_order_fence_seen);
     let outcome = match &reply {
         Ok(WorkerReply::Done(_)) => "report",
         Ok(_) => "refused",
@@ -218,8 +289,14 @@
                      clock_ms={clock_ms}"
                 );
             }
+            let is_new = known != 0 && incarnation != known;
+            log_start_block(engine, key, is_new, was_fence_seen, timing.received);
             return AppliedReply::Report;
         }
+        Ok(WorkerReply::Fenced) if engine.is_outdated_order(id, order.fence) => {
+            log::info!("hold outdated worker={id} incarnation={known} order_fence={}", order.fence);
+            return AppliedReply::Outdated;
+        }
         Ok(WorkerReply::Fenced) => return AppliedReply::Fenced,
         Ok(WorkerReply::OtherLife) => {
             let reason = "another incarnation answered";
@@ -248,11 +325,10 @@
 /// Returns the order that requests a report from a worker, or `None` if its address cannot be parsed.
 pub(crate) fn hold_order(
     worker: &Worker,
-    fence: u64,
     until_ms: Option<u64>,
     wait: Duration,
 ) -> Option<HoldOrder> {
-    let target = target(worker)?;
+    let (target, fence) = (target(worker)?, worker.order_fence);
     Some(HoldOrder { target, fence, acknowledged: worker.ack_cursor(), until_ms, wait })
 }
 
@@ -271,12 +347,38 @@
     with_term(kernel, fence, |term| target(term.engine.workers.get(key)?)).flatten()
 }
 
+/// Returns an order about a run with the present token of its worker; `None` if the worker is unknown or the term has ended.
+fn run_order(
+    kernel: &Kernel,
+    fence: u64,
+    key: WorkerKey,
+    task: &TaskName,
+    attempt: u32,
+) -> Option<RunOrder> {
+    let order = with_term(kernel, fence, |term| {
+        let worker = term.engine.workers.get(key)?;
+        let (target, fence) = (target(worker)?, worker.order_fence);
+        Some(RunOrder { target, task: task.clone(), attempt, fence })
+    });
+    order.flatten()
+}
+
 async fn execute(kernel: &Arc<Kernel>, fence: u64, order: Order) {
     match order {
         Order::Advise { step, name, workers } => {
             request_advice(kernel, fence, step, name, workers).await;
         }
-        Order::Start { worker, task, name, attempt, submission, until_ms, checkpoint, ticket } => {
+        Order::Start {
+            worker,
+            task,
+            name,
+            attempt,
+            submission,
+            until_ms,
+            order_fence,
+            checkpoint,
+            ticket,
+        } => {
             let sent = kernel.clock.now();
             let answer = match order_target(kernel, fence, worker) {
                 None => StartOutcome::NotSent.into(),
@@ -288,7 +390,7 @@
                         attempt,
                         spec,
                         until_ms,
-                        fence,
+                        fence: order_fence,
                         checkpoint,
                         ticket,
                     };
@@ -312,10 +414,13 @@
                 }
                 let is_restart_suspected =
                     worker.is_some_and(|worker| worker.restart_suspected_at == Some(now));
-                (term.engine.holds_starts_back(), is_restart_suspected)
+                let is_outdated = worker.is_none_or(|worker| {
+                    term.engine.is_outdated_order(&worker.entry.id, order_fence)
+                });
+                (term.engine.holds_starts_back(), is_restart_suspected, is_outdated)
             });
             log_job_events(&events);
-            let (holds_back, is_restart_suspected) = applied.unwrap_or_default();
+            let (holds_back, is_restart_suspected, is_outdated) = applied.unwrap_or_default();
             if is_restart_suspected {
                 poll_now(kernel, fence, worker).await;
             }
@@ -324,7 +429,7 @@
                     kernel.wake_signals.plan.notify_one();
                 }
                 StartOutcome::Started => {}
-                StartOutcome::Fenced => {
+                StartOutcome::Fenced if !is_outdated => {
                     term::end_term(kernel, fence, "a worker's answer to a start");
                 }
                 StartOutcome::Unknown => poll_now(kernel, fence, worker).await,
@@ -332,11 +437,9 @@
             }
         }
         Order::Stop { worker, name, attempt } => {
-            let Some(target) = order_target(kernel, fence, worker) else { return };
-            let run = RunOrder { target, task: name.clone(), attempt, fence };
             let sent = kernel.clock.now();
-            let reply = (port(kernel).stop)(run.clone()).await;
-            let done = handle_order_reply(kernel, fence, "stop", &run, reply);
+            let stop = |order| (port(kernel).stop)(order);
+            let done = send_run_order(kernel, fence, worker, "stop", &name, attempt, stop).await;
             let now = kernel.clock.now();
             let needs_report = with_term(kernel, fence, |term| {
                 if done {
@@ -349,10 +452,8 @@
             }
         }
         Order::Pace { worker, name, attempt, percent } => {
-            let Some(target) = order_target(kernel, fence, worker) else { return };
-            let run = RunOrder { target, task: name, attempt, fence };
-            let reply = (port(kernel).pace)((run.clone(), percent)).await;
-            handle_order_reply(kernel, fence, "pace", &run, reply);
+            let pace = |order| (port(kernel).pace)((order, percent));
+            send_run_order(kernel, fence, worker, "pace", &name, attempt, pace).await;
         }
     }
 }
@@ -424,26 +525,67 @@
     format!("job={job} task={occurrence}.{step}.{index} attempt={attempt}")
 }
 
-/// Handles the reply to an order for a run; returns whether the worker has carried the order out.
+/// Outcome of an order about a run.
+enum RunOrderOutcome {
+    /// The worker has carried the order out.
+    Done,
+    /// The worker has seen a later token of this owner.
+    Outdated,
+    /// The order was refused or not answered.
+    Failed,
+}
+
+/// Sends an order about a run, again if the worker's token has been raised meanwhile; returns whether the worker has carried it out.
+async fn send_run_order<F>(
+    kernel: &Kernel,
+    fence: u64,
+    worker: WorkerKey,
+    kind: &str,
+    task: &TaskName,
+    attempt: u32,
+    send: impl Fn(RunOrder) -> F,
+) -> bool
+where
+    F: Future<Output = PlatformResult<WorkerReply<()>>>,
+{
+    while let Some(order) = run_order(kernel, fence, worker, task, attempt) {
+        let reply = send(order.clone()).await;
+        match handle_order_reply(kernel, fence, kind, &order, reply) {
+            RunOrderOutcome::Done => return true,
+            RunOrderOutcome::Outdated => {}
+            RunOrderOutcome::Failed => return false,
+        }
+    }
+    false
+}
+
+/// Handles the reply to an order for a run.
 fn handle_order_reply(
     kernel: &Kernel,
     fence: u64,
     kind: &str,
     order: &RunOrder,
     reply: PlatformResult<WorkerReply<()>>,
-) -> bool {
+) -> RunOrderOutcome {
     let run = || {
         let run = describe_run(&order.task, order.attempt);
         format!("{run} worker={}", order.target.id)
     };
     match reply {
-        Ok(WorkerReply::Done(())) => return true,
+        Ok(WorkerReply::Done(())) => return RunOrderOutcome::Done,
         Ok(WorkerReply::Fenced) => {
+            let is_outdated = with_term(kernel, fence, |term| {
+                term.engine.is_outdated_order(&order.target.id, order.fence)
+            });
+            if is_outdated == Some(true) {
+                log::info!("{kind} outdated {} order_fence={}", run(), order.fence);
+                return RunOrderOutcome::Outdated;
+            }
             term::end_term(kernel, fence, "a worker's answer to an order");
         }
         Ok(WorkerReply::OtherLife) => log::info!("{kind} reached another incarnation {}", run()),
         Ok(WorkerReply::Refused(reason)) => log::warn!("{kind} refused {} reason={reason}", run()),
         Err(error) => log::warn!("{kind} not answered {} reason={error}", run()),
     }
-    false
+    RunOrderOutcome::Failed
 }
--- a/crates/plugins/tests/fleet_terms.rs
+++ b/crates/plugins/tests/fleet_terms.rs
@@ -5,7 +5,7 @@
 use wasabiswitch_plugins as _;
 use wasabiswitch_policy::fleet::Engine;
 use wasabiswitch_standin::fleet::{FleetStandIn, single_queue_config};
-use wasabiswitch_standin::{Fault, Operation};
+use wasabiswitch_standin::{Fault, FaultTarget, Operation};
 
 const fn ms(count: u64) -> Duration {
     Duration::from_millis(count)
@@ -76,3 +76,34 @@
     platform.faults().clear();
     owner.stop().await;
 }
+
+// Guards against an owner that takes the refusal of an order that it has outdated itself, by raising the fencing token for a
+// restarted worker, for the sign of a newer owner, and gives up its term.
+#[tokio::test(start_paused = true)]
+async fn refusal_of_an_outdated_order_does_not_end_the_term() {
+    fastrand::seed(33);
+    let platform = FleetStandIn::new(&[("p", 2), ("standby", 0)], 100_000);
+    platform.put_config(single_queue_config("standby", 100_000));
+    let owner = platform.start(1).await;
+    tokio::time::sleep(ms(1_500)).await;
+    // The next regular request reaches the worker when that has seen a later token.
+    let regular =
+        FaultTarget { operation: Operation::Hold, prefix: "w0".to_owned(), skip: 0, times: 1 };
+    platform.faults().inject_for(regular, Fault::Slow(ms(500)));
+    tokio::time::sleep(ms(2_100)).await;
+    assert_eq!(platform.faults().injected_count(), 1);
+    platform.restart_worker("w0");
+    for _ in 0..40 {
+        tokio::time::sleep(ms(100)).await;
+        let guard = owner.tables.term.lock();
+        let term = guard.as_ref().expect("the daemon owns the fleet");
+        assert!(!term.superseded, "the owner takes its own token for that of another one");
+    }
+    {
+        let guard = owner.tables.term.lock();
+        let engine = &guard.as_ref().expect("the daemon owns the fleet").engine;
+        let worker = &engine.workers[engine.worker_key("w0").expect("the worker is listed")];
+        assert!(worker.is_order_fence_seen && worker.order_fence_raised_at.is_some());
+    }
+    owner.stop().await;
+}
--- a/crates/policy/src/fleet/mod.rs
+++ b/crates/policy/src/fleet/mod.rs
@@ -38,6 +38,7 @@
 //! | [`calls`] | calls to a queue and their replies |
 //! | [`config`] | the configuration, and the queue and team of a call |
 //! | [`config_check`] | entries of the configuration that have no effect |
+//! | [`order_fence`] | fencing tokens of the orders to workers |
 //! | [`pace`] | throttling of filler tasks beside tasks with a latency target |
 //! | [`maintenance`] | order of the instances in a maintenance wave |
 //! | [`evacuation`] | evacuation of data centres, and the return of their workers |
@@ -63,6 +64,7 @@
 pub mod maintenance;
 pub mod need;
 pub mod offered_load;
+pub mod order_fence;
 pub mod outcomes;
 pub mod overload;
 pub mod ownership;
--- a/crates/policy/src/fleet/outcomes.rs
+++ b/crates/policy/src/fleet/outcomes.rs
@@ -161,6 +161,7 @@
             && !worker.is_known_clock(answer.clock_ms, order.sent, now)
         {
             worker.restart_suspected_at = Some(now);
+            self.raise_order_fence(key, now);
         }
     }
 
--- a/crates/policy/src/fleet/placement.rs
+++ b/crates/policy/src/fleet/placement.rs
@@ -49,6 +49,11 @@
 
 impl Engine {
     /// Returns whether a worker may get new tasks.
+    pub fn is_usable(&self, worker: &Worker, now: Instant) -> bool {
+        self.start_block(worker, now).is_none()
+    }
+
+    /// Returns the first reason for which a worker gets no new tasks, as a value of the log; `None` if it may get some.
     ///
     /// A worker that may be running more than the engine accounts for gets none, since not every worker refuses what
     /// exceeds its capacity. After a missed report the worker may have restarted, and starts of before may begin there.
@@ -59,22 +64,32 @@
     /// An incarnation gets none either while a successor may have taken over before it reported. The successor may not have called
     /// it, so that it would carry out orders of this owner. Calls that the successor sends later reach it first, or the successor
     /// counts it as silent.
-    pub fn is_usable(&self, worker: &Worker, now: Instant) -> bool {
-        worker.listed
-            && worker.has_own_entry()
-            && worker.is_reconciled()
-            && worker.report_missed_at.is_none()
-            && worker.restart_suspected_at.is_none()
-            && !worker.entry.draining
-            && worker.cordon.is_none()
-            && !self.is_barred_by_evacuation(worker, now)
-            && worker.clock.is_some()
-            && !self.has_silent_record(&worker.entry.id)
-            && self.is_certainly_owner_at(worker.incarnation_known_since)
-            && worker.quarantined_until.is_none_or(|until| until <= now)
-            && worker
-                .last_contact
-                .is_some_and(|at| now.saturating_duration_since(at) <= UNRESPONSIVE_AFTER)
+    ///
+    /// Nor does one whose token of orders is not known to be seen: orders that were sent before the owner knew of a restart could
+    /// still be carried out beside the new ones.
+    pub fn start_block(&self, worker: &Worker, now: Instant) -> Option<&'static str> {
+        let is_recent = |at| now.saturating_duration_since(at) <= UNRESPONSIVE_AFTER;
+        let checks = [
+            (worker.listed, "unlisted"),
+            (worker.clock.is_some() && worker.last_contact.is_some(), "no-report"),
+            (worker.has_own_entry(), "entry-of-other-incarnation"),
+            (worker.report_missed_at.is_none(), "report-missed"),
+            (worker.restart_suspected_at.is_none(), "restart-suspected"),
+            (worker.is_order_fence_seen, "order-fence-not-seen"),
+            (worker.orphans.is_empty(), "runs-to-stop"),
+            (!worker.entry.draining, "draining"),
+            (worker.cordon.is_none(), "cordon"),
+            (worker.quarantined_until.is_none_or(|until| until <= now), "quarantine"),
+            (worker.last_contact.is_some_and(is_recent), "unresponsive"),
+        ];
+        let failed = checks.into_iter().find(|(holds, _)| !holds).map(|(_, reason)| reason);
+        failed
+            .or_else(|| self.is_barred_by_evacuation(worker, now).then_some("evacuation"))
+            .or_else(|| self.has_silent_record(&worker.entry.id).then_some("silent-record"))
+            .or_else(|| {
+                let is_owner = self.is_certainly_owner_at(worker.incarnation_known_since);
+                (!is_owner).then_some("successor-possible")
+            })
     }
 
     /// Returns whether this owner certainly had no successor at a time.
--- a/crates/policy/src/fleet/plan.rs
+++ b/crates/policy/src/fleet/plan.rs
@@ -12,7 +12,7 @@
 use super::reports::JobEvent;
 use super::spec::Submission;
 use super::state::{Engine, JobKey, Phase, Run, RunState, TaskName, TaskRef, WorkerKey};
-use crate::ids::PoolId;
+use crate::ids::{OrderFence, PoolId};
 
 /// Delay before a stop that was not acknowledged is sent again.
 const STOP_RETRY_DELAY: Duration = Duration::from_millis(400);
@@ -41,6 +41,8 @@
         submission: Arc<Submission>,
         /// Time on the worker's clock, in milliseconds, after which the worker must not start the task.
         until_ms: u64,
+        /// Fencing token for the incarnation that the clock is of.
+        order_fence: OrderFence,
         /// Checkpoint from which the task resumes; empty to start from the beginning.
         checkpoint: String,
         /// Ticket of the advice service; empty for none.
@@ -443,6 +445,7 @@
             attempt,
             submission,
             until_ms,
+            order_fence: self.workers[worker].order_fence,
             checkpoint,
             ticket,
         });
--- a/crates/policy/src/fleet/reports.rs
+++ b/crates/policy/src/fleet/reports.rs
@@ -14,7 +14,7 @@
 use super::state::{
     Engine, FORGOTTEN_WORKERS_MAX, Phase, Run, RunState, TaskName, TaskRef, WorkerKey,
 };
-use crate::ids::{BootId, InstanceId, JobId};
+use crate::ids::{BootId, InstanceId, JobId, OrderFence};
 
 /// Maximum number of ended runs in one report; a report with fewer lists all of them.
 pub const ENDS_PER_REPORT_MAX: usize = 500;
@@ -79,9 +79,11 @@
     pub ended: Vec<EndEntry>,
 }
 
-/// Times of one request for a report.
+/// Times of one request for a report, and its fencing token.
 #[derives(value)]
 pub struct ReportTiming {
+    /// Fencing token that the request carried.
+    pub order_fence: OrderFence,
     /// Time at which the request was sent.
     pub sent: Instant,
     /// Time at which the report arrived.
@@ -128,6 +130,8 @@
                 self.report_barriers(key, &barriers, events);
                 self.drop_runs_of_previous_incarnation(key, timing, events);
                 self.block_until_barriers(&barriers, timing.received);
+                // Orders that were sent while the restart was not known may still arrive.
+                self.raise_order_fence(key, timing.received);
             }
         }
         let Some(worker) = self.workers.get_mut(key) else { return false };
@@ -136,6 +140,7 @@
             worker.leases_expire_at = timing.received + predecessor_lease;
         }
         worker.clock = Some(clock);
+        worker.is_order_fence_seen |= timing.order_fence == worker.order_fence;
         worker.last_contact = worker.last_contact.max(Some(timing.sent));
         worker.last_answer = worker.last_answer.max(Some(timing.received));
         worker.gauges_updated = true;
@@ -164,6 +169,7 @@
         if let Some(worker) = self.workers.get_mut(key) {
             worker.report_missed_at = Some(now);
         }
+        self.raise_order_fence(key, now);
     }
 
     fn apply_running(
--- a/crates/policy/src/fleet/state.rs
+++ b/crates/policy/src/fleet/state.rs
@@ -144,6 +144,8 @@
     pub limits: Limits,
     /// Fencing token of the owner that runs the engine.
     pub fence: u64,
+    /// Number of tokens issued for [orders to workers](super::order_fence) in this term.
+    pub(super) order_fences_issued: u32,
     /// All known jobs, ended ones included until their status expires.
     pub jobs: SlotMap<JobKey, Job>,
     /// Workers that the directory lists or that may still run tasks.
@@ -232,6 +234,7 @@
         Engine {
             limits,
             fence,
+            order_fences_issued: 0,
             jobs: SlotMap::with_key(),
             workers: SlotMap::with_key(),
             forgotten_workers: Vec::new(),
@@ -445,10 +448,17 @@
     pub fn upsert_worker(&mut self, entry: WorkerEntry, now: Instant) -> WorkerKey {
         if let Some(key) = self.worker_key(&entry.id) {
             self.workers[key].apply_entry(entry, now);
+            if self.workers[key].restart_suspected_at == Some(now) {
+                self.raise_order_fence(key, now);
+            }
             return key;
         }
         let id = entry.id.clone();
+        let order_fence = self.next_order_fence();
         let key = self.workers.insert(Worker {
+            order_fence,
+            is_order_fence_seen: false,
+            order_fence_raised_at: None,
             listed: true,
             instance: None,
             incarnation: 0,
--- a/crates/policy/src/fleet/worker.rs
+++ b/crates/policy/src/fleet/worker.rs
@@ -12,7 +12,7 @@
 use super::spec::ResourceVector;
 use super::state::JobKey;
 use super::worker_ends::WorkerPlace;
-use crate::ids::{BootId, DataCentre, FailureDomain, InstanceId, PoolId};
+use crate::ids::{BootId, DataCentre, FailureDomain, InstanceId, OrderFence, PoolId};
 
 /// Entry of a worker in the platform's directory.
 #[derives(record)]
@@ -107,6 +107,13 @@
     pub incarnation: BootId,
     /// Time at which the first report of the current incarnation arrived; `None` before the first report.
     pub incarnation_known_since: Option<Instant>,
+    /// Fencing token of the orders to the worker; it is [raised](super::order_fence) when the worker may have restarted.
+    pub order_fence: OrderFence,
+    /// Whether a report has arrived that was requested under [`Worker::order_fence`], so that the worker refuses all
+    /// orders with earlier tokens.
+    pub is_order_fence_seen: bool,
+    /// Time at which the token was raised last; `None` if it has not been raised.
+    pub order_fence_raised_at: Option<Instant>,
     /// Last sample of the worker's clock.
     pub clock: Option<ClockSample>,
     /// Time by which the leases of all runs on the worker have expired unless they are renewed.
@@ -248,11 +255,13 @@
     ///
     /// A new incarnation numbers its ends from the start, so the old cursor would acknowledge ends that have not been processed.
     /// Where the worker may have restarted the cursor is zero. A restart may still be unknown, and a request may be delivered
-    /// late, so that the cursor is sent only as long as the worker lists an end up to it.
+    /// late, so that the cursor is sent only as long as the worker lists an end up to it, and only under a token that the
+    /// incarnation has seen: the next one refuses it once it has seen a later token.
     pub fn ack_cursor(&self) -> u64 {
         let may_have_restarted = self.report_missed_at.is_some()
             || self.answer_missed_at.is_some()
-            || self.restart_suspected_at.is_some();
+            || self.restart_suspected_at.is_some()
+            || !self.is_order_fence_seen;
         let acknowledges = self.first_end_listed.is_some_and(|end| end <= self.last_end_persisted);
         if acknowledges && !may_have_restarted { self.last_end_persisted } else { 0 }
     }
--- a/crates/policy/src/ids.rs
+++ b/crates/policy/src/ids.rs
@@ -36,3 +36,5 @@
 pub type Generation = u64;
 /// Number of a boot of an instance; it increases with each reboot.
 pub type BootId = u64;
+/// Fencing token of an order to a worker, see [`order_fence`](crate::fleet::order_fence).
+pub type OrderFence = u64;
--- a/crates/policy/tests/end_model/world.rs
+++ b/crates/policy/tests/end_model/world.rs
@@ -17,7 +17,7 @@
 use wasabiswitch_policy::fleet::state::{WorkerEntry, WorkerKey};
 use wasabiswitch_policy::fleet::unconfirmed::UnlistedWorkers;
 use wasabiswitch_policy::fleet::{Engine, Limits};
-use wasabiswitch_policy::ids::InstanceId;
+use wasabiswitch_policy::ids::{InstanceId, OrderFence};
 use wasabiswitch_standin::fleet::single_queue_config;
 use wasabiswitch_standin::fleet_worker::{FakeStart, FakeWorker, LEASE_MAX};
 
@@ -105,6 +105,7 @@
 struct LateReport {
     owner: usize,
     worker: WorkerKey,
+    fence: OrderFence,
     sent: Instant,
     report: WorkerReport,
 }
@@ -301,7 +302,9 @@
             }
             Action::ArriveLate => {
                 let late = self.late_report.take().expect("a report is delayed");
-                self.apply_report(late.owner, late.worker, late.sent, &late.report);
+                let (order_fence, sent) = (late.fence, late.sent);
+                let timing = ReportTiming { order_fence, sent, received: self.now };
+                self.apply_report(late.owner, late.worker, timing, &late.report);
             }
             Action::BeginWrite(number) => {
                 let owner = &mut self.owners[*number];
@@ -329,9 +332,8 @@
     }
 
     fn carry(&mut self, number: usize, order: Order, delivery: Delivery) {
-        let fence = self.owners[number].engine.fence;
         match order {
-            Order::Start { worker, task, name, attempt, until_ms, .. } => {
+            Order::Start { worker, task, name, attempt, until_ms, order_fence: fence, .. } => {
                 let Some(id) = self.worker_id(number, worker) else { return };
                 if self.is_refused_as_outdated(number, &id) {
                     return;
@@ -363,6 +365,7 @@
             }
             Order::Stop { worker, name, attempt } => {
                 let Some(id) = self.worker_id(number, worker) else { return };
+                let fence = self.owners[number].engine.workers[worker].order_fence;
                 let Some(fake) = self.workers.get_mut(&id) else { return };
                 let stopped = fake.stop(&name, attempt, fence, self.now);
                 if stopped && delivery == Delivery::Answered {
@@ -410,7 +413,7 @@
         let Some(key) = owner.engine.worker_key(worker) else { return };
         let until_ms = owner.engine.begin_renewal(key, self.now);
         let acknowledged = owner.engine.workers[key].ack_cursor();
-        let fence = owner.engine.fence;
+        let fence = owner.engine.workers[key].order_fence;
         self.check_acknowledgement(worker, acknowledged);
         let fake = self.workers.get_mut(worker);
         let report = fake.and_then(|fake| fake.hold(fence, acknowledged, until_ms, self.now));
@@ -423,10 +426,14 @@
         };
         engine.end_renewal(key, outcome, self.now);
         match (report, delivery) {
-            (Some(report), Delivery::Answered) => self.apply_report(number, key, self.now, &report),
+            (Some(report), Delivery::Answered) => {
+                let timing =
+                    ReportTiming { order_fence: fence, sent: self.now, received: self.now };
+                self.apply_report(number, key, timing, &report);
+            }
             (Some(report), Delivery::Late) => {
                 self.late_report =
-                    Some(LateReport { owner: number, worker: key, sent: self.now, report });
+                    Some(LateReport { owner: number, worker: key, fence, sent: self.now, report });
             }
             _ => engine.record_missed_report(key, self.now),
         }
@@ -449,10 +456,9 @@
         &mut self,
         number: usize,
         key: WorkerKey,
-        sent: Instant,
+        timing: ReportTiming,
         report: &WorkerReport,
     ) {
-        let timing = ReportTiming { sent, received: self.now };
         let engine = &mut self.owners[number].engine;
         let applied = engine.apply_report(key, timing, report, &mut Vec::new());
         let id = self.worker_id(number, key).unwrap_or_else(|| FRAGILE.into());
--- a/crates/policy/tests/fleet_engine/evacuation.rs
+++ b/crates/policy/tests/fleet_engine/evacuation.rs
@@ -68,6 +68,7 @@
         lost_reports: 0.05,
         failed_tasks: 0.02,
         late_answers: 0.05,
+        ..Faults::default()
     };
     for seed in 0..8 {
         let mut sim = fleet(4, 6, faults, seed);
--- a/crates/policy/tests/fleet_engine/former_incarnations.rs
+++ b/crates/policy/tests/fleet_engine/former_incarnations.rs
@@ -65,7 +65,7 @@
     let cursor_in_flight = sim.engine.workers[key(&sim)].ack_cursor();
     sim.crash("w0");
     sim.run(2 * SECOND);
-    let (now, fence) = (sim.now, sim.engine.fence);
+    let (now, fence) = (sim.now, sim.order_fence("w0"));
     let worker = sim.workers.get_mut("w0").expect("the worker exists");
     let start = FakeStart {
         task: TaskName { job: "b".into(), occurrence: 0, step: 0, index: 0 },
@@ -205,7 +205,7 @@
     assert_eq!(sim.workers["w0"].runs.len(), 2, "the tasks start on the restarted worker");
     assert!(sim.engine.cancel("a", sim.now));
     sim.run(SECOND);
-    let (now, fence) = (sim.now, sim.engine.fence);
+    let (now, fence) = (sim.now, sim.order_fence("w0"));
     let worker = sim.workers.get_mut("w0").expect("the worker exists");
     worker.hold(fence, 0, Some(unanswered), now).expect("the fence is the newest");
     sim.partitioned.insert("w0".into(), sim.now + ALL_LEASES_EXPIRED);
@@ -295,3 +295,29 @@
     sim.engine.upsert_worker(sim.workers["w0"].entry.clone(), sim.now);
     assert_eq!(sim.engine.workers[key(&sim)].ack_cursor(), 0);
 }
+
+// A task ran again after its end was acknowledged: a request that acknowledged the ends of one incarnation was delivered late, when
+// the next one had ends of its own, and nobody had read these.
+#[test]
+fn late_acknowledgement_for_a_former_incarnation_reaches_no_ends_of_the_next_one() {
+    let mut sim = Simulation::new(1, 0, Faults::default(), 1);
+    sim.submit(submission("a", vec![step(4, 50)]));
+    sim.run_without_writes(2 * SECOND);
+    sim.write_progress();
+    // The request is under way when the worker restarts.
+    let (fence, cursor) = (sim.order_fence("w0"), sim.engine.workers[key(&sim)].ack_cursor());
+    assert_eq!(cursor, 4);
+    sim.restart("w0");
+    sim.run(SECOND);
+    sim.submit(submission("b", vec![step(1, 1_000)]));
+    sim.run(SECOND / 2);
+    assert_eq!(sim.workers["w0"].runs.len(), 1, "the task runs on the restarted worker");
+    let ended = sim.now + SECOND;
+    let worker = sim.workers.get_mut("w0").expect("the worker exists");
+    worker.hold(fence, cursor, None, ended);
+    assert_eq!(worker.ends.len(), 1, "the end has not been read");
+    sim.now = ended;
+    sim.run(SECOND);
+    assert_eq!(sim.violations, Vec::<String>::new());
+    assert_eq!(sim.starts.len(), 5);
+}
--- a/crates/policy/tests/fleet_engine/random_faults.rs
+++ b/crates/policy/tests/fleet_engine/random_faults.rs
@@ -70,6 +70,7 @@
         lost_reports: choices.f64() * 0.2,
         failed_tasks: 0.0,
         late_answers: 0.0,
+        ..Faults::default()
     };
     let mut sim = Simulation::new(WORKERS, CAP_MILLI, faults, seed);
     for round in 0..24 {
@@ -120,6 +121,7 @@
         lost_reports: choices.f64() * 0.2,
         failed_tasks: choices.f64() * 0.05,
         late_answers: choices.f64() * 0.3,
+        ..Faults::default()
     };
     let mut sim = Simulation::new(FULL_WORKERS, 0, faults, seed);
     for round in 0..40 {
@@ -197,6 +199,7 @@
         lost_reports: choices.f64() * 0.2,
         failed_tasks: 0.0,
         late_answers: choices.f64() * 0.2,
+        ..Faults::default()
     };
     let config = random_config(1, &mut choices);
     let mut sim = two_pool_fleet(config, faults, seed);
@@ -298,6 +301,7 @@
         lost_reports: choices.f64() * 0.2,
         failed_tasks: 0.0,
         late_answers: choices.f64() * 0.2,
+        ..Faults::default()
     };
     let mut sim = Simulation::new(RESTARTED_WORKERS, 0, faults, seed);
     for round in 0..24 {
@@ -355,3 +359,39 @@
     sim.run(Duration::from_secs(1));
     assert_ne!(sim.violations, Vec::<String>::new());
 }
+
+/// Seeds of histories of restarts behind late requests for reports.
+const LATE_HOLD_SEEDS: Range<u64> = 70_000..70_040;
+/// Number of workers that restart behind late requests.
+const LATE_HOLD_WORKERS: usize = 3;
+
+/// Runs a history of many short tasks in which workers restart under their ids while requests for reports, with the
+/// acknowledgements in them, are delivered seconds late.
+fn run_history_of_late_holds(seed: u64) -> Simulation {
+    let mut choices = Rng::with_seed(seed ^ 0xac4);
+    let faults =
+        Faults { late_holds: 0.2 + choices.f64() * 0.4, lost_acks: 0.05, ..Faults::default() };
+    let mut sim = Simulation::new(LATE_HOLD_WORKERS, 0, faults, seed);
+    for round in 0..40 {
+        let work = step(choices.u32(4..16), choices.u64(20..400));
+        sim.submit(submission(&format!("job-{round}"), vec![work]));
+        let worker = format!("w{}", choices.usize(0..LATE_HOLD_WORKERS));
+        match choices.u8(0..8) {
+            0 => sim.take_over(),
+            1..=3 => sim.restart(&worker),
+            4 => sim.restart_between_requests(&worker),
+            _ => {}
+        }
+        sim.run(Duration::from_millis(choices.u64(50..1_500)));
+    }
+    sim.faults = Faults::default();
+    sim.run(Duration::from_secs(60));
+    sim
+}
+
+// Tasks ran again after their ends had been acknowledged: see docs/incidents/2026-12-late-acknowledgement-drops-unread-ends.md.
+#[test]
+fn late_requests_for_reports_acknowledge_no_ends_of_later_incarnations() {
+    let seeds = seeds(&[], LATE_HOLD_SEEDS);
+    check_histories(&seeds, run_history_of_late_holds, |phase| phase == Phase::Done);
+}
--- a/crates/policy/tests/fleet_engine/restarted_worker.rs
+++ b/crates/policy/tests/fleet_engine/restarted_worker.rs
@@ -92,6 +92,11 @@
     let mut sim = two_workers_with_long_tasks();
     // The incarnation states a time of day just after that of the former one.
     sim.restart_between_requests("w0");
+    // The first report shows the restart, and the second one, which is requested at once, that no older order can arrive.
+    let key = sim.engine.worker_key("w0").expect("the engine knows the worker");
+    for _ in 0..2 {
+        sim.poll_worker(key, true);
+    }
     sim.run(2 * SECOND);
     assert_eq!(runs(&sim, "w0"), 2, "the tasks start on the restarted worker");
     sim.partitioned.insert("w0".into(), sim.now + ALL_LEASES_EXPIRED);
@@ -130,7 +135,7 @@
 #[test]
 fn successor_covers_a_late_renewal_of_its_predecessor() {
     let mut sim = two_workers_with_long_tasks();
-    let predecessor = sim.engine.fence;
+    let predecessor = sim.order_fence("w0");
     let until_ms = sim.workers["w0"].clock_ms(sim.now) + 4_500;
     sim.take_over();
     sim.run(SECOND);
@@ -165,7 +170,7 @@
     sim.run(SECOND);
     sim.submit(submission("a", vec![step(1, 50)]));
     let orders = sim.engine.plan(sim.now, &mut Vec::new());
-    let [Order::Start { worker, task, name, attempt, .. }] = &orders[..] else {
+    let [Order::Start { worker, task, name, attempt, order_fence, .. }] = &orders[..] else {
         panic!("the task is started: {orders:?}");
     };
     let id = sim.engine.workers[*worker].entry.id.clone();
@@ -175,17 +180,20 @@
     sim.engine.drop_all_runs(*worker, "its instance has no worker", &mut Vec::new());
     restart_after_an_absence(&mut sim, &id);
     assert_eq!(sim.starts.len(), 1, "the task runs on the other worker");
-    let (now, worker) = (sim.now, sim.workers.get_mut(&id).expect("the worker exists"));
+    let (now, fence) = (sim.now, sim.order_fence(&id));
+    let worker = sim.workers.get_mut(&id).expect("the worker exists");
     let late = FakeStart {
         task: name.clone(),
         attempt: *attempt,
-        fence: sim.engine.fence,
+        fence: *order_fence,
         // On the clock of the restarted worker the start may be valid for hours.
         until_ms: worker.clock_ms(now) + 3_600_000,
         run_time: None,
         run_end: RunEnd::Done,
     };
-    assert_eq!(worker.start(&late, now), StartOutcome::Superseded);
+    assert_eq!(worker.start(&late, now), StartOutcome::Fenced);
+    // The barrier holds without the fence, too.
+    assert_eq!(worker.start(&FakeStart { fence, ..late }, now), StartOutcome::Superseded);
 }
 
 // A task ran twice at once: a renewal without an answer was delivered late to such a worker, and its leases outlived the owner's
@@ -194,14 +202,18 @@
 fn late_renewal_of_a_worker_that_is_listed_again_is_covered() {
     let mut sim = two_workers_with_long_tasks_each(1);
     let key = sim.engine.worker_key("w0").expect("the engine knows the worker");
+    let sent_fence = sim.order_fence("w0");
     let until_ms = sim.engine.begin_renewal(key, sim.now).expect("the worker is busy");
     sim.engine.end_renewal(key, OrderOutcome::Unknown, sim.now);
     restart_after_an_absence(&mut sim, "w0");
     sim.submit(submission("b", vec![step(2, 60_000)]));
     sim.run(SECOND);
     assert_eq!(runs(&sim, "w0"), 2, "tasks start on the restarted worker");
-    let (now, worker) = (sim.now, sim.workers.get_mut("w0").expect("the worker exists"));
-    worker.hold(sim.engine.fence, 0, Some(until_ms), now).expect("the fence is the newest");
+    let (now, fence) = (sim.now, sim.order_fence("w0"));
+    let worker = sim.workers.get_mut("w0").expect("the worker exists");
+    assert_eq!(worker.hold(sent_fence, 0, Some(until_ms), now), None, "the order is outdated");
+    // The bound on the leases holds without the fence, too.
+    worker.hold(fence, 0, Some(until_ms), now).expect("the fence is the newest");
     tasks_move_once_the_leases_have_expired(&mut sim);
 }
 
@@ -210,11 +222,11 @@
 #[test]
 fn successor_waits_for_late_renewals_of_its_predecessor_at_a_worker_that_does_not_answer() {
     let mut sim = two_workers_with_long_tasks();
-    let predecessor = sim.engine.fence;
     let until_ms = sim.workers["w0"].clock_ms(sim.now) + 4_500;
     sim.restart("w0");
     sim.run(SECOND);
     assert_eq!(runs(&sim, "w0"), 2, "the tasks start on the restarted worker");
+    let predecessor = sim.order_fence("w0");
     sim.partitioned.insert("w0".into(), sim.now + ALL_LEASES_EXPIRED);
     sim.take_over();
     for delay in [4, 8] {
@@ -316,8 +328,9 @@
         sim.engine.record_missed_report(key, sim.now);
         sim.partitioned.insert("w0".into(), sim.now + ALL_LEASES_EXPIRED);
         sim.run(2 * SECOND);
-        let (now, worker) = (sim.now, sim.workers.get_mut("w0").expect("the worker exists"));
-        worker.hold(sim.engine.fence, 0, until_ms, now).expect("the fence is the newest");
+        let (now, fence) = (sim.now, sim.order_fence("w0"));
+        let worker = sim.workers.get_mut("w0").expect("the worker exists");
+        worker.hold(fence, 0, until_ms, now).expect("the fence is the newest");
         sim.run(ALL_LEASES_EXPIRED - 3 * SECOND);
         assert_eq!(sim.violations, Vec::<String>::new(), "{renewals:?}");
         assert_eq!(sim.starts.len(), 8, "the tasks start on the other workers ({renewals:?})");
@@ -407,7 +420,7 @@
     let mut sim = Simulation::new(1, 0, Faults::default(), 1);
     sim.run(SECOND);
     let key = sim.engine.worker_key("w0").expect("the engine knows the worker");
-    let (sent, fence) = (sim.now, sim.engine.fence);
+    let (sent, fence) = (sim.now, sim.order_fence("w0"));
     let worker = sim.workers.get_mut("w0").expect("the worker exists");
     let report = worker.hold(fence, 0, None, sent).expect("the fence is the newest");
     sim.engine.mark_worker_unlisted("w0");
@@ -415,7 +428,7 @@
     sim.engine.plan(sim.now, &mut Vec::new());
     let listed = sim.engine.upsert_worker(sim.workers["w0"].entry.clone(), sim.now);
     assert_ne!(listed, key);
-    let timing = ReportTiming { sent, received: sim.now };
+    let timing = ReportTiming { order_fence: fence, sent, received: sim.now };
     assert!(!sim.engine.apply_report(key, timing, &report, &mut Vec::new()));
     assert_eq!(sim.engine.workers[listed].incarnation, 0);
 }
--- a/crates/policy/tests/fleet_engine/simulation.rs
+++ b/crates/policy/tests/fleet_engine/simulation.rs
@@ -17,12 +17,12 @@
 use wasabiswitch_policy::fleet::outcomes::{StartAnswer, StartOutcome};
 use wasabiswitch_policy::fleet::plan::Order;
 use wasabiswitch_policy::fleet::progress::{JobRow, ProgressRow};
-use wasabiswitch_policy::fleet::reports::{ReportTiming, RunEnd, WorkerReport};
+use wasabiswitch_policy::fleet::reports::{EndEntry, ReportTiming, RunEnd, WorkerReport};
 use wasabiswitch_policy::fleet::silent_records::{RowVersion, SilentWorkerRow};
 use wasabiswitch_policy::fleet::spec::{Step, Submission};
 use wasabiswitch_policy::fleet::start_pools::StartPoolsRow;
 use wasabiswitch_policy::fleet::state::{TaskName, TaskRef, WorkerEntry, WorkerKey};
-use wasabiswitch_policy::ids::{InstanceId, JobId};
+use wasabiswitch_policy::ids::{InstanceId, JobId, OrderFence};
 use wasabiswitch_standin::fleet::single_queue_config;
 use wasabiswitch_standin::fleet_worker::{FakeStart, FakeWorker};
 
@@ -44,7 +44,10 @@
     sent: Instant,
     due: Instant,
     worker: InstanceId,
+    /// Fence of the owner.
     fence: u64,
+    /// Fencing token that the worker sees.
+    order_fence: OrderFence,
     order: Order,
     /// Whether the answer reaches the sender.
     answered: bool,
@@ -71,10 +74,21 @@
     pub lost_reports: f64,
     /// Probability that a task fails.
     pub failed_tasks: f64,
+    /// Probability that a request for a report is delivered seconds late, without an answer.
+    pub late_holds: f64,
     /// Probability that the answer to an order or to a request for a report is overtaken by later ones.
     pub late_answers: f64,
 }
 
+/// A request for a report that is delivered late.
+struct LateHold {
+    due: Instant,
+    worker: InstanceId,
+    order_fence: OrderFence,
+    acknowledged: u64,
+    until_ms: Option<u64>,
+}
+
 /// The answer of a worker, on its way to the owner with the fence.
 struct LateAnswer {
     due: Instant,
@@ -85,7 +99,7 @@
 
 /// Content of an answer.
 enum AnswerContent {
-    Report { sent: Instant, report: WorkerReport },
+    Report { sent: Instant, order_fence: OrderFence, report: WorkerReport },
     Start { task: TaskRef, attempt: u32, answer: StartAnswer },
     Stop { name: TaskName, attempt: u32, sent: Instant },
 }
@@ -142,6 +156,7 @@
     /// Jobs of which the store has only the progress row.
     retired: BTreeSet<JobId>,
     deliveries: Vec<Delivery>,
+    late_holds: Vec<LateHold>,
     answers: Vec<LateAnswer>,
     /// Starts that get no answer: time of the timeout, fence of the sender, worker, task and attempt.
     timeouts: Vec<(Instant, u64, WorkerKey, TaskRef, u32)>,
@@ -204,6 +219,7 @@
             objectives: BTreeMap::new(),
             retired: BTreeSet::new(),
             deliveries: Vec::new(),
+            late_holds: Vec::new(),
             answers: Vec::new(),
             timeouts: Vec::new(),
             acknowledged_done: BTreeSet::new(),
@@ -267,6 +283,12 @@
             || (fence == self.newest_fence && active(&self.unreachable_for_newest))
     }
 
+    /// Returns the fencing token that the owner's orders to a worker carry now.
+    pub fn order_fence(&self, id: &str) -> OrderFence {
+        let key = self.engine.worker_key(id).expect("the engine knows the worker");
+        self.engine.workers[key].order_fence
+    }
+
     /// Requests a report from a worker; the request renews its leases if `renews` is set.
     pub fn poll_worker(&mut self, key: WorkerKey, renews: bool) {
         let id = self.engine.workers[key].entry.id.clone();
@@ -279,9 +301,17 @@
             return;
         }
         let acknowledged = self.engine.workers[key].ack_cursor();
+        let order_fence = self.engine.workers[key].order_fence;
+        if self.faults.late_holds > 0.0 && self.rng.f64() < self.faults.late_holds {
+            let due = self.now + Duration::from_millis(self.rng.u64(2_000..12_000));
+            self.late_holds.push(LateHold { due, worker: id, order_fence, acknowledged, until_ms });
+            self.engine.end_renewal(key, OrderOutcome::Unknown, self.now);
+            self.engine.record_missed_report(key, self.now);
+            return;
+        }
         self.record_acknowledged(&id, acknowledged);
         let worker = self.workers.get_mut(&id).expect("engines know only these workers");
-        let report = worker.hold(self.engine.fence, acknowledged, until_ms, self.now);
+        let report = worker.hold(order_fence, acknowledged, until_ms, self.now);
         let report = report.filter(|_| self.rng.f64() >= self.faults.lost_reports);
         let outcome = match &report {
             Some(report) => OrderOutcome::Answered(Some(report.clock_ms)),
@@ -289,7 +319,10 @@
         };
         self.engine.end_renewal(key, outcome, self.now);
         match report {
-            Some(report) => self.answer(key, AnswerContent::Report { sent: self.now, report }),
+            Some(report) => {
+                let sent = self.now;
+                self.answer(key, AnswerContent::Report { sent, order_fence, report });
+            }
             None => {
                 self.engine.record_missed_report(key, self.now);
                 self.trace_worker(&id, "report lost".to_owned());
@@ -312,8 +345,8 @@
 
     fn apply_answer(&mut self, worker: WorkerKey, content: AnswerContent) {
         match content {
-            AnswerContent::Report { sent, report } => {
-                let timing = ReportTiming { sent, received: self.now };
+            AnswerContent::Report { sent, order_fence, report } => {
+                let timing = ReportTiming { order_fence, sent, received: self.now };
                 let applied = self.engine.apply_report(worker, timing, &report, &mut Vec::new());
                 self.renew_entry(worker);
                 let id = self.engine.workers[worker].entry.id.clone();
@@ -349,8 +382,13 @@
 
     /// Records the tasks whose successful ends have numbers up to `acknowledged`.
     fn record_acknowledged(&mut self, id: &InstanceId, acknowledged: u64) {
-        let ends = self.workers[id].ends.iter();
-        let done = ends.filter(|end| end.number <= acknowledged && end.end == RunEnd::Done);
+        let ends = self.workers[id].ends.clone();
+        self.record_done(id, acknowledged, &ends);
+    }
+
+    /// Records the tasks of the successful ones of a worker's `ends` that have numbers up to `acknowledged`.
+    fn record_done(&mut self, id: &InstanceId, acknowledged: u64, ends: &[EndEntry]) {
+        let done = ends.iter().filter(|end| end.number <= acknowledged && end.end == RunEnd::Done);
         let done: Vec<TaskName> = done.map(|end| end.task.clone()).collect();
         for task in done {
             self.trace_task(
@@ -386,6 +424,7 @@
         self.run_instance_service();
         self.plan();
         self.deliver();
+        self.deliver_late_holds();
         self.apply_late_answers();
         if self.rng.u8(0..6) == 0 && !self.writes_paused {
             self.write_progress();
@@ -475,17 +514,36 @@
             let at = self.now + ORDER_TIMEOUT;
             self.timeouts.push((at, self.engine.fence, *worker, *task, *attempt));
         }
+        let order_fence = match &order {
+            Order::Start { order_fence, .. } => *order_fence,
+            _ => self.engine.workers[worker].order_fence,
+        };
         self.deliveries.push(Delivery {
             sent: self.now,
             due: self.now + Duration::from_millis(after_ms),
             worker: self.engine.workers[worker].entry.id.clone(),
             fence: self.engine.fence,
+            order_fence,
             order,
             answered,
             late,
         });
     }
 
+    /// Delivers the late requests for reports that are due.
+    fn deliver_late_holds(&mut self) {
+        let holds = std::mem::take(&mut self.late_holds).into_iter();
+        let (due, later): (Vec<_>, Vec<_>) = holds.partition(|hold| hold.due <= self.now);
+        self.late_holds = later;
+        for LateHold { worker: id, order_fence, acknowledged, until_ms, .. } in due {
+            let fake = self.workers.get_mut(&id).expect("workers are not removed");
+            let ends = fake.ends.clone();
+            if fake.hold(order_fence, acknowledged, until_ms, self.now).is_some() {
+                self.record_done(&id, acknowledged, &ends);
+            }
+        }
+    }
+
     fn deliver(&mut self) {
         let now = self.now;
         let (expired, waiting): (Vec<_>, Vec<_>) =
@@ -518,7 +576,7 @@
                 let start = FakeStart {
                     task: name,
                     attempt,
-                    fence: delivery.fence,
+                    fence: delivery.order_fence,
                     until_ms,
                     run_time: (!step.long_running).then_some(length),
                     run_end: if fails { RunEnd::Failed } else { RunEnd::Done },
@@ -537,7 +595,7 @@
             }
             Order::Stop { worker, name, attempt } if reached => {
                 let fake = self.workers.get_mut(&delivery.worker).expect("the worker exists");
-                let done = fake.stop(&name, attempt, delivery.fence, self.now);
+                let done = fake.stop(&name, attempt, delivery.order_fence, self.now);
                 let TaskName { job, index, .. } = &name;
                 let event = format!("stop of {job}.{index} attempt {attempt}, taken: {done}");
                 self.trace_worker(&delivery.worker, event);
--- a/crates/policy/tests/fleet_engine/split_brain.rs
+++ b/crates/policy/tests/fleet_engine/split_brain.rs
@@ -37,6 +37,7 @@
         lost_reports: 0.0,
         failed_tasks: 0.0,
         late_answers: 0.0,
+        ..Faults::default()
     };
     let mut sim = Simulation::new(WORKERS, CAP_MILLI, faults, seed);
     for round in 0..12 {
--- a/crates/policy/tests/fleet_engine/worker_capacity.rs
+++ b/crates/policy/tests/fleet_engine/worker_capacity.rs
@@ -47,14 +47,14 @@
 
 /// Returns a report of a worker, requested and received at `now`.
 fn report(sim: &mut Simulation, id: &str) -> WorkerReport {
-    let (now, fence) = (sim.now, sim.engine.fence);
+    let (now, fence) = (sim.now, sim.order_fence(id));
     let worker = sim.workers.get_mut(id).expect("the worker exists");
     worker.hold(fence, 0, None, now).expect("the fence is the newest")
 }
 
 /// Applies a report that was requested at `sent` and arrives now.
 fn apply(sim: &mut Simulation, id: &str, sent: Instant, report: &WorkerReport) {
-    let timing = ReportTiming { sent, received: sim.now };
+    let timing = ReportTiming { order_fence: sim.order_fence(id), sent, received: sim.now };
     let key = sim.engine.worker_key(id).expect("the engine knows the worker");
     sim.engine.apply_report(key, timing, report, &mut Vec::new());
     sim.renew_entry(key);
