--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -3,7 +3,7 @@
 //! Each daemon reaches the platform's stand-in through a proxy of its own, which closes, stalls or delays its
 //! connections, and at an address of its own, where the store refuses its calls, hangs or loses its responses. The
 //! processes are stopped, paused, killed and restarted, one after the other and at the same time, while jobs are
-//! submitted to any of the daemons and some are cancelled, their queue changes its pool, workers restart, and odd entries
+//! submitted to any of the daemons and some are cancelled, also by callers that have left before the answer, their queue changes its pool, workers restart, and odd entries
 //! appear in the platform's lists. Every accepted job must complete or be cancelled, no task may run twice at the same time, and no worker may
 //! get more tasks than it has room for.
 //!
@@ -28,7 +28,7 @@
 mod stops;
 
 use std::ops::Range;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use fastrand::Rng;
 use http::Method;
@@ -52,6 +52,12 @@
 const OTHER_POOL_WORKER_COUNT: usize = 2;
 /// Share of the accepted jobs that are cancelled: one in this number.
 const CANCELLED_JOB_INTERVAL: u8 = 6;
+/// Share of the submissions whose caller leaves before the answer and cancels the job: one in this number.
+const ABANDONED_JOB_INTERVAL: u8 = 6;
+/// Range of the time for which such a caller stays, in milliseconds.
+const ABANDONED_AFTER_MS: Range<u64> = 0..150;
+/// Time after the acknowledgement of a cancellation from which no task of the job may start, as the platform states it.
+const CANCEL_TIME: Duration = Duration::from_millis(3_000);
 /// Depth of nesting of an odd entry.
 const ODD_ENTRY_DEPTH: usize = 20_000;
 /// Number of daemons per seed.
@@ -67,6 +73,14 @@
     is_cancelled: bool,
 }
 
+/// A job whose cancellation was acknowledged although no answer to its submission had arrived.
+struct AbandonedJob {
+    /// Id of the job.
+    id: String,
+    /// Time of the acknowledgement.
+    cancelled: SystemTime,
+}
+
 /// Returns the seeds that the environment requests, or else those that have failed before and `ci_seeds`.
 fn seeds(ci_seeds: Range<u64>) -> Vec<u64> {
     let requested = std::env::var("SOAK_SEEDS").ok().and_then(|text| {
@@ -92,7 +106,7 @@
     platform.add_workers(OTHER_POOL_WORKER_COUNT, OTHER_POOL);
     platform.put("op", "config", &config(1));
     let mut daemons = DaemonGroup::start(DAEMON_COUNT, &platform, STOP_SETTINGS).await;
-    let mut accepted = Vec::new();
+    let (mut accepted, mut abandoned) = (Vec::new(), Vec::new());
     let start = Instant::now();
     let mut number = 0u64;
     while start.elapsed() < FAULT_TIME {
@@ -102,6 +116,10 @@
         number += 1;
         let job = format!("/q/{:016x}", seed << 16 | number);
         let body = job_body(&mut rng);
+        if rng.u8(0..ABANDONED_JOB_INTERVAL) == 0 {
+            abandoned.extend(abandon_submission(&daemons, &mut rng, &job, &body).await);
+            continue;
+        }
         if daemons.call(rng.usize(..), Method::POST, &job, &body).await.0 == 200 {
             let is_cancelled = rng.u8(0..CANCELLED_JOB_INTERVAL) == 0;
             if is_cancelled {
@@ -114,6 +132,38 @@
     daemons.end_faults().await;
     assert_jobs_complete(seed, &daemons, &accepted).await;
     assert_starts_are_valid(seed, &platform);
+    assert_abandoned_jobs_do_not_start(seed, &platform, &abandoned);
+}
+
+/// Submits a job as a client does that leaves before the answer, and then cancels it at another daemon; returns the job if the
+/// cancellation is acknowledged.
+async fn abandon_submission(
+    daemons: &DaemonGroup,
+    rng: &mut Rng,
+    path: &str,
+    body: &str,
+) -> Option<AbandonedJob> {
+    let stay = Duration::from_millis(rng.u64(ABANDONED_AFTER_MS));
+    let submission = daemons.call(rng.usize(..), Method::POST, path, body);
+    let _ = tokio::time::timeout(stay, submission).await;
+    let (status, _) = daemons.call(rng.usize(..), Method::DELETE, path, "").await;
+    let id = path.rsplit('/').next().unwrap_or(path).to_owned();
+    matches!(status, 200 | 410).then(|| AbandonedJob { id, cancelled: SystemTime::now() })
+}
+
+/// Checks that no task of a cancelled job has started later than [`CANCEL_TIME`] after the acknowledgement.
+fn assert_abandoned_jobs_do_not_start(seed: u64, platform: &Platform, abandoned: &[AbandonedJob]) {
+    let runs = platform.runs();
+    let late: Vec<String> = abandoned
+        .iter()
+        .flat_map(|job| {
+            runs.iter().filter(move |run| run.task.starts_with(&job.id)).map(move |r| (job, r))
+        })
+        .filter(|(job, run)| !run.is_late && run.started > job.cancelled + CANCEL_TIME)
+        .map(|(_, run)| format!("{} starts after the cancellation of its job", run.task))
+        .collect();
+    println!("seed {seed}: {} submissions abandoned and cancelled", abandoned.len());
+    assert_eq!(late, Vec::<String>::new(), "seed {seed}");
 }
 
 /// Returns the body of a submission of a job with two steps.
--- a/crates/kernel/src/tables/fleet.rs
+++ b/crates/kernel/src/tables/fleet.rs
@@ -13,6 +13,7 @@
 use wasabiswitch_policy::fleet::ownership::OwnerHeartbeat;
 use wasabiswitch_policy::fleet::pressure::Pressure;
 use wasabiswitch_policy::fleet::progress::JobRow;
+use wasabiswitch_policy::fleet::state::JobKey;
 use wasabiswitch_policy::ids::{DaemonId, DataCentre, JobId};
 
 use crate::platform::fleet::{Cursor, WaveRequest};
@@ -69,6 +70,34 @@
     pub waiters: Vec<oneshot::Sender<AcceptOutcome>>,
 }
 
+/// Place of a job on its way from the submission to the engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum JobPlace {
+    /// The engine knows the job, which has been accepted.
+    Known(JobKey),
+    /// The job's row is in the write that is under way, so that it may be stored already.
+    BeingWritten,
+    /// The job's row waits for the next write.
+    Waiting,
+    /// The job was cancelled before it was accepted.
+    Withdrawn,
+    /// This owner has had no submission of the job. Another daemon may still hold one.
+    Absent,
+}
+
+impl JobPlace {
+    /// Returns the place as a value of the log.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            JobPlace::Known(_) => "known",
+            JobPlace::BeingWritten => "being-written",
+            JobPlace::Waiting => "waiting",
+            JobPlace::Withdrawn => "withdrawn",
+            JobPlace::Absent => "absent",
+        }
+    }
+}
+
 /// State of the owner during its term.
 #[derive(Debug)]
 pub struct Term {
@@ -99,3 +128,29 @@
     /// Whether a daemon on a larger instance has requested the ownership.
     pub hand_over_requested: bool,
 }
+
+impl Term {
+    /// Returns where a job is now; all calls about one job decide by it.
+    pub fn locate(&self, job: &str) -> JobPlace {
+        if let Some(key) = self.engine.job_key(job) {
+            JobPlace::Known(key)
+        } else if self.write_waiters.contains_key(job) {
+            JobPlace::BeingWritten
+        } else if self.accepts.contains_key(job) {
+            JobPlace::Waiting
+        } else if self.engine.is_withdrawn(job) {
+            JobPlace::Withdrawn
+        } else {
+            JobPlace::Absent
+        }
+    }
+
+    /// Returns a receiver of the outcome of a job's write, or `None` if no write of the job is outstanding.
+    pub fn wait_for_accept(&mut self, job: &str) -> Option<oneshot::Receiver<AcceptOutcome>> {
+        let waiting = self.accepts.get_mut(job).map(|pending| &mut pending.waiters);
+        let waiters = waiting.or_else(|| self.write_waiters.get_mut(job))?;
+        let (sender, receiver) = oneshot::channel();
+        waiters.push(sender);
+        Some(receiver)
+    }
+}
--- a/crates/kernel/src/tables/mod.rs
+++ b/crates/kernel/src/tables/mod.rs
@@ -9,7 +9,7 @@
 mod rows;
 mod table;
 
-pub use fleet::{AcceptOutcome, FleetView, KnownOwner, PendingAccept, Term};
+pub use fleet::{AcceptOutcome, FleetView, JobPlace, KnownOwner, PendingAccept, Term};
 pub use journal::{Decision, Journal, Subject};
 pub use members::{Member, MembersTable, OwnSession};
 pub use rows::{
--- a/crates/plugins/src/fleet/queue_calls.rs
+++ b/crates/plugins/src/fleet/queue_calls.rs
@@ -11,7 +11,7 @@
 use http::Method;
 use tokio::sync::oneshot;
 use wasabiswitch_kernel::http::client::ClientRequest;
-use wasabiswitch_kernel::tables::{AcceptOutcome, PendingAccept, Term};
+use wasabiswitch_kernel::tables::{AcceptOutcome, JobPlace, PendingAccept, Term};
 use wasabiswitch_kernel::{Kernel, metric};
 use wasabiswitch_policy::Verdict;
 use wasabiswitch_policy::fleet::admission::{Admission, is_persisted_in_time};
@@ -21,6 +21,7 @@
 use wasabiswitch_policy::fleet::progress::JobRow;
 use wasabiswitch_policy::fleet::spec::Submission;
 use wasabiswitch_policy::fleet::state::{Phase, QueueSettings};
+use wasabiswitch_policy::ids::JobId;
 use wasabiswitch_wire::{decode, encode};
 
 use super::is_acting;
@@ -29,6 +30,8 @@
 pub const CALL_PATH: &str = "/fleet/call";
 /// Time that a submission waits for an owner before it is refused; a quarter of the objective.
 const OWNER_WAIT_MAX: Duration = Duration::from_millis(140);
+/// Maximum time for which a call is repeated, whatever its caller states; the status of an ended job is kept for longer.
+const CALL_TIME_MAX: Duration = Duration::from_secs(60);
 /// Delay before a call is attempted again.
 const RETRY_DELAY: Duration = Duration::from_millis(40);
 /// Time limit for one attempt to forward a call.
@@ -38,6 +41,8 @@
 const REFUSED_RETENTION: Duration = Duration::from_secs(10);
 /// Number of refused requests above which those older than `REFUSED_RETENTION` are dropped.
 const REFUSED_MAX: usize = 4_096;
+/// Delay after which a caller may cancel an unknown job again while the records of such cancellations are full.
+const WITHDRAWN_RETRY_AFTER: Duration = Duration::from_millis(1_000);
 /// Delay after which a caller that no owner could serve may retry; a takeover takes about two seconds.
 const NO_OWNER_RETRY_AFTER: Duration = Duration::from_millis(1_000);
 
@@ -49,6 +54,8 @@
 /// Answers a call before `deadline`.
 pub async fn answer(kernel: &Arc<Kernel>, call: Call, deadline: Instant) -> Reply {
     let started = kernel.clock.now();
+    // A submission that is repeated for longer could outlast the record of its job's cancellation.
+    let deadline = deadline.min(started + CALL_TIME_MAX);
     let operation = call.operation.as_str();
     let reply = answer_with_retries(kernel, call, started, deadline).await;
     let took = kernel.clock.now().saturating_duration_since(started);
@@ -184,10 +191,7 @@
     let now = kernel.clock.now();
     match call.operation {
         QueueOperation::Submit(submission) => submit(kernel, request, *submission, deadline).await,
-        QueueOperation::State(job) => with_term(kernel, |term| match term.engine.job_key(&job) {
-            Some(key) => Reply::State(term.engine.jobs[key].visible_phase),
-            None => absent_reply(term, now),
-        }),
+        QueueOperation::State(job) => state(kernel, &job, deadline).await,
         QueueOperation::Cancel(job) => cancel(kernel, request, &job, deadline).await,
         QueueOperation::Pending => {
             with_term(kernel, |term| match may_report_absence(term.confirmed_sent, now) {
@@ -259,14 +263,23 @@
     let now = kernel.clock.now();
     let mut guard = kernel.tables.term.lock();
     let Some(term) = guard.as_mut() else { return SubmissionState::Answered(Reply::NotOwner) };
-    if term.engine.job_key(&submission.job).is_some() {
-        return SubmissionState::Answered(Reply::Accepted);
-    }
-    let (sender, receiver) = oneshot::channel();
-    let pending = term.accepts.get_mut(&submission.job).map(|pending| &mut pending.waiters);
-    if let Some(waiters) = pending.or_else(|| term.write_waiters.get_mut(&submission.job)) {
-        waiters.push(sender);
-        return SubmissionState::Waiting(receiver);
+    match term.locate(&submission.job) {
+        JobPlace::Known(_) => return SubmissionState::Answered(Reply::Accepted),
+        JobPlace::BeingWritten | JobPlace::Waiting => {
+            let outcome = term.wait_for_accept(&submission.job);
+            return outcome.map_or_else(
+                || SubmissionState::Answered(Reply::NotOwner),
+                SubmissionState::Waiting,
+            );
+        }
+        JobPlace::Withdrawn => {
+            log::info!(
+                "submission of a cancelled job request={request:016x} job={}",
+                submission.job
+            );
+            return SubmissionState::Waiting(accept(term, submission, queue_settings, now));
+        }
+        JobPlace::Absent => {}
     }
     if term.refused_requests.contains_key(&request) {
         // The request is a delayed copy of one that was refused; the refusal states that nothing runs.
@@ -316,11 +329,22 @@
     if let Some(refusal) = refuse_for_slow_store(term, request, &submission, now) {
         return SubmissionState::Answered(refusal);
     }
+    SubmissionState::Waiting(accept(term, submission, queue_settings, now))
+}
+
+/// Adds a job to the next write; returns the receiver of the outcome.
+fn accept(
+    term: &mut Term,
+    submission: Submission,
+    queue_settings: QueueSettings,
+    now: Instant,
+) -> oneshot::Receiver<AcceptOutcome> {
+    let (sender, receiver) = oneshot::channel();
     let job = submission.job.clone();
     let row = JobRow { submission, queue_settings, accepted_fence: term.engine.fence };
     let pending = PendingAccept { row, received_at: now, waiters: vec![sender] };
     term.accepts.insert(job, pending);
-    SubmissionState::Waiting(receiver)
+    receiver
 }
 
 /// Counts a decision on a submission. One that is refused for a slow store has been counted as accepted before.
@@ -361,28 +385,72 @@
     term.refused_requests.insert(request, now);
 }
 
-async fn cancel(kernel: &Arc<Kernel>, request: u64, job: &str, deadline: Instant) -> Reply {
+/// Returns the phase of a job; a job whose row is being written is shown once the outcome is known.
+async fn state(kernel: &Arc<Kernel>, job: &str, deadline: Instant) -> Reply {
+    loop {
+        let now = kernel.clock.now();
+        let outcome = {
+            let mut guard = kernel.tables.term.lock();
+            let Some(term) = guard.as_mut() else { return Reply::NotOwner };
+            match term.locate(job) {
+                JobPlace::Known(key) => return Reply::State(term.engine.jobs[key].visible_phase),
+                JobPlace::Withdrawn | JobPlace::Absent => return absent_reply(term, now),
+                JobPlace::BeingWritten | JobPlace::Waiting => term.wait_for_accept(job),
+            }
+        };
+        let Some(outcome) = outcome else { return Reply::NotOwner };
+        let remaining = deadline.saturating_duration_since(now);
+        match tokio::time::timeout(remaining, outcome).await {
+            Ok(Ok(AcceptOutcome::TermEnded)) => return Reply::NotOwner,
+            // The place of the job is decided now.
+            Ok(Ok(_)) => {}
+            Ok(Err(_)) | Err(_) => return Reply::InDoubt,
+        }
+    }
+}
+
+/// Cancels a job wherever it is. One that is not accepted is withdrawn, so that it is cancelled as soon as a submission of it is
+/// accepted.
+async fn cancel(kernel: &Arc<Kernel>, request: u64, job: &JobId, deadline: Instant) -> Reply {
     let (sender, receiver) = oneshot::channel();
-    {
+    let place = {
         let now = kernel.clock.now();
         let mut guard = kernel.tables.term.lock();
         let Some(term) = guard.as_mut() else { return Reply::NotOwner };
-        if !term.engine.cancel(job, now) {
-            return absent_reply(term, now);
-        }
-        let key = term.engine.job_key(job);
-        if key.is_some_and(|key| term.engine.jobs[key].visible_phase == Phase::Cancelled) {
-            return Reply::Cancelled;
+        let place = term.locate(job);
+        match place {
+            JobPlace::Known(key) => {
+                term.engine.cancel(job, now);
+                if term.engine.jobs[key].visible_phase == Phase::Cancelled {
+                    return Reply::Cancelled;
+                }
+            }
+            JobPlace::Withdrawn if term.engine.is_withdrawal_stored(job) => {
+                return absent_reply(term, now);
+            }
+            JobPlace::BeingWritten | JobPlace::Waiting | JobPlace::Withdrawn | JobPlace::Absent => {
+                if !term.engine.withdraw(job, now) {
+                    let reason = "too many unknown jobs are being cancelled";
+                    return Reply::refused(reason, WITHDRAWN_RETRY_AFTER);
+                }
+            }
         }
         term.flush_waiters.push(sender);
-    }
+        place
+    };
     kernel.wake_signals.write.notify_one();
     kernel.wake_signals.plan.notify_one();
     let remaining = deadline.saturating_duration_since(kernel.clock.now());
     let reply = match tokio::time::timeout(remaining, receiver).await {
-        Ok(Ok(())) => Reply::Cancelled,
+        Ok(Ok(())) => with_term(kernel, |term| match term.engine.job_key(job) {
+            Some(_) => Reply::Cancelled,
+            None => Reply::Gone,
+        }),
         Ok(Err(_)) | Err(_) => Reply::InDoubt,
     };
-    log::info!("cancellation request={request:016x} job={job} outcome={reply:?}");
+    log::info!(
+        "cancellation request={request:016x} job={job} found={} outcome={reply:?}",
+        place.as_str()
+    );
     reply
 }
--- a/crates/plugins/src/fleet/takeover.rs
+++ b/crates/plugins/src/fleet/takeover.rs
@@ -33,6 +33,8 @@
 pub const START_POOL_TABLE: &str = "start_pools";
 /// The table of the workers that get no starts because they do not answer.
 pub const SILENT_WORKER_TABLE: &str = "silent_workers";
+/// The table of the jobs that were cancelled before they were accepted.
+pub const WITHDRAWAL_TABLE: &str = "withdrawals";
 /// The table of the waves' progress.
 pub const WAVE_TABLE: &str = "waves";
 /// Time limit for a worker's answer at a takeover. A worker without load answers within milliseconds; a
@@ -61,7 +63,7 @@
     predecessor_deadline: Instant,
 ) -> PlatformResult<RebuiltEngine> {
     let started_at = kernel.clock.now();
-    let (operator, directory, instances, jobs, progress, start_pools, silent, waves) = tokio::join!(
+    let (operator, directory, instances, jobs, progress, start_pools, silent, withdrawals, waves) = tokio::join!(
         (port(kernel).read_operator)(()),
         (port(kernel).read_directory)(()),
         (port(kernel).list_instances)(()),
@@ -69,6 +71,7 @@
         read_rows(kernel, PROGRESS_TABLE),
         read_rows(kernel, START_POOL_TABLE),
         read_rows(kernel, SILENT_WORKER_TABLE),
+        read_rows(kernel, WITHDRAWAL_TABLE),
         read_rows(kernel, WAVE_TABLE),
     );
     // This daemon's feed may be late. The predecessor has acted by the rows that the store had at the takeover.
@@ -81,6 +84,9 @@
         engine.apply_config(&config);
     }
     restore_jobs(kernel, &mut engine, &jobs?, &progress?);
+    // The key says all, so that a row of another version counts as well.
+    let withdrawn = withdrawals?.into_iter().map(|row| row.key.as_str().into());
+    engine.restore_withdrawals(withdrawn, kernel.clock.now());
     restore_start_pools(&mut engine, &start_pools?);
     let recorded = restore_silent_records(&mut engine, &silent?);
     restore_waves(kernel, &mut engine, &waves?);
--- a/crates/plugins/src/fleet/view.rs
+++ b/crates/plugins/src/fleet/view.rs
@@ -14,6 +14,7 @@
 use wasabiswitch_kernel::http::control::{Access, ControlReply, ControlRequest, ControlResult};
 use wasabiswitch_kernel::http::problem::{Code, NO_OWNER, NOT_FOUND, Problem};
 use wasabiswitch_kernel::plugin::{PlatformKind, Plugin, Registration};
+use wasabiswitch_kernel::tables::Term;
 use wasabiswitch_policy::fleet::Engine;
 use wasabiswitch_policy::fleet::evacuation::EvacuationView;
 use wasabiswitch_policy::fleet::spec::ResourceVector;
@@ -48,7 +49,7 @@
 inventory::submit! { Registration(plugin) }
 
 async fn show_fleet(kernel: Arc<Kernel>, request: ControlRequest) -> ControlResult {
-    let view = with_engine(&kernel, |engine| Ok(fleet_json(&kernel, engine)));
+    let view = with_acting_term(&kernel, |term| Ok(fleet_json(&kernel, &term.engine)));
     match view {
         Some(view) => view.map(|view| ControlReply::json(&view)),
         None => forward_to_owner(&kernel, &request, FLEET_PATH).await,
@@ -57,9 +58,13 @@
 
 async fn show_job(kernel: Arc<Kernel>, request: ControlRequest) -> ControlResult {
     let id = request.param("id").to_owned();
-    let view = with_engine(&kernel, |engine| match engine.view_job(&id) {
+    let view = with_acting_term(&kernel, |term| match term.engine.view_job(&id) {
         Some(job) => Ok(job_json(&id, &job)),
-        None => Err(Problem::not_run(NOT_FOUND, format!("there is no job {id}"))),
+        None => {
+            let place = term.locate(&id).as_str();
+            let detail = format!("there is no accepted job {id}, its submission is {place}");
+            Err(Problem::not_run(NOT_FOUND, detail))
+        }
     });
     match view {
         Some(view) => view.map(|view| ControlReply::json(&view)),
@@ -67,13 +72,12 @@
     }
 }
 
-/// Returns the result of `show` for the engine, or `None` if this daemon does not own the fleet or may not act.
-fn with_engine<T>(kernel: &Kernel, show: impl FnOnce(&Engine) -> T) -> Option<T> {
+/// Returns the result of `show` for the term, or `None` if this daemon does not own the fleet or may not act.
+fn with_acting_term<T>(kernel: &Kernel, show: impl FnOnce(&Term) -> T) -> Option<T> {
     if !is_acting(kernel) {
         return None;
     }
-    let term = kernel.tables.term.lock();
-    term.as_ref().map(|term| show(&term.engine))
+    kernel.tables.term.lock().as_ref().map(show)
 }
 
 /// Forwards a request to the owner and returns the owner's response.
--- a/crates/plugins/src/fleet/writer.rs
+++ b/crates/plugins/src/fleet/writer.rs
@@ -20,13 +20,14 @@
 use wasabiswitch_policy::fleet::ownership::{OWNER_RENEWAL_INTERVAL, OwnerRow, SHARDS};
 use wasabiswitch_policy::fleet::progress::ProgressChanges;
 use wasabiswitch_policy::fleet::state::JobKey;
+use wasabiswitch_policy::fleet::withdrawals::{WithdrawalChanges, WithdrawalRow};
 use wasabiswitch_policy::ids::JobId;
 use wasabiswitch_wire::{decode, encode};
 
 use super::ownership::owner_row_name;
 use super::port;
 use super::takeover::{
-    JOB_TABLE, PROGRESS_TABLE, SILENT_WORKER_TABLE, START_POOL_TABLE, WAVE_TABLE,
+    JOB_TABLE, PROGRESS_TABLE, SILENT_WORKER_TABLE, START_POOL_TABLE, WAVE_TABLE, WITHDRAWAL_TABLE,
 };
 use super::term::STORE_OUTAGE_MAX;
 
@@ -57,6 +58,7 @@
 struct Batch {
     accepts: Vec<PendingAccept>,
     changes: ProgressChanges,
+    withdrawals: WithdrawalChanges,
     flush_waiters: Vec<oneshot::Sender<()>>,
     waves: Vec<(WaveNumber, WaveProgress)>,
     /// Ended jobs, of which this write leaves only the progress row.
@@ -166,6 +168,8 @@
         }
         // The owner's row counts twice, since it is both expected and put.
         let mut rows_left = ROWS_MAX.saturating_sub(2 + waves.len() + accepts.len());
+        let withdrawals = term.engine.take_withdrawals(rows_left, now);
+        rows_left -= withdrawals.rows();
         let changes = term.engine.take_changes(rows_left);
         rows_left -= changes.rows();
         // Flush waiters are notified only by the write that contains the last of the pending progress.
@@ -178,6 +182,7 @@
         Batch {
             accepts,
             changes,
+            withdrawals,
             waves,
             flush_waiters: if is_complete {
                 std::mem::take(&mut term.flush_waiters)
@@ -334,6 +339,11 @@
             let row = row_name(SILENT_WORKER_TABLE, worker.to_string());
             puts.push((row, Bytes::from(encode(record))));
         }
+        let withdrawal = WithdrawalRow { recorded_by: self.row.fence };
+        for job in &batch.withdrawals.added {
+            let row = row_name(WITHDRAWAL_TABLE, job.to_string());
+            puts.push((row, Bytes::from(encode(&withdrawal))));
+        }
         for (number, progress) in &batch.waves {
             puts.push((row_name(WAVE_TABLE, number.to_string()), Bytes::from(encode(progress))));
         }
@@ -343,7 +353,10 @@
         let unused = unused.map(|job| row_name(START_POOL_TABLE, job.to_string()));
         let answering = batch.changes.answering_workers.iter();
         let answering = answering.map(|id| row_name(SILENT_WORKER_TABLE, id.to_string()));
-        let removes = retired.chain(unused).chain(expired).chain(answering).collect();
+        let forgotten = batch.withdrawals.expired.iter();
+        let forgotten = forgotten.map(|job| row_name(WITHDRAWAL_TABLE, job.to_string()));
+        let removes = retired.chain(unused).chain(expired).chain(answering);
+        let removes = removes.chain(forgotten).collect();
         RowTx { expected: vec![(owner, self.version)], puts, removes }
     }
 
@@ -403,6 +416,8 @@
             term.write_failing_since = None;
             term.last_write_duration = now.saturating_duration_since(sent);
             term.engine.confirm_changes(&batch.changes);
+            // Before the jobs, which a stored withdrawal cancels at once.
+            term.engine.confirm_withdrawals(&batch.withdrawals);
             term.engine.mark_retired(&batch.retired);
             for pending in batch.accepts {
                 notify_waiters(
--- a/crates/policy/src/fleet/mod.rs
+++ b/crates/policy/src/fleet/mod.rs
@@ -30,6 +30,7 @@
 //! | [`worker_ends`] | evidence in a list of instances that a worker has ended |
 //! | [`advice`] | workers that the advice service allows for a step |
 //! | [`admission`] | refusal of jobs at submission |
+//! | [`withdrawals`] | cancellations of jobs that have not been accepted |
 //! | [`overload`] | choice of the jobs that get the capacity of a pool while it is too small for all |
 //! | [`room`] | room of a pool for waiting tasks |
 //! | [`claims`] | claims of jobs on that room, and their choice |
@@ -86,6 +87,7 @@
 pub mod surplus;
 pub mod unconfirmed;
 pub mod view;
+pub mod withdrawals;
 pub mod worker;
 pub mod worker_ends;
 
--- a/crates/policy/src/fleet/progress.rs
+++ b/crates/policy/src/fleet/progress.rs
@@ -90,6 +90,7 @@
         !self.unpersisted.is_empty()
             || !self.unpersisted_start_pools.is_empty()
             || self.has_silent_record_changes()
+            || !self.unpersisted_withdrawals.is_empty()
     }
 
     /// Takes progress that has not been persisted, for at most `rows_max` rows.
--- a/crates/policy/src/fleet/state.rs
+++ b/crates/policy/src/fleet/state.rs
@@ -25,6 +25,7 @@
 use super::start_pools::StartPools;
 use super::surplus::TargetHistory;
 use super::unconfirmed::{SilentWorkers, UnconfirmedCharge};
+use super::withdrawals::Withdrawals;
 pub use super::worker::{Cordon, Orphan, Worker, WorkerEntry};
 use crate::ids::{InstanceId, JobId, PoolId, QueueId, TeamId};
 
@@ -176,6 +177,10 @@
     pub(super) refused: BTreeMap<JobId, Instant>,
     /// Jobs that have been admitted and are not persisted yet.
     pub(super) admitted: BTreeMap<JobId, AdmittedJob>,
+    /// Ids of jobs that were cancelled before they were accepted.
+    pub(super) withdrawals: Withdrawals,
+    /// Withdrawn ids that no write has taken yet.
+    pub(super) unpersisted_withdrawals: BTreeSet<JobId>,
     /// Claims on each pool with which submissions were decided last.
     pub(super) recent_claims: BTreeMap<PoolId, RecentClaims>,
     /// Work of the last submitted jobs of each queue.
@@ -251,6 +256,8 @@
             run_times: BTreeMap::new(),
             refused: BTreeMap::new(),
             admitted: BTreeMap::new(),
+            withdrawals: Withdrawals::new(),
+            unpersisted_withdrawals: BTreeSet::new(),
             recent_claims: BTreeMap::new(),
             recent_work: BTreeMap::new(),
             retry_at: BTreeMap::new(),
@@ -337,7 +344,7 @@
         Some(TaskRef { job, occurrence, step, index })
     }
 
-    /// Adds a job that has been accepted and persisted.
+    /// Adds a job that has been accepted and persisted; it ends at once if it was cancelled meanwhile.
     pub fn accept(
         &mut self,
         submission: Submission,
@@ -345,8 +352,9 @@
         now: Instant,
         unix_ms: u64,
     ) {
-        let fence = self.fence;
+        let (fence, id) = (self.fence, submission.job.clone());
         self.insert_job(submission, queue_settings, fence, now, unix_ms);
+        self.cancel_if_withdrawn(&id, now);
     }
 
     pub(super) fn insert_job(
--- a/crates/policy/tests/fleet_engine/main.rs
+++ b/crates/policy/tests/fleet_engine/main.rs
@@ -24,5 +24,6 @@
 mod split_brain;
 mod successor;
 mod transition;
+mod withdrawals;
 mod worker_capacity;
 mod workers_leaving_at_takeover;
--- a/crates/wire/src/fleet_types.rs
+++ b/crates/wire/src/fleet_types.rs
@@ -14,6 +14,7 @@
 use wasabiswitch_policy::fleet::spec::{ResourceVector, Step, Submission};
 use wasabiswitch_policy::fleet::start_pools::StartPoolsRow;
 use wasabiswitch_policy::fleet::state::{Phase, QueueSettings, TaskName};
+use wasabiswitch_policy::fleet::withdrawals::WithdrawalRow;
 
 use crate::{wire_enum, wire_struct};
 
@@ -53,6 +54,7 @@
 wire_struct!(StartPoolsRow { pools });
 wire_struct!(TaskName { job, occurrence, step, index });
 wire_struct!(SilentWorkerRow { tasks });
+wire_struct!(WithdrawalRow { recorded_by });
 wire_struct!(WaveProgress { begun });
 wire_struct!(OwnerRow { daemon, incarnation, address, fence, writes, released, processor_milli });
 
