--- a/crates/daemon/tests/soak/daemons.rs
+++ b/crates/daemon/tests/soak/daemons.rs
@@ -80,7 +80,7 @@
             r#"{{"daemon": "d{number}", "data_centre": "dc", "entry_listen": "{entry}",
                 "control_listen": "{control}", "peer_key": "peer-key-of-the-soak",
                 {stop_settings}, "platform": {{"fleet": {{
-                "store": "{store}", "instances": "{store}", "readiness_listen": "{ready}"}}}}}}"#
+                "store": "{store}", "instances": "{store}", "advice": "{store}", "readiness_listen": "{ready}"}}}}}}"#
         );
         let name = format!("wasabiswitch-soak-{}-{}.json", std::process::id(), entry.port());
         let settings = std::env::temp_dir().join(name);
--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -3,7 +3,8 @@
 //! Each daemon reaches the platform's stand-in through a proxy of its own, which closes, stalls or delays its
 //! connections, and at an address of its own, where the store refuses its calls, hangs or loses its responses. The
 //! processes are stopped, paused, killed and restarted, one after the other and at the same time, while jobs are
-//! submitted to any of the daemons and some are cancelled, also by callers that have left before the answer, their queue changes its pool, workers restart, and odd entries
+//! submitted to any of the daemons and some are cancelled, also by callers that have left before the answer, some queue needs
+//! advice from a service that works on one call at a time, their queue changes its pool, workers restart, and odd entries
 //! appear in the platform's lists. Every accepted job must complete or be cancelled, no task may run twice at the same time, and no worker may
 //! get more tasks than it has room for.
 //!
@@ -52,6 +53,8 @@
 const OTHER_POOL_WORKER_COUNT: usize = 2;
 /// Share of the accepted jobs that are cancelled: one in this number.
 const CANCELLED_JOB_INTERVAL: u8 = 6;
+/// Share of the submissions to the queue with advice: one in this number, which keeps the service half busy.
+const ADVISED_JOB_INTERVAL: u8 = 6;
 /// Share of the submissions whose caller leaves before the answer and cancels the job: one in this number.
 const ABANDONED_JOB_INTERVAL: u8 = 6;
 /// Range of the time for which such a caller stays, in milliseconds.
@@ -114,7 +117,8 @@
             daemons.inject_fault(&mut rng).await;
         }
         number += 1;
-        let job = format!("/q/{:016x}", seed << 16 | number);
+        let queue = if rng.u8(0..ADVISED_JOB_INTERVAL) == 0 { "advised" } else { "q" };
+        let job = format!("/{queue}/{:016x}", seed << 16 | number);
         let body = job_body(&mut rng);
         if rng.u8(0..ABANDONED_JOB_INTERVAL) == 0 {
             abandoned.extend(abandon_submission(&daemons, &mut rng, &job, &body).await);
--- a/crates/kernel/src/metric.rs
+++ b/crates/kernel/src/metric.rs
@@ -107,6 +107,10 @@
         "Starts of tasks that were sent, by outcome.";
     WORKER_REPORTS = "wasabiswitch_worker_reports_total", Counter,
         "Reports of workers that were asked for, by outcome.";
+    ADVICE_CALLS = "wasabiswitch_advice_calls_total", Counter,
+        "Calls of the owner to the advice service, by outcome.";
+    ADVICE_WAITING = "wasabiswitch_advice_waiting", Gauge,
+        "Steps that wait for a call to the advice service, at the owner.";
     OWNER_WRITES = "wasabiswitch_owner_writes_total", Counter,
         "Writes of the owner to the store, by outcome.";
     OWNER_WRITE_SECONDS = "wasabiswitch_owner_write_seconds", Histogram,
--- a/crates/plugins/src/fleet/instances.rs
+++ b/crates/plugins/src/fleet/instances.rs
@@ -39,6 +39,7 @@
         plans += 1;
         if plans.is_multiple_of(PLANS_PER_LOG_LINE) {
             log_pools(&kernel, fence);
+            report_advice(&kernel, fence);
         }
         evacuation::report(&kernel, fence);
         for order in plan(&kernel, fence) {
@@ -56,6 +57,22 @@
     }
 }
 
+/// Logs and records how many steps wait for a call to the advice service.
+fn report_advice(kernel: &Kernel, fence: u64) {
+    let now = kernel.clock.now();
+    let Some(load) = with_term(kernel, fence, |term| term.engine.advice_load(now)) else { return };
+    metrics::gauge!(metric::ADVICE_WAITING).set(load.waiting as f64);
+    if load.waiting > 0 {
+        log::info!(
+            "steps wait for advice waiting={} oldest_ms={} under_way={} given_up={}",
+            load.waiting,
+            load.oldest.as_millis(),
+            load.under_way,
+            load.given_up
+        );
+    }
+}
+
 fn is_active(kernel: &Kernel, fence: u64) -> bool {
     let is_active = |term: &mut Term| {
         !term.engine.pending_moves.is_empty()
--- a/crates/plugins/src/fleet/workers.rs
+++ b/crates/plugins/src/fleet/workers.rs
@@ -7,12 +7,13 @@
 use tokio::time::sleep;
 use wasabiswitch_kernel::platform::PlatformResult;
 use wasabiswitch_kernel::platform::fleet::{
-    AdviceRequest, HoldOrder, RunOrder, StartOrder, WorkerReply, WorkerTarget,
+    AdviceRequest, AdviceResponse, HoldOrder, RunOrder, StartOrder, WorkerReply, WorkerTarget,
 };
 use wasabiswitch_kernel::tasks::TaskTree;
 use wasabiswitch_kernel::{Kernel, metric};
 use wasabiswitch_policy::Verdict;
 use wasabiswitch_policy::fleet::Engine;
+use wasabiswitch_policy::fleet::advice::AdviceOutcome;
 use wasabiswitch_policy::fleet::lease_bounds::OrderOutcome;
 use wasabiswitch_policy::fleet::order_fence::PROMPT_REPORT_INTERVAL;
 use wasabiswitch_policy::fleet::outcomes::{StartAnswer, StartOutcome};
@@ -473,25 +474,51 @@
     let Some(ids) = ids else { return };
     let sent = kernel.clock.now();
     let request = AdviceRequest { step: name.clone(), workers: ids };
-    let answer = match (port(kernel).advise)(request).await {
-        Ok(answer) => {
-            log::info!(
-                "advice received job={} step={} granted={}",
-                name.job,
-                name.step,
-                answer.grants.len()
-            );
-            Some((answer.grants, answer.valid))
+    let reply = await_advice(kernel, fence, step, request).await;
+    let now = kernel.clock.now();
+    let call = || {
+        let took_ms = now.saturating_duration_since(sent).as_millis();
+        format!("job={} step={} workers={} took_ms={took_ms}", name.job, name.step, workers.len())
+    };
+    let (label, outcome) = match reply {
+        Some(Ok(AdviceResponse { grants, valid: validity })) => {
+            log::info!("advice received {} granted={}", call(), grants.len());
+            ("answered", AdviceOutcome::Answered { grants, validity })
         }
-        Err(error) => {
-            log::warn!("advice not received job={} step={} reason={error}", name.job, name.step);
-            None
+        Some(Err(error)) => {
+            log::warn!("advice not received {} reason={error}", call());
+            ("failed", AdviceOutcome::Failed)
+        }
+        None => {
+            log::warn!("call for advice given up {}", call());
+            ("given-up", AdviceOutcome::GivenUp)
         }
     };
-    with_term(kernel, fence, |term| term.engine.apply_advice(&step, &workers, answer, sent));
+    metrics::counter!(metric::ADVICE_CALLS, "outcome" => label).increment(1);
+    with_term(kernel, fence, |term| term.engine.apply_advice(&step, &workers, outcome, now));
     kernel.wake_signals.plan.notify_one();
 }
 
+/// Waits for the answer to a call for advice; returns `None` if the call has to be given up.
+async fn await_advice(
+    kernel: &Arc<Kernel>,
+    fence: u64,
+    step: TaskRef,
+    request: AdviceRequest,
+) -> Option<PlatformResult<AdviceResponse>> {
+    let call = (port(kernel).advise)(request);
+    tokio::pin!(call);
+    loop {
+        let now = kernel.clock.now();
+        let left = with_term(kernel, fence, |term| term.engine.advice_time_left(&step, now));
+        let left = left.flatten().filter(|left| !left.is_zero())?;
+        tokio::select! {
+            reply = &mut call => return Some(reply),
+            () = sleep(left) => {}
+        }
+    }
+}
+
 /// Logs a start that got no answer, or one that another incarnation of the worker than the known one has answered, as the clock
 /// in the answer shows.
 fn log_start_answer(
--- a/crates/policy/src/fleet/plan.rs
+++ b/crates/policy/src/fleet/plan.rs
@@ -111,6 +111,7 @@
             Some(limit) => limit.saturating_sub(self.count_starts_under_way(now)),
             None => usize::MAX,
         };
+        self.begin_advice_plan();
         self.plan_starts(&mut budget, now, &mut orders, events);
         self.starts_held_back = budget == 0;
         self.plan_paces(&mut orders);
@@ -281,7 +282,7 @@
                 continue;
             }
             let allowed = match requires_advice {
-                true => self.workers_with_tickets(&task, workers, now, orders),
+                true => self.usable_workers_with_ticket(&task, workers, now),
                 false => workers.to_vec(),
             };
             let orders_before = orders.len();
@@ -292,26 +293,32 @@
                     self.start_tasks(tasks, &allowed, now, orders, events);
                 }
             }
-            *budget = budget.saturating_sub(orders.len() - orders_before);
+            let started = orders.len() - orders_before;
+            *budget = budget.saturating_sub(started);
+            if requires_advice && *budget > 0 && self.has_team_room(&waiting[0]) {
+                let left = waiting.len().saturating_sub(started);
+                orders.extend(self.request_advice(&task, left, workers, now));
+            }
         }
     }
 
-    /// Returns the workers for which a step has tickets, and appends an order to request further tickets.
-    fn workers_with_tickets(
-        &mut self,
+    /// Returns the usable workers for which a step has tickets.
+    fn usable_workers_with_ticket(
+        &self,
         step: &TaskRef,
         workers: &[WorkerKey],
         now: Instant,
-        orders: &mut Vec<Order>,
     ) -> Vec<WorkerKey> {
-        let requested = self.request_advice(step, workers, now);
-        if let Some(name) = self.task_name(step).filter(|_| !requested.is_empty()) {
-            orders.push(Order::Advise { step: *step, name, workers: requested });
-        }
         let ticketed = self.workers_with_ticket(step, now);
         workers.iter().copied().filter(|key| ticketed.contains(key)).collect()
     }
 
+    /// Returns whether the team of a task may have another one like it running.
+    fn has_team_room(&self, task: &TaskRef) -> bool {
+        let Some((resources, _, team)) = self.task_resources(task) else { return false };
+        self.teams.get(&team).is_none_or(|team| team.admits(&resources))
+    }
+
     /// Returns the first task of each incomplete step whose dependencies have completed.
     fn ready_steps(&self, key: JobKey) -> Vec<TaskRef> {
         let job = &self.jobs[key];
--- a/crates/policy/src/fleet/state.rs
+++ b/crates/policy/src/fleet/state.rs
@@ -8,7 +8,7 @@
 use wasabiswitch_derive::derives;
 
 use super::admission::RecentClaims;
-use super::advice::Advice;
+use super::advice::{Advice, AdviceCalls};
 use super::demand_forecast::DemandForecast;
 use super::evacuation::Evacuations;
 pub use super::job::{Job, Occurrence, Phase, Run, RunState, StepState, Task, TaskName, TaskRef};
@@ -189,6 +189,8 @@
     pub(super) retry_at: BTreeMap<PoolId, Instant>,
     /// Responses of the advice service, by the first task of each step.
     pub(super) advice: BTreeMap<TaskRef, Advice>,
+    /// Calls to the advice service, and the steps that wait for one.
+    pub(super) advice_calls: AdviceCalls,
     /// Workers that may be running tasks of an earlier owner.
     pub(super) silent_workers: SilentWorkers,
     /// Changes in what tasks wait for that have not been taken yet.
@@ -262,6 +264,7 @@
             recent_work: BTreeMap::new(),
             retry_at: BTreeMap::new(),
             advice: BTreeMap::new(),
+            advice_calls: AdviceCalls::default(),
             silent_workers: SilentWorkers::default(),
             wait_changes: Vec::new(),
             silent_records: BTreeMap::new(),
--- a/crates/policy/tests/fleet_engine/main.rs
+++ b/crates/policy/tests/fleet_engine/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the job engine against simulated workers, with orders whose answers are lost, or which are
 //! delivered late or executed twice.
 
+mod advice;
 mod bursts;
 mod demand_forecast;
 mod ends_on_record;
--- a/crates/policy/tests/fleet_engine/restarted_worker.rs
+++ b/crates/policy/tests/fleet_engine/restarted_worker.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use wasabiswitch_policy::fleet::advice::AdviceOutcome;
 use wasabiswitch_policy::fleet::lease::{ClockSample, WORKER_CLOCK_RATE_MIN};
 use wasabiswitch_policy::fleet::lease_bounds::OrderOutcome;
 use wasabiswitch_policy::fleet::maintenance::Wave;
@@ -448,8 +449,9 @@
     let task = TaskRef { job, occurrence: 0, step: 0, index: 0 };
     let key = sim.engine.worker_key("w0").expect("the engine knows the worker");
     let grants = vec![("w0".into(), "of the former incarnation".to_owned())];
-    let (now, valid) = (sim.now, 3 * SECOND);
-    sim.engine.apply_advice(&task, &[key], Some((grants, valid)), now);
+    let now = sim.now;
+    let outcome = AdviceOutcome::Answered { grants, validity: 3 * SECOND };
+    sim.engine.apply_advice(&task, &[key], outcome, now);
     let orders = sim.engine.plan(now, &mut Vec::new());
     assert!(matches!(orders[..], [Order::Start { .. }]), "{orders:?}");
     let refused = StartOutcome::NoTicket.into();
--- a/crates/policy/tests/fleet_engine/simulation.rs
+++ b/crates/policy/tests/fleet_engine/simulation.rs
@@ -3,6 +3,7 @@
 //! The checker is a reference implementation of the rules: at each start it looks at all workers, and it
 //! does not use leases, fences or attempt numbers.
 
+mod advice;
 mod checks;
 mod restarts;
 mod terms;
@@ -12,6 +13,7 @@
 
 use fastrand::Rng;
 use wasabiswitch_policy::fleet::Engine;
+use wasabiswitch_policy::fleet::advice::AdviceOutcome;
 use wasabiswitch_policy::fleet::config::FleetConfig;
 use wasabiswitch_policy::fleet::lease_bounds::OrderOutcome;
 use wasabiswitch_policy::fleet::outcomes::{StartAnswer, StartOutcome};
@@ -23,9 +25,11 @@
 use wasabiswitch_policy::fleet::start_pools::StartPoolsRow;
 use wasabiswitch_policy::fleet::state::{TaskName, TaskRef, WorkerEntry, WorkerKey};
 use wasabiswitch_policy::ids::{InstanceId, JobId, OrderFence};
+use wasabiswitch_standin::fleet::advice::AdviceQueue;
 use wasabiswitch_standin::fleet::single_queue_config;
 use wasabiswitch_standin::fleet_worker::{FakeStart, FakeWorker};
 
+use self::advice::AdviceCall;
 use self::checks::cap_milli;
 pub use crate::fixtures::{instance, limits, queue_settings, step, submission, worker_entry};
 use crate::instance_service::InstanceService;
@@ -164,6 +168,9 @@
     acknowledged_done: BTreeSet<TaskName>,
     next_report: BTreeMap<WorkerKey, Instant>,
     writes_paused: bool,
+    /// Advice service with a queue; without one, all requests are answered at once.
+    pub advice_queue: Option<AdviceQueue>,
+    advice_calls: Vec<AdviceCall>,
     /// Instance service; while it has no instances, workers stay in their pools.
     pub instance_service: InstanceService,
 }
@@ -225,6 +232,8 @@
             acknowledged_done: BTreeSet::new(),
             next_report: BTreeMap::new(),
             writes_paused: false,
+            advice_queue: None,
+            advice_calls: Vec::new(),
             instance_service: InstanceService::default(),
         };
         sim.take_over();
@@ -425,6 +434,7 @@
         self.plan();
         self.deliver();
         self.deliver_late_holds();
+        self.apply_advice();
         self.apply_late_answers();
         if self.rng.u8(0..6) == 0 && !self.writes_paused {
             self.write_progress();
@@ -488,13 +498,16 @@
 
     fn send(&mut self, order: Order) {
         let worker = match &order {
+            Order::Advise { step, workers, .. } if self.advice_queue.is_some() => {
+                return self.request_advice(*step, workers.clone());
+            }
             Order::Advise { step, workers, .. } => {
                 // The advice service grants tickets for the first half of the requested workers.
                 let granted = workers.iter().take(workers.len().div_ceil(2));
                 let id = |key: &WorkerKey| self.engine.workers[*key].entry.id.clone();
                 let grants = granted.map(|key| (id(key), format!("ticket-{}", id(key)))).collect();
-                let answer = Some((grants, Duration::from_secs(3)));
-                self.engine.apply_advice(step, workers, answer, self.now);
+                let outcome = AdviceOutcome::Answered { grants, validity: Duration::from_secs(3) };
+                self.engine.apply_advice(step, workers, outcome, self.now);
                 return;
             }
             Order::Start { worker, .. }
--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 //! detect the violations that these mechanisms fail to prevent. Every call first takes the next fault from
 //! [`Faults`], except the feed of the directory.
 
+pub mod advice;
 mod port;
 mod state;
 
@@ -25,6 +26,7 @@
 use wasabiswitch_policy::fleet::state::{PoolSettings, QueueSettings, TaskName};
 use wasabiswitch_policy::ids::{BootId, InstanceId};
 
+use self::advice::AdviceQueue;
 pub use self::state::History;
 use self::state::{InstanceRecord, State};
 use crate::cluster::simulated_clock;
@@ -202,6 +204,11 @@
         workers.map(|worker| worker.runs.len()).sum()
     }
 
+    /// Adds an advice service.
+    pub fn set_advice(&self, queue: AdviceQueue) {
+        self.state().advice = Some(queue);
+    }
+
     /// Appends an item to the operator's rows.
     pub fn put_operator_item(&self, item: OperatorItem) {
         self.state().operator.push(item);
--- a/crates/standin/src/fleet/port.rs
+++ b/crates/standin/src/fleet/port.rs
@@ -5,7 +5,8 @@
 
 use futures_util::FutureExt as _;
 use wasabiswitch_kernel::platform::fleet::{
-    Cursor, FleetPort, HoldOrder, RunOrder, StartOrder, WatchResult, WorkerReply, WorkerTarget,
+    AdviceRequest, AdviceResponse, Cursor, FleetPort, HoldOrder, RunOrder, StartOrder, WatchResult,
+    WorkerReply, WorkerTarget,
 };
 use wasabiswitch_kernel::platform::{PlatformError, PlatformFn, PlatformResult};
 use wasabiswitch_policy::Verdict;
@@ -57,9 +58,7 @@
                 |_, _| Ok(WorkerReply::Done(())),
             ),
             hold: self.hold_function(),
-            advise: self.function(Operation::Read, CALL_TIMEOUT, |_, _| {
-                Err(PlatformError::not_run("there is no advice here"))
-            }),
+            advise: self.advise_function(),
             list_instances: self.function(Operation::List, CALL_TIMEOUT, |s, ()| {
                 let listed = |(id, record): (&InstanceId, &InstanceRecord)| {
                     (id.clone(), record.listed.clone())
@@ -176,6 +175,37 @@
         })
     }
 
+    /// Returns the function that calls the advice service; a caller that drops the call leaves it with the service.
+    fn advise_function(&self) -> PlatformFn<AdviceRequest, AdviceResponse> {
+        let standin = self.clone();
+        Arc::new(move |request: AdviceRequest| {
+            let standin = standin.clone();
+            async move {
+                let call = {
+                    let mut state = standin.state();
+                    let now = state.now;
+                    let Some(queue) = &mut state.advice else {
+                        return Err(PlatformError::not_run("there is no advice here"));
+                    };
+                    queue.arrive(request.workers, now)
+                };
+                let Some(call) = call else { return Err(PlatformError::not_run("answered 429")) };
+                loop {
+                    {
+                        let mut state = standin.state();
+                        let now = state.now;
+                        let queue = state.advice.as_mut().expect("the service stays");
+                        if let Some(grants) = queue.take_answer(call, now) {
+                            return Ok(AdviceResponse { grants, valid: queue.ticket_validity });
+                        }
+                    }
+                    tokio::time::sleep(POLL_INTERVAL).await;
+                }
+            }
+            .boxed()
+        })
+    }
+
     /// Returns the function that renews a worker's lease; it waits, up to the order's limit, for a run to end.
     fn hold_function(&self) -> PlatformFn<HoldOrder, WorkerReply<WorkerReport>> {
         let standin = self.clone();
--- a/crates/standin/src/fleet/state.rs
+++ b/crates/standin/src/fleet/state.rs
@@ -15,6 +15,7 @@
 use wasabiswitch_policy::fleet::state::{TaskName, WorkerEntry};
 use wasabiswitch_policy::ids::{DataCentre, InstanceId, PoolId};
 
+use super::advice::AdviceQueue;
 use super::{TASK_RESOURCES, WORKER_CAPACITY};
 use crate::fleet_worker::{FakeStart, FakeWorker};
 
@@ -56,6 +57,8 @@
     pub(super) waves_done: BTreeSet<WaveNumber>,
     /// Evacuated data centres, each with the time of the operator's write.
     pub(super) evacuations: BTreeMap<DataCentre, Instant>,
+    /// Advice service; without one, calls for advice fail.
+    pub(super) advice: Option<AdviceQueue>,
 }
 
 /// The history of starts, and the violations that the checks found.
@@ -84,6 +87,7 @@
             history: History::default(),
             waves_done: BTreeSet::new(),
             evacuations: BTreeMap::new(),
+            advice: None,
         }
     }
 
