--- a/crates/kernel/src/tables/fleet.rs
+++ b/crates/kernel/src/tables/fleet.rs
@@ -121,8 +121,10 @@
     pub refused_requests: BTreeMap<u64, Instant>,
     /// Callers that wait until all progress so far is stored.
     pub flush_waiters: Vec<oneshot::Sender<()>>,
-    /// Waves whose progress has changed since it was last stored.
+    /// Waves whose progress or calls have changed since they were last stored.
     pub waves_changed: BTreeSet<WaveNumber>,
+    /// Calls to the instance service that wait until their record is stored.
+    pub wave_record_waiters: Vec<oneshot::Sender<()>>,
     /// Whether a worker or the store has reported a newer owner.
     pub superseded: bool,
     /// Whether a daemon on a larger instance has requested the ownership.
--- a/crates/plugins/src/fleet/instances.rs
+++ b/crates/plugins/src/fleet/instances.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::sync::oneshot;
 use tokio::time::sleep;
 use wasabiswitch_kernel::platform::fleet::InstanceOrder;
 use wasabiswitch_kernel::tables::Term;
@@ -162,6 +163,9 @@
     instance: InstanceId,
     wave: WaveNumber,
 ) {
+    if !record_call(kernel, fence, wave, &instance).await {
+        return;
+    }
     let order = instance_order(kernel, fence, &instance, wave);
     let outcome = (port(kernel).start_maintenance)(order).await.unwrap_or(FleetOutcome::Unknown);
     log::info!("maintenance order instance={instance} wave={wave} outcome={outcome:?}");
@@ -175,6 +179,36 @@
     handle_outcome(kernel, fence, outcome);
 }
 
+/// Waits until the store has the record of a maintenance call, from which a successor counts it; returns whether the call is still to
+/// be sent.
+async fn record_call(
+    kernel: &Arc<Kernel>,
+    fence: u64,
+    wave: WaveNumber,
+    instance: &InstanceId,
+) -> bool {
+    let (sender, recorded) = oneshot::channel();
+    with_term(kernel, fence, |term| {
+        term.waves_changed.insert(wave);
+        term.wave_record_waiters.push(sender);
+    });
+    kernel.wake_signals.write.notify_one();
+    if recorded.await.is_err() {
+        log::info!("maintenance order not recorded instance={instance} wave={wave}");
+        return false;
+    }
+    let now = kernel.clock.now();
+    let is_due = with_term(kernel, fence, |term| {
+        if term.superseded || !may_act(term.confirmed_sent, now) {
+            let not_run = FleetOutcome::NotRun;
+            term.engine.apply_maintenance_outcome(wave, instance, not_run, now);
+            return false;
+        }
+        term.engine.begin_maintenance_call(wave, instance, now)
+    });
+    is_due == Some(true)
+}
+
 async fn move_instance(kernel: &Arc<Kernel>, fence: u64, instance: InstanceId, pool: PoolId) {
     let order = instance_order(kernel, fence, &instance, pool.clone());
     let outcome = (port(kernel).move_instance)(order).await.unwrap_or(FleetOutcome::Unknown);
--- a/crates/plugins/src/fleet/takeover.rs
+++ b/crates/plugins/src/fleet/takeover.rs
@@ -14,7 +14,9 @@
 };
 use wasabiswitch_kernel::platform::{PlatformError, PlatformResult};
 use wasabiswitch_policy::fleet::Engine;
-use wasabiswitch_policy::fleet::maintenance::{Instance, MaintenanceStage, Wave, WaveProgress};
+use wasabiswitch_policy::fleet::maintenance::{
+    Instance, MaintenanceStage, Wave, WaveCalls, WaveProgress,
+};
 use wasabiswitch_policy::fleet::progress::{JobRow, ProgressRow};
 use wasabiswitch_policy::fleet::reports::{ReportTiming, WorkerReport};
 use wasabiswitch_policy::fleet::silent_records::StoredSilentWorker;
@@ -37,6 +39,8 @@
 pub const WITHDRAWAL_TABLE: &str = "withdrawals";
 /// The table of the waves' progress.
 pub const WAVE_TABLE: &str = "waves";
+/// The table of the waves' calls to the instance service that may still be carried out.
+pub const WAVE_CALL_TABLE: &str = "wave_calls";
 /// Time limit for a worker's answer at a takeover. A worker without load answers within milliseconds; a
 /// daemon takes up to 0.2 s for hundreds of answers that arrive at once.
 const HOLD_TIMEOUT: Duration = Duration::from_millis(250);
@@ -63,7 +67,18 @@
     predecessor_deadline: Instant,
 ) -> PlatformResult<RebuiltEngine> {
     let started_at = kernel.clock.now();
-    let (operator, directory, instances, jobs, progress, start_pools, silent, withdrawals, waves) = tokio::join!(
+    let (
+        operator,
+        directory,
+        instances,
+        jobs,
+        progress,
+        start_pools,
+        silent,
+        withdrawals,
+        waves,
+        wave_calls,
+    ) = tokio::join!(
         (port(kernel).read_operator)(()),
         (port(kernel).read_directory)(()),
         (port(kernel).list_instances)(()),
@@ -73,6 +88,7 @@
         read_rows(kernel, SILENT_WORKER_TABLE),
         read_rows(kernel, WITHDRAWAL_TABLE),
         read_rows(kernel, WAVE_TABLE),
+        read_rows(kernel, WAVE_CALL_TABLE),
     );
     // This daemon's feed may be late. The predecessor has acted by the rows that the store had at the takeover.
     let (operator_items, operator_cursor) = operator?;
@@ -89,7 +105,7 @@
     engine.restore_withdrawals(withdrawn, kernel.clock.now());
     restore_start_pools(&mut engine, &start_pools?);
     let recorded = restore_silent_records(&mut engine, &silent?);
-    restore_waves(kernel, &mut engine, &waves?);
+    restore_waves(kernel, &mut engine, &waves?, &wave_calls?);
     for entry in items.into_iter().filter_map(listed_entry) {
         engine.upsert_worker(entry, kernel.clock.now());
     }
@@ -249,7 +265,7 @@
     count
 }
 
-fn restore_waves(kernel: &Kernel, engine: &mut Engine, rows: &[TableRow]) {
+fn restore_waves(kernel: &Kernel, engine: &mut Engine, rows: &[TableRow], calls: &[TableRow]) {
     let known = kernel.tables.fleet.lock().waves.clone();
     for (number, (request, seen)) in known {
         let deadline = seen + request.time_limit;
@@ -260,6 +276,15 @@
             // The instance may still be down; the list of instances shows when it is up.
             wave.stages.insert(instance, MaintenanceStage::Down(kernel.clock.now()));
         }
+        let row = calls.iter().find(|row| row.key == number.to_string());
+        let calls = row.and_then(|row| decode_row::<WaveCalls>(WAVE_CALL_TABLE, row));
+        wave.restore_calls(calls.into_iter().flat_map(|calls| calls.called), kernel.clock.now());
+        if !wave.calls.is_empty() {
+            log::info!(
+                "maintenance orders of a predecessor in doubt wave={number} orders={}",
+                wave.calls.len()
+            );
+        }
         engine.waves.insert(number, wave);
     }
 }
--- a/crates/plugins/src/fleet/term.rs
+++ b/crates/plugins/src/fleet/term.rs
@@ -105,6 +105,7 @@
         refused_requests: Default::default(),
         flush_waiters: Vec::new(),
         waves_changed: Default::default(),
+        wave_record_waiters: Vec::new(),
         superseded: false,
         hand_over_requested: false,
     });
--- a/crates/plugins/src/fleet/writer.rs
+++ b/crates/plugins/src/fleet/writer.rs
@@ -16,7 +16,7 @@
 use wasabiswitch_kernel::{Kernel, metric};
 use wasabiswitch_policy::Verdict;
 use wasabiswitch_policy::fleet::admission::ACCEPTS_PER_WRITE_MAX;
-use wasabiswitch_policy::fleet::maintenance::{WaveNumber, WaveProgress};
+use wasabiswitch_policy::fleet::maintenance::{WaveCalls, WaveNumber, WaveProgress};
 use wasabiswitch_policy::fleet::ownership::{OWNER_RENEWAL_INTERVAL, OwnerRow, SHARDS};
 use wasabiswitch_policy::fleet::progress::ProgressChanges;
 use wasabiswitch_policy::fleet::state::JobKey;
@@ -27,7 +27,8 @@
 use super::ownership::owner_row_name;
 use super::port;
 use super::takeover::{
-    JOB_TABLE, PROGRESS_TABLE, SILENT_WORKER_TABLE, START_POOL_TABLE, WAVE_TABLE, WITHDRAWAL_TABLE,
+    JOB_TABLE, PROGRESS_TABLE, SILENT_WORKER_TABLE, START_POOL_TABLE, WAVE_CALL_TABLE, WAVE_TABLE,
+    WITHDRAWAL_TABLE,
 };
 use super::term::STORE_OUTAGE_MAX;
 
@@ -60,7 +61,8 @@
     changes: ProgressChanges,
     withdrawals: WithdrawalChanges,
     flush_waiters: Vec<oneshot::Sender<()>>,
-    waves: Vec<(WaveNumber, WaveProgress)>,
+    waves: Vec<(WaveNumber, WaveProgress, WaveCalls)>,
+    wave_record_waiters: Vec<oneshot::Sender<()>>,
     /// Ended jobs, of which this write leaves only the progress row.
     retired: Vec<(JobKey, JobId)>,
     /// Jobs whose row of start pools this write removes, because they are retired.
@@ -132,6 +134,7 @@
         let has_waiters = guard.as_ref().is_some_and(|term| {
             !term.accepts.is_empty()
                 || !term.flush_waiters.is_empty()
+                || !term.wave_record_waiters.is_empty()
                 || term.engine.has_record_removals()
                 || term.superseded
                 || term.hand_over_requested
@@ -156,9 +159,10 @@
         let waves = std::mem::take(&mut term.waves_changed);
         let waves = waves.into_iter().filter_map(|number| {
             let wave = term.engine.waves.get(&number)?;
-            Some((number, WaveProgress { begun: wave.begun() }))
+            Some((number, WaveProgress { begun: wave.begun() }, wave.calls_row()))
         });
-        let waves: Vec<(WaveNumber, WaveProgress)> = waves.collect();
+        let waves: Vec<(WaveNumber, WaveProgress, WaveCalls)> = waves.collect();
+        let wave_record_waiters = std::mem::take(&mut term.wave_record_waiters);
         let mut accepts = Vec::new();
         while accepts.len() < ACCEPTS_PER_WRITE_MAX
             && let Some((job, mut pending)) = term.accepts.pop_first()
@@ -167,7 +171,7 @@
             accepts.push(pending);
         }
         // The owner's row counts twice, since it is both expected and put.
-        let mut rows_left = ROWS_MAX.saturating_sub(2 + waves.len() + accepts.len());
+        let mut rows_left = ROWS_MAX.saturating_sub(2 + 2 * waves.len() + accepts.len());
         let withdrawals = term.engine.take_withdrawals(rows_left, now);
         rows_left -= withdrawals.rows();
         let changes = term.engine.take_changes(rows_left);
@@ -184,6 +188,7 @@
             changes,
             withdrawals,
             waves,
+            wave_record_waiters,
             flush_waiters: if is_complete {
                 std::mem::take(&mut term.flush_waiters)
             } else {
@@ -319,6 +324,7 @@
         }
         term.write_waiters.clear();
         term.flush_waiters.clear();
+        term.wave_record_waiters.clear();
     }
 
     fn transaction(&self, batch: &Batch) -> RowTx {
@@ -344,8 +350,9 @@
             let row = row_name(WITHDRAWAL_TABLE, job.to_string());
             puts.push((row, Bytes::from(encode(&withdrawal))));
         }
-        for (number, progress) in &batch.waves {
+        for (number, progress, calls) in &batch.waves {
             puts.push((row_name(WAVE_TABLE, number.to_string()), Bytes::from(encode(progress))));
+            puts.push((row_name(WAVE_CALL_TABLE, number.to_string()), Bytes::from(encode(calls))));
         }
         let retired = batch.retired.iter().map(|(_, job)| row_name(JOB_TABLE, job.to_string()));
         let expired = batch.expired.iter().map(|job| row_name(PROGRESS_TABLE, job.to_string()));
@@ -428,7 +435,7 @@
                 term.engine.accept(row.submission, row.queue_settings, now, unix_ms);
             }
         }
-        for waiter in batch.flush_waiters {
+        for waiter in batch.flush_waiters.into_iter().chain(batch.wave_record_waiters) {
             let _ = waiter.send(());
         }
         self.kernel.wake_signals.plan.notify_one();
--- a/crates/policy/src/fleet/maintenance.rs
+++ b/crates/policy/src/fleet/maintenance.rs
@@ -2,8 +2,11 @@
 //!
 //! An instance is cordoned first, so that its short tasks can complete and its long-running tasks are moved
 //! within their steps' limits of unavailable tasks. It goes down when it is empty, or when its short tasks
-//! have had a bounded time, since the wave would miss its deadline otherwise. A call that takes an instance
-//! down is idempotent, so a new owner repeats it.
+//! have had a bounded time, since the wave would miss its deadline otherwise.
+//!
+//! A call that takes an instance down may be carried out seconds after it was sent, also if it got no answer. It therefore takes a place
+//! among those that may be down at once until an answer settles it or it cannot arrive any more. It is recorded in the store before it
+//! is sent, so that a successor counts it. It is idempotent, and is repeated for the same instance.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
@@ -11,6 +14,7 @@
 use wasabiswitch_derive::derives;
 
 use super::lease::longest_time_of;
+use super::outcomes::DELIVERY_DELAY_MAX;
 use super::placement::UNRESPONSIVE_AFTER;
 use super::reports::JobEvent;
 use super::state::{Cordon, Engine, TaskRef, WorkerKey};
@@ -34,6 +38,10 @@
 /// Delay before a call whose outcome is unknown is repeated.
 pub const UNKNOWN_CALL_RETRY_DELAY: Duration = Duration::from_millis(1_200);
 
+/// Maximum delay with which a call to the instance service is carried out; the platform states up to 12 s, and the rest is
+/// margin.
+const CALL_DELIVERY_MAX: Duration = DELIVERY_DELAY_MAX;
+
 /// State of an instance, as the instance service reports it.
 #[derives(value)]
 pub enum InstanceState {
@@ -71,7 +79,7 @@
     Waiting,
     /// The instance has been cordoned since this time.
     Draining(Instant),
-    /// The call was sent at this time, and its outcome is not known yet.
+    /// A call was planned at this time, and its outcome is not known yet.
     Called(Instant),
     /// The instance went down at this time.
     Down(Instant),
@@ -79,6 +87,23 @@
     Done,
 }
 
+/// A call to take an instance down that an answer has not settled.
+#[derives(value)]
+#[derive(Default)]
+pub struct MaintenanceCall {
+    /// Time at which the call was sent last; `None` while it waits for its record.
+    pub sent: Option<Instant>,
+    /// Time by which earlier calls without an answer, also of an earlier owner, have been carried out if they ever are.
+    pub in_doubt_until: Option<Instant>,
+}
+
+impl MaintenanceCall {
+    /// Returns the time by which all calls so far have been carried out if they ever are; `None` if there was none.
+    fn doubt_ends(&self) -> Option<Instant> {
+        self.in_doubt_until.max(self.sent.map(|sent| sent + CALL_DELIVERY_MAX))
+    }
+}
+
 /// A maintenance wave.
 #[derives(record)]
 pub struct Wave {
@@ -88,6 +113,8 @@
     pub deadline: Instant,
     /// Stage of each instance of the wave.
     pub stages: BTreeMap<InstanceId, MaintenanceStage>,
+    /// Calls that no answer has settled.
+    pub calls: BTreeMap<InstanceId, MaintenanceCall>,
     /// State last reported to the operator, if any: `true` for done, `false` for running.
     pub reported: Option<bool>,
 }
@@ -96,7 +123,27 @@
     /// Creates a wave with all instances waiting.
     pub fn new(instances: Vec<InstanceId>, down_max: usize, deadline: Instant) -> Wave {
         let stages = instances.into_iter().map(|id| (id, MaintenanceStage::Waiting)).collect();
-        Wave { down_max: down_max.max(1), deadline, stages, reported: None }
+        let calls = BTreeMap::new();
+        Wave { down_max: down_max.max(1), deadline, stages, calls, reported: None }
+    }
+
+    /// Restores the calls that an earlier owner has recorded, each of which may still be carried out.
+    pub fn restore_calls(&mut self, instances: impl IntoIterator<Item = InstanceId>, now: Instant) {
+        let in_doubt_until = Some(now + CALL_DELIVERY_MAX);
+        let calls = instances.into_iter().filter(|id| self.stages.contains_key(id));
+        self.calls = calls.map(|id| (id, MaintenanceCall { sent: None, in_doubt_until })).collect();
+    }
+
+    /// Returns the row with the calls that no answer has settled.
+    pub fn calls_row(&self) -> WaveCalls {
+        WaveCalls { called: self.calls.keys().cloned().collect() }
+    }
+
+    /// Returns whether an instance is down or may go down by a call that was planned or sent.
+    fn takes_place(&self, id: &InstanceId) -> bool {
+        let stage = self.stages.get(id);
+        matches!(stage, Some(MaintenanceStage::Called(_) | MaintenanceStage::Down(_)))
+            || self.calls.contains_key(id)
     }
 
     /// Returns whether the maintenance of all instances has begun.
@@ -123,6 +170,13 @@
     pub begun: Vec<InstanceId>,
 }
 
+/// Row of the calls of a wave that no answer has settled; each is recorded here before it is sent.
+#[derives(record)]
+pub struct WaveCalls {
+    /// Instances for which a call may still be carried out.
+    pub called: Vec<InstanceId>,
+}
+
 /// A call to the instance service, or a report to the operator.
 #[derives(record)]
 pub enum FleetOrder {
@@ -313,21 +367,19 @@
         if wave.reported != Some(done) {
             orders.push(FleetOrder::Report { wave: number, done });
         }
-        for stage in wave.stages.values_mut() {
-            if let MaintenanceStage::Called(at) = *stage
-                && now.saturating_duration_since(at)
-                    > UNKNOWN_CALL_RETRY_DELAY + self.limits.maintenance_time
-            {
-                *stage = MaintenanceStage::Draining(at);
-            }
-        }
+        repeat_unanswered_calls(wave, now);
         self.cordon_next(wave, now);
         // The runs of a worker that the directory does not list are unknown, as are its leases.
         let unlisted_drain_timeout = longest_time_of(self.limits.lease_max) + UNLISTED_DRAIN_MARGIN;
         let ids: Vec<InstanceId> = wave.stages.keys().cloned().collect();
         for id in ids {
-            let MaintenanceStage::Draining(since) = wave.stages[&id] else { continue };
             let worker = self.instances.get(&id).and_then(|i| i.worker.clone());
+            let MaintenanceStage::Draining(since) = wave.stages[&id] else {
+                if matches!(wave.stages[&id], MaintenanceStage::Called(_)) {
+                    cordoned.extend(worker);
+                }
+                continue;
+            };
             let key = worker.as_ref().and_then(|id| self.worker_key(id));
             let empty = match (key, &worker) {
                 (Some(key), _) => self.evacuate(key, since, now),
@@ -336,20 +388,22 @@
             };
             cordoned.extend(worker);
             let may_call = self.covers_predecessor_calls() && self.is_up(&id);
-            if empty && may_call && self.count_down(wave) < wave.down_max {
+            if empty && may_call && self.count_others_down(wave, Some(&id)) < wave.down_max {
                 wave.stages.insert(id.clone(), MaintenanceStage::Called(now));
+                let call = wave.calls.entry(id.clone()).or_default();
+                *call = MaintenanceCall { sent: None, in_doubt_until: call.doubt_ends() };
                 orders.push(FleetOrder::Maintain { instance: id, wave: number });
             }
         }
     }
 
-    /// Counts the instances of a wave that are down or may be, whichever owner sent the call.
-    fn count_down(&self, wave: &Wave) -> usize {
-        let down = |(id, stage): &(&InstanceId, &MaintenanceStage)| {
-            matches!(stage, MaintenanceStage::Called(_) | MaintenanceStage::Down(_))
-                || self.instances.get(*id).is_some_and(|i| i.state == InstanceState::Maintenance)
+    /// Counts the instances of a wave, except one, that are down or may be, whichever owner sent the call.
+    fn count_others_down(&self, wave: &Wave, except: Option<&InstanceId>) -> usize {
+        let down = |id: &&InstanceId| {
+            let listed = self.instances.get(*id);
+            wave.takes_place(id) || listed.is_some_and(|i| i.state == InstanceState::Maintenance)
         };
-        wave.stages.iter().filter(down).count()
+        wave.stages.keys().filter(|id| Some(*id) != except).filter(down).count()
     }
 
     /// Returns whether the list of instances includes the effects of all calls of an earlier owner.
@@ -366,23 +420,28 @@
     }
 
     fn cordon_next(&self, wave: &mut Wave, now: Instant) {
-        let draining = wave.stages.values().filter(|s| matches!(s, MaintenanceStage::Draining(_)));
+        let draining = wave.stages.iter().filter(|(id, stage)| {
+            matches!(stage, MaintenanceStage::Draining(_)) && !wave.takes_place(id)
+        });
         let mut slots = wave
             .down_max
             .saturating_add(CORDONED_AHEAD_MAX)
-            .saturating_sub(self.count_down(wave) + draining.count());
-        let mut waiting: Vec<(usize, InstanceId)> = wave
+            .saturating_sub(self.count_others_down(wave, None) + draining.count());
+        let mut waiting: Vec<(bool, usize, InstanceId)> = wave
             .stages
             .iter()
             .filter(|(id, stage)| **stage == MaintenanceStage::Waiting && self.is_up(id))
-            .map(|(id, _)| (self.run_count(id), id.clone()))
+            .map(|(id, _)| (!wave.takes_place(id), self.run_count(id), id.clone()))
             .collect();
         waiting.sort();
-        for (_, id) in waiting {
-            if slots == 0 {
-                return;
+        for (needs_place, _, id) in waiting {
+            // An instance that an earlier owner has called goes first: the answer to a further call settles the first one.
+            if needs_place {
+                if slots == 0 {
+                    return;
+                }
+                slots -= 1;
             }
-            slots -= 1;
             wave.stages.insert(id, MaintenanceStage::Draining(now));
         }
     }
@@ -444,7 +503,28 @@
         }
     }
 
+    /// Records that a call which the store has on record is sent now; returns whether it is still to be sent.
+    pub fn begin_maintenance_call(
+        &mut self,
+        number: WaveNumber,
+        id: &InstanceId,
+        now: Instant,
+    ) -> bool {
+        let Some(wave) = self.waves.get_mut(&number) else { return false };
+        let is_called = matches!(wave.stages.get(id), Some(MaintenanceStage::Called(_)));
+        match wave.calls.get_mut(id) {
+            Some(call) if is_called && call.sent.is_none() => {
+                call.sent = Some(now);
+                true
+            }
+            _ => false,
+        }
+    }
+
     /// Applies the outcome of a call to take an instance down for maintenance.
+    ///
+    /// An accepted call settles those before it: the service carries a call for a wave out once. A call that was certainly not carried
+    /// out says nothing of an earlier one without an answer.
     pub fn apply_maintenance_outcome(
         &mut self,
         number: WaveNumber,
@@ -458,15 +538,42 @@
         match outcome {
             FleetOutcome::Accepted => {
                 *stage = MaintenanceStage::Down(now);
+                wave.calls.remove(id);
                 if let Some(key) = worker.and_then(|id| self.worker_key(&id)) {
                     self.cordon_after_call(key, now);
                 }
             }
-            FleetOutcome::Invalid => *stage = MaintenanceStage::Done,
+            FleetOutcome::Invalid => {
+                *stage = MaintenanceStage::Done;
+                wave.calls.remove(id);
+            }
             FleetOutcome::Unknown => {}
             FleetOutcome::Fenced | FleetOutcome::Busy | FleetOutcome::NotRun => {
                 *stage = MaintenanceStage::Draining(now);
+                if let Some(call) = wave.calls.get_mut(id) {
+                    call.sent = None;
+                    if call.in_doubt_until.is_none_or(|until| until <= now) {
+                        wave.calls.remove(id);
+                    }
+                }
             }
         }
     }
 }
+
+/// Prepares the repetition of calls that got no answer, and drops those that cannot be carried out any more.
+fn repeat_unanswered_calls(wave: &mut Wave, now: Instant) {
+    for (id, call) in &wave.calls {
+        if let Some(stage) = wave.stages.get_mut(id)
+            && let (MaintenanceStage::Called(_), Some(sent)) = (*stage, call.sent)
+            && now.saturating_duration_since(sent) > UNKNOWN_CALL_RETRY_DELAY
+        {
+            *stage = MaintenanceStage::Draining(sent);
+        }
+    }
+    let stages = &wave.stages;
+    wave.calls.retain(|id, call| {
+        matches!(stages.get(id), Some(MaintenanceStage::Called(_)))
+            || call.doubt_ends().is_some_and(|until| until > now)
+    });
+}
--- a/crates/policy/tests/fleet_engine/main.rs
+++ b/crates/policy/tests/fleet_engine/main.rs
@@ -12,6 +12,7 @@
 mod hot_team;
 mod instance_service;
 mod late_backlog;
+mod maintenance_calls;
 mod overload;
 mod ownership;
 mod peaks;
--- a/crates/wire/src/fleet_types.rs
+++ b/crates/wire/src/fleet_types.rs
@@ -7,7 +7,7 @@
     Call, HandOverRequest, OwnerHint, OwnerStatus, QueueOperation, Reply, StatusRequest,
     StepDownRequest,
 };
-use wasabiswitch_policy::fleet::maintenance::WaveProgress;
+use wasabiswitch_policy::fleet::maintenance::{WaveCalls, WaveProgress};
 use wasabiswitch_policy::fleet::ownership::{OwnerRow, SteppedDown};
 use wasabiswitch_policy::fleet::progress::{JobRow, OccurrenceProgress, ProgressRow, StepProgress};
 use wasabiswitch_policy::fleet::silent_records::SilentWorkerRow;
@@ -56,6 +56,7 @@
 wire_struct!(SilentWorkerRow { tasks });
 wire_struct!(WithdrawalRow { recorded_by });
 wire_struct!(WaveProgress { begun });
+wire_struct!(WaveCalls { called });
 wire_struct!(OwnerRow { daemon, incarnation, address, fence, writes, released, processor_milli });
 
 wire_enum!(QueueOperation { 0 => Submit(submission), 1 => State(job), 2 => Cancel(job), 3 => Pending });
