--- a/crates/daemon/tests/soak/daemons.rs
+++ b/crates/daemon/tests/soak/daemons.rs
@@ -16,7 +16,7 @@
 use wasabiswitch_standin::free_port;
 
 use crate::proxy::{Proxy, ProxyMode};
-use crate::server::{Platform, StoreMode, config_in_pool};
+use crate::server::{Platform, StoreMode, config_with_advice};
 use crate::{ODD_ENTRY_DEPTH, OTHER_POOL, WORKER_COUNT};
 
 /// Time after which a call without a response fails.
@@ -184,7 +184,7 @@
     fn change_pool(&mut self, rng: &mut Rng) {
         self.config_version += 1;
         let pool = if rng.bool() { FIRST_POOL } else { OTHER_POOL };
-        self.platform.put("op", "config", &config_in_pool(self.config_version, pool));
+        self.platform.put("op", "config", &config_with_advice(self.config_version, pool));
     }
 
     /// Writes entries that name no worker into the directory, and adds one to all other lists of the platform.
--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -35,7 +35,7 @@
 use http::Method;
 
 use daemons::DaemonGroup;
-use server::{Platform, TASK_MILLI, config};
+use server::{Platform, TASK_MILLI, config_with_advice};
 
 /// Seeds that have failed before, each with a comment on the cause.
 const FAILED_SEEDS: [u64; 0] = [];
@@ -107,7 +107,7 @@
     let mut rng = Rng::with_seed(seed);
     let platform = Platform::start(WORKER_COUNT).await;
     platform.add_workers(OTHER_POOL_WORKER_COUNT, OTHER_POOL);
-    platform.put("op", "config", &config(1));
+    platform.put("op", "config", &config_with_advice(1, "p"));
     let mut daemons = DaemonGroup::start(DAEMON_COUNT, &platform, STOP_SETTINGS).await;
     let (mut accepted, mut abandoned) = (Vec::new(), Vec::new());
     let start = Instant::now();
