Files of one job each, and the names that a reader meets first

No behaviour changes. plugins/fleet/workers.rs keeps the reports; orders to workers and calls for advice have files of their own. policy/fleet/state.rs gives the run times of a queue to run_times.rs. The simulation's orders and reports, and the orders and configurations of the platform's server in the wire tests, are modules.

The field with an order's token is `order_fence` in the orders, as in the engine; the soak asks an order whether it acknowledges ends, so that the platform's name of the field stays in platform/; thresholds of the calls for advice and of prompt reports state their reason.

worker_capacity.rs applies a delayed report with the token that its request carried.

--- a/crates/daemon/tests/soak/restarts.rs
+++ b/crates/daemon/tests/soak/restarts.rs
@@ -286,9 +286,10 @@
     history: History,
 ) -> impl FnMut(&Order) -> Option<Duration> + Send + 'static {
     move |order| {
-        let acknowledges = order.body["ackCursor"].as_u64().is_some_and(|cursor| cursor > 0);
-        let interval =
-            if acknowledges { LATE_ACKNOWLEDGEMENT_INTERVAL } else { LATE_ORDER_INTERVAL };
+        let interval = match order.acknowledges_ends() {
+            true => LATE_ACKNOWLEDGEMENT_INTERVAL,
+            false => LATE_ORDER_INTERVAL,
+        };
         if rng.u8(0..interval) > 0 {
             return None;
         }
--- a/crates/kernel/src/platform/fleet.rs
+++ b/crates/kernel/src/platform/fleet.rs
@@ -156,7 +156,7 @@
     /// Time on the worker's clock, in milliseconds, after which the task must not start.
     pub until_ms: u64,
     /// Fencing token of the order.
-    pub fence: OrderFence,
+    pub order_fence: OrderFence,
     /// Checkpoint from which the task resumes; empty to start from the beginning.
     pub checkpoint: String,
     /// Ticket of the advice service; empty for none.
@@ -173,7 +173,7 @@
     /// Number of the attempt.
     pub attempt: u32,
     /// Fencing token of the order.
-    pub fence: OrderFence,
+    pub order_fence: OrderFence,
 }
 
 /// Order that renews leases, acknowledges reported ends and requests a report.
@@ -182,7 +182,7 @@
     /// Worker whose leases are renewed.
     pub target: WorkerTarget,
     /// Fencing token of the order.
-    pub fence: OrderFence,
+    pub order_fence: OrderFence,
     /// Number of the last reported end that the owner has stored.
     pub acknowledged: u64,
     /// Time on the worker's clock, in milliseconds, at which the leases expire; `None` to leave them.
@@ -194,7 +194,7 @@
 impl HoldOrder {
     /// Returns the times of a request with this order, with its fencing token.
     pub fn timing(&self, sent: Instant, received: Instant) -> ReportTiming {
-        ReportTiming { order_fence: self.fence, sent, received }
+        ReportTiming { order_fence: self.order_fence, sent, received }
     }
 }
 
--- a/crates/plugins/src/fleet/mod.rs
+++ b/crates/plugins/src/fleet/mod.rs
@@ -10,7 +10,9 @@
 //! | [`takeover`] | rebuilds the engine from the store and the workers |
 //! | [`term`] | runs the owner's loops and joins them at the end of the term |
 //! | [`writer`] | persists jobs and progress, and renews the owner's lease with each write |
-//! | [`workers`] | requests reports from each worker and sends it orders |
+//! | [`workers`] | requests reports from each worker and applies them |
+//! | `orders` | sends orders to workers and applies the answers |
+//! | `advice` | sends calls to the advice service |
 //! | [`directory`] | applies changes of the workers' directory |
 //! | [`instances`] | runs maintenance waves and moves instances |
 //! | [`status`] | serves this daemon's status to other daemons |
@@ -18,10 +20,12 @@
 //!
 //! The decisions are in `wasabiswitch_policy::fleet`. See docs/PLATFORM.md.
 
+mod advice;
 pub mod configuration;
 pub mod directory;
 mod evacuation;
 pub mod instances;
+mod orders;
 mod owner_calls;
 pub mod ownership;
 pub mod queue_calls;
--- a/crates/plugins/src/fleet/term.rs
+++ b/crates/plugins/src/fleet/term.rs
@@ -15,7 +15,9 @@
 
 use super::takeover::RebuiltEngine;
 use super::writer::Writer;
-use super::{configuration, directory, evacuation, instances, log_job_events, takeover, workers};
+use super::{
+    configuration, directory, evacuation, instances, log_job_events, orders, takeover, workers,
+};
 
 /// Time limit for the tasks of a term to end; orders in flight end by their own timeouts.
 const JOIN_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -143,7 +145,7 @@
         let pause = pause_after_plan(kernel.clock.now().saturating_duration_since(now));
         log_job_events(&events);
         for order in orders {
-            workers::spawn_order(&kernel, fence, &tasks, order);
+            orders::spawn_order(&kernel, fence, &tasks, order);
         }
         let paused_at = kernel.clock.now();
         sleep(pause).await;
--- a/crates/plugins/src/fleet/workers.rs
+++ b/crates/plugins/src/fleet/workers.rs
@@ -1,4 +1,4 @@
-//! Requests reports from each worker, and sends it orders.
+//! Requests reports from each worker, and applies them.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -6,21 +6,16 @@
 
 use tokio::time::sleep;
 use wasabiswitch_kernel::platform::PlatformResult;
-use wasabiswitch_kernel::platform::fleet::{
-    AdviceRequest, AdviceResponse, HoldOrder, RunOrder, StartOrder, WorkerReply, WorkerTarget,
-};
+use wasabiswitch_kernel::platform::fleet::{HoldOrder, WorkerReply, WorkerTarget};
 use wasabiswitch_kernel::tasks::TaskTree;
 use wasabiswitch_kernel::{Kernel, metric};
 use wasabiswitch_policy::Verdict;
 use wasabiswitch_policy::fleet::Engine;
-use wasabiswitch_policy::fleet::advice::AdviceOutcome;
 use wasabiswitch_policy::fleet::lease_bounds::OrderOutcome;
 use wasabiswitch_policy::fleet::order_fence::PROMPT_REPORT_INTERVAL;
-use wasabiswitch_policy::fleet::outcomes::{StartAnswer, StartOutcome};
 use wasabiswitch_policy::fleet::ownership::may_act;
-use wasabiswitch_policy::fleet::plan::Order;
 use wasabiswitch_policy::fleet::reports::{JobEvent, ReportTiming, WorkerReport};
-use wasabiswitch_policy::fleet::state::{TaskName, TaskRef, Worker, WorkerKey};
+use wasabiswitch_policy::fleet::state::{Worker, WorkerKey};
 
 use super::term::with_term;
 use super::{log_job_events, port, term};
@@ -128,13 +123,14 @@
         with_term(kernel, fence, |term| term.engine.needs_prompt_report(key, now))
     };
     while needs_prompt_report() == Some(true) {
+        // Without an answer in this time a further request is sent, which a late one does not delay.
         tokio::select! {
             reply = &mut call => return Some(reply),
             () = sleep(PROMPT_REPORT_INTERVAL) => {}
         }
         let is_answered = with_term(kernel, fence, |term| {
             let worker = term.engine.workers.get(key);
-            worker.is_some_and(|w| w.is_order_fence_seen && w.order_fence == order.fence)
+            worker.is_some_and(|w| w.is_order_fence_seen && w.order_fence == order.order_fence)
         });
         if is_answered == Some(true) {
             return None;
@@ -215,7 +211,7 @@
 /// Requests a report at once, in addition to the regular request, which waits for the next end of a task.
 ///
 /// Only a report that is requested after an unanswered order shows whether the order took effect.
-async fn poll_now(kernel: &Arc<Kernel>, fence: u64, key: WorkerKey) {
+pub(super) async fn poll_now(kernel: &Arc<Kernel>, fence: u64, key: WorkerKey) {
     let order = with_term(kernel, fence, |term| {
         hold_order(term.engine.workers.get(key)?, None, Duration::ZERO)
     });
@@ -242,11 +238,13 @@
 
 /// Kind of a reply to a hold, after the engine has applied it.
 pub(crate) enum AppliedReply {
+    /// A report.
     Report,
     /// The worker has seen the token of a newer owner.
     Fenced,
     /// The worker has seen a later token of this owner.
     Outdated,
+    /// No report, and nothing that shows what the worker has seen.
     NoReport,
 }
 
@@ -294,8 +292,11 @@
             log_start_block(engine, key, is_new, was_fence_seen, timing.received);
             return AppliedReply::Report;
         }
-        Ok(WorkerReply::Fenced) if engine.is_outdated_order(id, order.fence) => {
-            log::info!("hold outdated worker={id} incarnation={known} order_fence={}", order.fence);
+        Ok(WorkerReply::Fenced) if engine.is_outdated_order(id, order.order_fence) => {
+            log::info!(
+                "hold outdated worker={id} incarnation={known} order_fence={}",
+                order.order_fence
+            );
             return AppliedReply::Outdated;
         }
         Ok(WorkerReply::Fenced) => return AppliedReply::Fenced,
@@ -329,290 +330,12 @@
     until_ms: Option<u64>,
     wait: Duration,
 ) -> Option<HoldOrder> {
-    let (target, fence) = (target(worker)?, worker.order_fence);
-    Some(HoldOrder { target, fence, acknowledged: worker.ack_cursor(), until_ms, wait })
+    let (target, order_fence) = (target(worker)?, worker.order_fence);
+    Some(HoldOrder { target, order_fence, acknowledged: worker.ack_cursor(), until_ms, wait })
 }
 
-fn target(worker: &Worker) -> Option<WorkerTarget> {
+/// Returns the id and the address of a worker, or `None` if its address cannot be parsed.
+pub(super) fn target(worker: &Worker) -> Option<WorkerTarget> {
     let address: SocketAddr = worker.entry.address.parse().ok()?;
     Some(WorkerTarget { id: worker.entry.id.clone(), address })
 }
-
-/// Sends an order of the term with `fence` in a separate task, which is joined at the end of the term.
-pub(crate) fn spawn_order(kernel: &Arc<Kernel>, fence: u64, tasks: &TaskTree, order: Order) {
-    let kernel = kernel.clone();
-    tasks.spawn("order", async move { execute(&kernel, fence, order).await });
-}
-
-fn order_target(kernel: &Kernel, fence: u64, key: WorkerKey) -> Option<WorkerTarget> {
-    with_term(kernel, fence, |term| target(term.engine.workers.get(key)?)).flatten()
-}
-
-/// Returns an order about a run with the present token of its worker; `None` if the worker is unknown or the term has ended.
-fn run_order(
-    kernel: &Kernel,
-    fence: u64,
-    key: WorkerKey,
-    task: &TaskName,
-    attempt: u32,
-) -> Option<RunOrder> {
-    let order = with_term(kernel, fence, |term| {
-        let worker = term.engine.workers.get(key)?;
-        let (target, fence) = (target(worker)?, worker.order_fence);
-        Some(RunOrder { target, task: task.clone(), attempt, fence })
-    });
-    order.flatten()
-}
-
-async fn execute(kernel: &Arc<Kernel>, fence: u64, order: Order) {
-    match order {
-        Order::Advise { step, name, workers } => {
-            request_advice(kernel, fence, step, name, workers).await;
-        }
-        Order::Start {
-            worker,
-            task,
-            name,
-            attempt,
-            submission,
-            until_ms,
-            order_fence,
-            checkpoint,
-            ticket,
-        } => {
-            let sent = kernel.clock.now();
-            let answer = match order_target(kernel, fence, worker) {
-                None => StartOutcome::NotSent.into(),
-                Some(target) => {
-                    let spec = submission.spec.clone();
-                    let start = StartOrder {
-                        target,
-                        task: name.clone(),
-                        attempt,
-                        spec,
-                        until_ms,
-                        fence: order_fence,
-                        checkpoint,
-                        ticket,
-                    };
-                    // The port turns every failure of a start into an outcome.
-                    (port(kernel).start)(start).await.unwrap_or(StartOutcome::Unknown.into())
-                }
-            };
-            let outcome = answer.outcome;
-            let label = format!("{outcome:?}");
-            metrics::counter!(metric::STARTS, "outcome" => label).increment(1);
-            let now = kernel.clock.now();
-            let mut events = Vec::new();
-            let applied = with_term(kernel, fence, |term| {
-                if outcome == StartOutcome::Started {
-                    term.pressure.record_answer(now.saturating_duration_since(sent));
-                }
-                term.engine.apply_start_outcome(worker, task, attempt, answer, now, &mut events);
-                let worker = term.engine.workers.get(worker);
-                if let Some(worker) = worker {
-                    log_start_answer(worker, &name, attempt, answer, until_ms, now);
-                }
-                let is_restart_suspected =
-                    worker.is_some_and(|worker| worker.restart_suspected_at == Some(now));
-                let is_outdated = worker.is_none_or(|worker| {
-                    term.engine.is_outdated_order(&worker.entry.id, order_fence)
-                });
-                (term.engine.holds_starts_back(), is_restart_suspected, is_outdated)
-            });
-            log_job_events(&events);
-            let (holds_back, is_restart_suspected, is_outdated) = applied.unwrap_or_default();
-            if is_restart_suspected {
-                poll_now(kernel, fence, worker).await;
-            }
-            match outcome {
-                StartOutcome::Started if holds_back => {
-                    kernel.wake_signals.plan.notify_one();
-                }
-                StartOutcome::Started => {}
-                StartOutcome::Fenced if !is_outdated => {
-                    term::end_term(kernel, fence, "a worker's answer to a start");
-                }
-                StartOutcome::Unknown => poll_now(kernel, fence, worker).await,
-                _ => kernel.wake_signals.plan.notify_one(),
-            }
-        }
-        Order::Stop { worker, name, attempt } => {
-            let sent = kernel.clock.now();
-            let stop = |order| (port(kernel).stop)(order);
-            let done = send_run_order(kernel, fence, worker, "stop", &name, attempt, stop).await;
-            let now = kernel.clock.now();
-            let needs_report = with_term(kernel, fence, |term| {
-                if done {
-                    term.engine.record_stop_acknowledgement(worker, &name, attempt, sent, now);
-                }
-                done && term.engine.waits_for_report(worker, &name, attempt)
-            });
-            if needs_report == Some(true) {
-                poll_now(kernel, fence, worker).await;
-            }
-        }
-        Order::Pace { worker, name, attempt, percent } => {
-            let pace = |order| (port(kernel).pace)((order, percent));
-            send_run_order(kernel, fence, worker, "pace", &name, attempt, pace).await;
-        }
-    }
-}
-
-/// Requests from the advice service which of `workers` may run a step.
-async fn request_advice(
-    kernel: &Arc<Kernel>,
-    fence: u64,
-    step: TaskRef,
-    name: TaskName,
-    workers: Vec<WorkerKey>,
-) {
-    let ids = with_term(kernel, fence, |term| {
-        let found = workers.iter().filter_map(|key| term.engine.workers.get(*key));
-        found.map(|worker| worker.entry.id.clone()).collect()
-    });
-    let Some(ids) = ids else { return };
-    let sent = kernel.clock.now();
-    let request = AdviceRequest { step: name.clone(), workers: ids };
-    let reply = await_advice(kernel, fence, step, request).await;
-    let now = kernel.clock.now();
-    let call = || {
-        let took_ms = now.saturating_duration_since(sent).as_millis();
-        format!("job={} step={} workers={} took_ms={took_ms}", name.job, name.step, workers.len())
-    };
-    let (label, outcome) = match reply {
-        Some(Ok(AdviceResponse { grants, valid: validity })) => {
-            log::info!("advice received {} granted={}", call(), grants.len());
-            ("answered", AdviceOutcome::Answered { grants, validity })
-        }
-        Some(Err(error)) => {
-            log::warn!("advice not received {} reason={error}", call());
-            ("failed", AdviceOutcome::Failed)
-        }
-        None => {
-            log::warn!("call for advice given up {}", call());
-            ("given-up", AdviceOutcome::GivenUp)
-        }
-    };
-    metrics::counter!(metric::ADVICE_CALLS, "outcome" => label).increment(1);
-    with_term(kernel, fence, |term| term.engine.apply_advice(&step, &workers, outcome, now));
-    kernel.wake_signals.plan.notify_one();
-}
-
-/// Waits for the answer to a call for advice; returns `None` if the call has to be given up.
-async fn await_advice(
-    kernel: &Arc<Kernel>,
-    fence: u64,
-    step: TaskRef,
-    request: AdviceRequest,
-) -> Option<PlatformResult<AdviceResponse>> {
-    let call = (port(kernel).advise)(request);
-    tokio::pin!(call);
-    loop {
-        let now = kernel.clock.now();
-        let left = with_term(kernel, fence, |term| term.engine.advice_time_left(&step, now));
-        let left = left.flatten().filter(|left| !left.is_zero())?;
-        tokio::select! {
-            reply = &mut call => return Some(reply),
-            () = sleep(left) => {}
-        }
-    }
-}
-
-/// Logs a start that got no answer, or one that another incarnation of the worker than the known one has answered, as the clock
-/// in the answer shows.
-fn log_start_answer(
-    worker: &Worker,
-    name: &TaskName,
-    attempt: u32,
-    answer: StartAnswer,
-    until_ms: u64,
-    now: Instant,
-) {
-    let (id, incarnation) = (&worker.entry.id, worker.incarnation);
-    let run = describe_run(name, attempt);
-    if answer.outcome == StartOutcome::Unknown {
-        log::warn!(
-            "start not answered {run} worker={id} incarnation={incarnation} until_ms={until_ms}"
-        );
-    } else if worker.restart_suspected_at == Some(now) {
-        log::info!(
-            "start answered on another clock {run} worker={id} incarnation={incarnation} outcome={:?} \
-             until_ms={until_ms} clock_ms={} expected_ms={}",
-            answer.outcome,
-            answer.clock_ms.map_or_else(|| "none".to_owned(), |clock_ms| clock_ms.to_string()),
-            worker.clock.map_or(0, |clock| clock.clock_at(now))
-        );
-    }
-}
-
-/// Describes a run for the log by its task and attempt.
-fn describe_run(name: &TaskName, attempt: u32) -> String {
-    let TaskName { job, occurrence, step, index } = name;
-    format!("job={job} task={occurrence}.{step}.{index} attempt={attempt}")
-}
-
-/// Outcome of an order about a run.
-enum RunOrderOutcome {
-    /// The worker has carried the order out.
-    Done,
-    /// The worker has seen a later token of this owner.
-    Outdated,
-    /// The order was refused or not answered.
-    Failed,
-}
-
-/// Sends an order about a run, again if the worker's token has been raised meanwhile; returns whether the worker has carried it out.
-async fn send_run_order<F>(
-    kernel: &Kernel,
-    fence: u64,
-    worker: WorkerKey,
-    kind: &str,
-    task: &TaskName,
-    attempt: u32,
-    send: impl Fn(RunOrder) -> F,
-) -> bool
-where
-    F: Future<Output = PlatformResult<WorkerReply<()>>>,
-{
-    while let Some(order) = run_order(kernel, fence, worker, task, attempt) {
-        let reply = send(order.clone()).await;
-        match handle_order_reply(kernel, fence, kind, &order, reply) {
-            RunOrderOutcome::Done => return true,
-            RunOrderOutcome::Outdated => {}
-            RunOrderOutcome::Failed => return false,
-        }
-    }
-    false
-}
-
-/// Handles the reply to an order for a run.
-fn handle_order_reply(
-    kernel: &Kernel,
-    fence: u64,
-    kind: &str,
-    order: &RunOrder,
-    reply: PlatformResult<WorkerReply<()>>,
-) -> RunOrderOutcome {
-    let run = || {
-        let run = describe_run(&order.task, order.attempt);
-        format!("{run} worker={}", order.target.id)
-    };
-    match reply {
-        Ok(WorkerReply::Done(())) => return RunOrderOutcome::Done,
-        Ok(WorkerReply::Fenced) => {
-            let is_outdated = with_term(kernel, fence, |term| {
-                term.engine.is_outdated_order(&order.target.id, order.fence)
-            });
-            if is_outdated == Some(true) {
-                log::info!("{kind} outdated {} order_fence={}", run(), order.fence);
-                return RunOrderOutcome::Outdated;
-            }
-            term::end_term(kernel, fence, "a worker's answer to an order");
-        }
-        Ok(WorkerReply::OtherLife) => log::info!("{kind} reached another incarnation {}", run()),
-        Ok(WorkerReply::Refused(reason)) => log::warn!("{kind} refused {} reason={reason}", run()),
-        Err(error) => log::warn!("{kind} not answered {} reason={error}", run()),
-    }
-    RunOrderOutcome::Failed
-}
--- a/crates/plugins/tests/fleet_cancels.rs
+++ b/crates/plugins/tests/fleet_cancels.rs
@@ -63,8 +63,8 @@
     (platform, owner)
 }
 
-/// Makes the store slow, and waits until the present write has ended and another one begins with the next change.
-async fn slow_store_down(platform: &FleetStandIn) {
+/// Makes each further write of the store slow.
+fn slow_store_down(platform: &FleetStandIn) {
     platform.faults().inject(Operation::Commit, Fault::Slow(SLOW_WRITE), u32::MAX);
 }
 
@@ -72,7 +72,7 @@
 #[tokio::test(start_paused = true)]
 async fn job_that_is_cancelled_while_its_row_is_being_written_does_not_start() {
     let (platform, owner) = start_owner().await;
-    slow_store_down(&platform).await;
+    slow_store_down(&platform);
     let submission = spawn_submit(&owner, "a");
     tokio::time::sleep(SLOW_WRITE / 2).await;
     assert_eq!(cancel(&owner, "a").await, Reply::Cancelled);
@@ -88,7 +88,7 @@
 #[tokio::test(start_paused = true)]
 async fn job_that_is_cancelled_before_its_row_is_written_does_not_start() {
     let (platform, owner) = start_owner().await;
-    slow_store_down(&platform).await;
+    slow_store_down(&platform);
     let first = spawn_submit(&owner, "a");
     tokio::time::sleep(SLOW_WRITE / 4).await;
     let second = spawn_submit(&owner, "b");
@@ -185,7 +185,7 @@
 #[tokio::test(start_paused = true)]
 async fn state_of_a_job_whose_row_is_being_written_is_known_after_the_write() {
     let (platform, owner) = start_owner().await;
-    slow_store_down(&platform).await;
+    slow_store_down(&platform);
     let submission = spawn_submit(&owner, "a");
     tokio::time::sleep(SLOW_WRITE / 2).await;
     let shown = state(&owner, "a").await;
--- a/crates/policy/src/fleet/advice.rs
+++ b/crates/policy/src/fleet/advice.rs
@@ -22,25 +22,27 @@
 pub const CALLS_MAX: usize = 2;
 /// Maximum number of workers in one call; the platform's objective allows for about as many per step.
 const WORKERS_PER_CALL_MAX: usize = 30;
-/// Minimum number of workers in one call, if there are as many.
+/// Minimum number of workers in one call, if there are as many, so that a step with few tasks does not depend on one answer.
 const WORKERS_PER_CALL_MIN: usize = 4;
 /// Room that the workers of a call have for the tasks that wait, as a multiple, since some are denied or taken by other tasks.
 const ROOM_FACTOR: u64 = 2;
-/// Time after which a call is given up before the service has answered any, counted from the start of service.
+/// Time after which a call is given up before the service has answered any, counted from the start of service. It is well above
+/// the time of a call for [`WORKERS_PER_CALL_MAX`] workers, behind one of a predecessor on the same machine.
 const FIRST_CALL_LIMIT: Duration = Duration::from_millis(8_000);
-/// Minimum of that time once the service has answered.
+/// Minimum of that time once the service has answered, so that a pause of a fast service is not taken for a lost call.
 const CALL_LIMIT_MIN: Duration = Duration::from_millis(2_000);
-/// Multiple of the longest recent time of service after which a call is given up.
+/// Multiple of the longest recent time of service after which a call is given up, since the next call may name more workers.
 const CALL_LIMIT_FACTOR: u32 = 4;
-/// Number of times that the limit is doubled at most, once for each call that is given up in a row.
+/// Number of times that the limit is doubled at most, once for each call that is given up in a row: a service that has become
+/// slower than the limit is then met after all.
 const LIMIT_DOUBLINGS_MAX: u32 = 2;
-/// Part of the longest time of service that is kept with each answer.
+/// Part of the longest time of service that is kept with each answer, so that the limit follows a service that has recovered.
 const SERVICE_TIME_DECAY: f64 = 0.9;
-/// Delay before the next call after a failed one; it doubles with each failure in a row.
+/// Delay before the next call after a failed one, which may be a refusal for too many calls; it doubles with each failure in a row.
 const FAILED_CALL_DELAY: Duration = Duration::from_millis(100);
 /// Delay before the next call for a step whose call was given up, so that other steps go first; it doubles likewise.
 const GIVEN_UP_STEP_DELAY: Duration = Duration::from_millis(1_000);
-/// Number of times that either delay is doubled at most.
+/// Number of times that either delay is doubled at most: to 1.6 s and 16 s.
 const DELAY_DOUBLINGS_MAX: u32 = 4;
 /// Time before its expiry from which a ticket is not used any more, to cover the delivery of the start to the
 /// worker.
@@ -65,7 +67,7 @@
     GivenUp,
 }
 
-/// What is known of the workers for one step.
+/// Tickets and denials of workers for one step, and the delay of its next call.
 #[derives(record)]
 #[derive(Default)]
 pub struct Advice {
--- a/crates/policy/src/fleet/mod.rs
+++ b/crates/policy/src/fleet/mod.rs
@@ -16,6 +16,7 @@
 //! | [`lease_bounds`] | leases on workers: renewals, orders that another incarnation may carry out, expired leases |
 //! | [`reports`] | processing of the workers' reports |
 //! | [`run_ends`] | ends of runs that workers report |
+//! | [`run_times`] | measured run times of a queue's tasks, and those expected from them |
 //! | [`lost_runs`] | runs that have ended without a report of their end |
 //! | [`barriers`] | stops that keep starts in doubt from beginning on the next incarnation of a worker |
 //! | [`outcomes`] | processing of the outcomes of starts and stops |
@@ -77,6 +78,7 @@
 pub mod reports;
 pub mod room;
 pub mod run_ends;
+pub mod run_times;
 pub mod settings;
 pub mod silent_records;
 pub mod silent_waits;
--- a/crates/policy/src/fleet/order_fence.rs
+++ b/crates/policy/src/fleet/order_fence.rs
@@ -18,13 +18,13 @@
 /// Number of bits of the owner's part of a token, which leaves 2^29 terms in a JSON integer.
 const NUMBER_BITS: u32 = 24;
 
-/// Interval of the requests for a report of a worker that may have restarted.
+/// Interval of the requests for a report of a worker that may have restarted, above the usual time of an answer.
 ///
 /// Until one is answered, late orders for a former incarnation are carried out by the next. So the requests do not wait for
 /// the timeouts of those before.
 pub const PROMPT_REPORT_INTERVAL: Duration = Duration::from_millis(150);
-/// Time after a token was raised in which reports are requested at that interval; a worker that has not answered by then
-/// counts as unresponsive.
+/// Time after a token was raised in which reports are requested at that interval. A worker that has not answered by then is cut off or
+/// gone, and short intervals would only add calls.
 const PROMPT_REPORT_TIME: Duration = Duration::from_millis(3_000);
 
 /// Returns the token with the given fencing token of the owner and the given number of the owner's own.
--- a/crates/policy/src/fleet/withdrawals.rs
+++ b/crates/policy/src/fleet/withdrawals.rs
@@ -15,7 +15,7 @@
 
 /// Maximum number of withdrawn ids, which a caller that cancels unknown jobs can fill up; each is a row of some 60 bytes.
 pub const WITHDRAWALS_MAX: usize = 4_096;
-/// Maximum number of withdrawn ids that one write adds, so that they do not displace progress.
+/// Maximum number of withdrawn ids that one write adds, and of those that it removes, so that they leave half of its rows to progress.
 const ROWS_PER_WRITE_MAX: usize = 25;
 
 /// Row of a withdrawn id.
--- a/crates/policy/tests/fleet_engine/simulation.rs
+++ b/crates/policy/tests/fleet_engine/simulation.rs
@@ -5,6 +5,8 @@
 
 mod advice;
 mod checks;
+mod orders;
+mod reports;
 mod restarts;
 mod terms;
 
@@ -13,24 +15,21 @@
 
 use fastrand::Rng;
 use wasabiswitch_policy::fleet::Engine;
-use wasabiswitch_policy::fleet::advice::AdviceOutcome;
 use wasabiswitch_policy::fleet::config::FleetConfig;
-use wasabiswitch_policy::fleet::lease_bounds::OrderOutcome;
-use wasabiswitch_policy::fleet::outcomes::{StartAnswer, StartOutcome};
-use wasabiswitch_policy::fleet::plan::Order;
 use wasabiswitch_policy::fleet::progress::{JobRow, ProgressRow};
-use wasabiswitch_policy::fleet::reports::{EndEntry, ReportTiming, RunEnd, WorkerReport};
 use wasabiswitch_policy::fleet::silent_records::{RowVersion, SilentWorkerRow};
-use wasabiswitch_policy::fleet::spec::{Step, Submission};
+use wasabiswitch_policy::fleet::spec::Submission;
 use wasabiswitch_policy::fleet::start_pools::StartPoolsRow;
 use wasabiswitch_policy::fleet::state::{TaskName, TaskRef, WorkerEntry, WorkerKey};
 use wasabiswitch_policy::ids::{InstanceId, JobId, OrderFence};
 use wasabiswitch_standin::fleet::advice::AdviceQueue;
 use wasabiswitch_standin::fleet::single_queue_config;
-use wasabiswitch_standin::fleet_worker::{FakeStart, FakeWorker};
+use wasabiswitch_standin::fleet_worker::FakeWorker;
 
 use self::advice::AdviceCall;
 use self::checks::cap_milli;
+use self::orders::Delivery;
+use self::reports::{LateAnswer, LateHold};
 pub use crate::fixtures::{instance, limits, queue_settings, step, submission, worker_entry};
 use crate::instance_service::InstanceService;
 
@@ -43,22 +42,6 @@
 /// Age of the workers at the start of a simulation.
 const WORKER_AGE: Duration = Duration::from_secs(3_600);
 
-/// An order in flight to a worker.
-struct Delivery {
-    sent: Instant,
-    due: Instant,
-    worker: InstanceId,
-    /// Fence of the owner.
-    fence: u64,
-    /// Fencing token that the worker sees.
-    order_fence: OrderFence,
-    order: Order,
-    /// Whether the answer reaches the sender.
-    answered: bool,
-    /// Whether the order is delivered seconds late.
-    late: bool,
-}
-
 /// An owner that has been replaced and has not detected it yet.
 struct StaleOwner {
     engine: Engine,
@@ -84,30 +67,6 @@
     pub late_answers: f64,
 }
 
-/// A request for a report that is delivered late.
-struct LateHold {
-    due: Instant,
-    worker: InstanceId,
-    order_fence: OrderFence,
-    acknowledged: u64,
-    until_ms: Option<u64>,
-}
-
-/// The answer of a worker, on its way to the owner with the fence.
-struct LateAnswer {
-    due: Instant,
-    fence: u64,
-    worker: WorkerKey,
-    content: AnswerContent,
-}
-
-/// Content of an answer.
-enum AnswerContent {
-    Report { sent: Instant, order_fence: OrderFence, report: WorkerReport },
-    Start { task: TaskRef, attempt: u32, answer: StartAnswer },
-    Stop { name: TaskName, attempt: u32, sent: Instant },
-}
-
 /// A simulated fleet with its owner, workers and store.
 pub struct Simulation {
     pub now: Instant,
@@ -298,116 +257,6 @@
         self.engine.workers[key].order_fence
     }
 
-    /// Requests a report from a worker; the request renews its leases if `renews` is set.
-    pub fn poll_worker(&mut self, key: WorkerKey, renews: bool) {
-        let id = self.engine.workers[key].entry.id.clone();
-        let until_ms = renews.then(|| self.engine.begin_renewal(key, self.now)).flatten();
-        let removed = !self.workers.contains_key(&id);
-        if removed || self.is_partitioned(&id, self.engine.fence) || self.disconnected.remove(&id) {
-            self.engine.end_renewal(key, OrderOutcome::NotDelivered, self.now);
-            self.engine.record_missed_report(key, self.now);
-            self.trace_worker(&id, "report not received".to_owned());
-            return;
-        }
-        let acknowledged = self.engine.workers[key].ack_cursor();
-        let order_fence = self.engine.workers[key].order_fence;
-        if self.faults.late_holds > 0.0 && self.rng.f64() < self.faults.late_holds {
-            let due = self.now + Duration::from_millis(self.rng.u64(2_000..12_000));
-            self.late_holds.push(LateHold { due, worker: id, order_fence, acknowledged, until_ms });
-            self.engine.end_renewal(key, OrderOutcome::Unknown, self.now);
-            self.engine.record_missed_report(key, self.now);
-            return;
-        }
-        self.record_acknowledged(&id, acknowledged);
-        let worker = self.workers.get_mut(&id).expect("engines know only these workers");
-        let report = worker.hold(order_fence, acknowledged, until_ms, self.now);
-        let report = report.filter(|_| self.rng.f64() >= self.faults.lost_reports);
-        let outcome = match &report {
-            Some(report) => OrderOutcome::Answered(Some(report.clock_ms)),
-            None => OrderOutcome::Unknown,
-        };
-        self.engine.end_renewal(key, outcome, self.now);
-        match report {
-            Some(report) => {
-                let sent = self.now;
-                self.answer(key, AnswerContent::Report { sent, order_fence, report });
-            }
-            None => {
-                self.engine.record_missed_report(key, self.now);
-                self.trace_worker(&id, "report lost".to_owned());
-            }
-        }
-    }
-
-    /// Passes an answer to the owner, now or after later answers.
-    fn answer(&mut self, worker: WorkerKey, content: AnswerContent) {
-        let late = self.faults.late_answers > 0.0 && self.rng.f64() < self.faults.late_answers;
-        let fence = self.engine.fence;
-        match late {
-            true => {
-                let due = self.now + Duration::from_millis(self.rng.u64(10..600));
-                self.answers.push(LateAnswer { due, fence, worker, content });
-            }
-            false => self.apply_answer(worker, content),
-        }
-    }
-
-    fn apply_answer(&mut self, worker: WorkerKey, content: AnswerContent) {
-        match content {
-            AnswerContent::Report { sent, order_fence, report } => {
-                let timing = ReportTiming { order_fence, sent, received: self.now };
-                let applied = self.engine.apply_report(worker, timing, &report, &mut Vec::new());
-                self.renew_entry(worker);
-                let id = self.engine.workers[worker].entry.id.clone();
-                let age_ms = self.now.saturating_duration_since(sent).as_millis();
-                self.trace_worker(
-                    &id,
-                    format!(
-                        "report of incarnation {} with {} runs, requested {age_ms} ms before, applied: {applied}",
-                        report.incarnation,
-                        report.running.len()
-                    ),
-                );
-            }
-            AnswerContent::Start { task, attempt, answer } => {
-                self.resolve_start(worker, task, attempt, answer);
-            }
-            AnswerContent::Stop { name, attempt, sent } => {
-                self.engine.record_stop_acknowledgement(worker, &name, attempt, sent, self.now);
-            }
-        }
-    }
-
-    /// Applies the late answers that are due; those for an earlier owner are lost.
-    fn apply_late_answers(&mut self) {
-        let (now, fence) = (self.now, self.engine.fence);
-        let answers = std::mem::take(&mut self.answers).into_iter();
-        let (due, later): (Vec<_>, Vec<_>) = answers.partition(|answer| answer.due <= now);
-        self.answers = later;
-        for answer in due.into_iter().filter(|answer| answer.fence == fence) {
-            self.apply_answer(answer.worker, answer.content);
-        }
-    }
-
-    /// Records the tasks whose successful ends have numbers up to `acknowledged`.
-    fn record_acknowledged(&mut self, id: &InstanceId, acknowledged: u64) {
-        let ends = self.workers[id].ends.clone();
-        self.record_done(id, acknowledged, &ends);
-    }
-
-    /// Records the tasks of the successful ones of a worker's `ends` that have numbers up to `acknowledged`.
-    fn record_done(&mut self, id: &InstanceId, acknowledged: u64, ends: &[EndEntry]) {
-        let done = ends.iter().filter(|end| end.number <= acknowledged && end.end == RunEnd::Done);
-        let done: Vec<TaskName> = done.map(|end| end.task.clone()).collect();
-        for task in done {
-            self.trace_task(
-                &task,
-                format!("end at {id} acknowledged by fence {}", self.engine.fence),
-            );
-            self.acknowledged_done.insert(task);
-        }
-    }
-
     /// Advances the simulation by `time`.
     pub fn run(&mut self, time: Duration) {
         let until = self.now + time;
@@ -495,174 +344,4 @@
         self.retired.extend(retired.iter().map(|(_, id)| id.clone()));
         self.engine.mark_retired(&retired);
     }
-
-    fn send(&mut self, order: Order) {
-        let worker = match &order {
-            Order::Advise { step, workers, .. } if self.advice_queue.is_some() => {
-                return self.request_advice(*step, workers.clone());
-            }
-            Order::Advise { step, workers, .. } => {
-                // The advice service grants tickets for the first half of the requested workers.
-                let granted = workers.iter().take(workers.len().div_ceil(2));
-                let id = |key: &WorkerKey| self.engine.workers[*key].entry.id.clone();
-                let grants = granted.map(|key| (id(key), format!("ticket-{}", id(key)))).collect();
-                let outcome = AdviceOutcome::Answered { grants, validity: Duration::from_secs(3) };
-                self.engine.apply_advice(step, workers, outcome, self.now);
-                return;
-            }
-            Order::Start { worker, .. }
-            | Order::Stop { worker, .. }
-            | Order::Pace { worker, .. } => *worker,
-        };
-        let roll = self.rng.f64();
-        let late = roll < self.faults.late_orders;
-        let (after_ms, answered) = if late {
-            (self.rng.u64(2_000..12_000), false)
-        } else {
-            (self.rng.u64(1..20), roll >= self.faults.late_orders + self.faults.lost_acks)
-        };
-        if let Order::Start { worker, task, attempt, .. } = &order
-            && !answered
-        {
-            let at = self.now + ORDER_TIMEOUT;
-            self.timeouts.push((at, self.engine.fence, *worker, *task, *attempt));
-        }
-        let order_fence = match &order {
-            Order::Start { order_fence, .. } => *order_fence,
-            _ => self.engine.workers[worker].order_fence,
-        };
-        self.deliveries.push(Delivery {
-            sent: self.now,
-            due: self.now + Duration::from_millis(after_ms),
-            worker: self.engine.workers[worker].entry.id.clone(),
-            fence: self.engine.fence,
-            order_fence,
-            order,
-            answered,
-            late,
-        });
-    }
-
-    /// Delivers the late requests for reports that are due.
-    fn deliver_late_holds(&mut self) {
-        let holds = std::mem::take(&mut self.late_holds).into_iter();
-        let (due, later): (Vec<_>, Vec<_>) = holds.partition(|hold| hold.due <= self.now);
-        self.late_holds = later;
-        for LateHold { worker: id, order_fence, acknowledged, until_ms, .. } in due {
-            let fake = self.workers.get_mut(&id).expect("workers are not removed");
-            let ends = fake.ends.clone();
-            if fake.hold(order_fence, acknowledged, until_ms, self.now).is_some() {
-                self.record_done(&id, acknowledged, &ends);
-            }
-        }
-    }
-
-    fn deliver(&mut self) {
-        let now = self.now;
-        let (expired, waiting): (Vec<_>, Vec<_>) =
-            std::mem::take(&mut self.timeouts).into_iter().partition(|timeout| timeout.0 <= now);
-        self.timeouts = waiting;
-        for (_, fence, worker, task, attempt) in expired {
-            if fence == self.engine.fence {
-                self.resolve_start(worker, task, attempt, StartOutcome::Unknown.into());
-            }
-        }
-        let (due, later): (Vec<_>, Vec<_>) = std::mem::take(&mut self.deliveries)
-            .into_iter()
-            .partition(|delivery| delivery.due <= now);
-        self.deliveries = later;
-        for delivery in due {
-            let reached = self.workers.contains_key(&delivery.worker)
-                && !self.is_partitioned(&delivery.worker, delivery.fence);
-            self.execute(delivery, reached);
-        }
-    }
-
-    fn execute(&mut self, delivery: Delivery, reached: bool) {
-        let current = delivery.fence == self.engine.fence;
-        match delivery.order {
-            Order::Start { worker, task, name, attempt, submission, until_ms, .. } => {
-                let step = &submission.steps[name.step as usize];
-                let fails = self.rng.f64() < self.faults.failed_tasks;
-                let wrong_ms = self.run_times_ms.get(&name.job).copied();
-                let length = Duration::from_millis(wrong_ms.unwrap_or(step.estimate_ms));
-                let start = FakeStart {
-                    task: name,
-                    attempt,
-                    fence: delivery.order_fence,
-                    until_ms,
-                    run_time: (!step.long_running).then_some(length),
-                    run_end: if fails { RunEnd::Failed } else { RunEnd::Done },
-                };
-                let outcome = if reached {
-                    self.start_on(&delivery.worker, &start, step, delivery.late)
-                } else {
-                    StartOutcome::Unknown
-                };
-                if current && delivery.answered {
-                    let clock_ms = self.workers.get(&delivery.worker).map(|w| w.clock_ms(self.now));
-                    let answer = StartAnswer { outcome, clock_ms };
-                    let content = AnswerContent::Start { task, attempt, answer };
-                    self.answer(worker, content);
-                }
-            }
-            Order::Stop { worker, name, attempt } if reached => {
-                let fake = self.workers.get_mut(&delivery.worker).expect("the worker exists");
-                let done = fake.stop(&name, attempt, delivery.order_fence, self.now);
-                let TaskName { job, index, .. } = &name;
-                let event = format!("stop of {job}.{index} attempt {attempt}, taken: {done}");
-                self.trace_worker(&delivery.worker, event);
-                if done && delivery.answered && current {
-                    let sent = delivery.sent;
-                    self.answer(worker, AnswerContent::Stop { name, attempt, sent });
-                }
-            }
-            Order::Stop { .. } | Order::Pace { .. } | Order::Advise { .. } => {}
-        }
-    }
-
-    fn resolve_start(
-        &mut self,
-        worker: WorkerKey,
-        task: TaskRef,
-        attempt: u32,
-        answer: StartAnswer,
-    ) {
-        self.engine.apply_start_outcome(worker, task, attempt, answer, self.now, &mut Vec::new());
-    }
-
-    /// Starts a task on a worker, and checks the start against the rules.
-    fn start_on(
-        &mut self,
-        id: &InstanceId,
-        start: &FakeStart,
-        step: &Step,
-        late: bool,
-    ) -> StartOutcome {
-        for worker in self.workers.values_mut() {
-            worker.advance(self.now);
-        }
-        let before = self.workers[id].runs.len();
-        let outcome = self.workers.get_mut(id).expect("the worker exists").start(start, self.now);
-        if self.workers[id].runs.len() > before {
-            let (attempt, fence) = (start.attempt, start.fence);
-            self.trace_task(
-                &start.task,
-                format!("attempt {attempt} of fence {fence} starts at {id}"),
-            );
-            self.starts.push((self.now, id.clone(), start.task.clone(), start.attempt));
-            let TaskName { job, index, .. } = &start.task;
-            let event =
-                format!("{job}.{index} attempt {attempt} of fence {fence} starts, late: {late}");
-            self.trace_worker(id, event);
-            // An owner that has forgotten the worker has had no report of any of its incarnations.
-            let key = self.engine.worker_key(id);
-            let known = key.map_or(0, |key| self.engine.workers[key].incarnation);
-            if late && known != self.workers[id].entry.incarnation {
-                self.exempt_starts.insert((start.task.clone(), start.attempt));
-            }
-            self.check_start(id, start, step, late);
-        }
-        outcome
-    }
 }
--- a/crates/policy/tests/fleet_engine/worker_capacity.rs
+++ b/crates/policy/tests/fleet_engine/worker_capacity.rs
@@ -6,6 +6,7 @@
 use wasabiswitch_policy::fleet::outcomes::StartOutcome;
 use wasabiswitch_policy::fleet::reports::{ReportTiming, RunningEntry, WorkerReport};
 use wasabiswitch_policy::fleet::state::{TaskName, TaskRef};
+use wasabiswitch_policy::ids::OrderFence;
 
 use crate::simulation::{Faults, Simulation, step, submission};
 
@@ -45,18 +46,27 @@
     TaskName { job: job.into(), occurrence: 0, step: 0, index }
 }
 
+/// A report, with the fencing token of its request.
+#[derive(Clone)]
+struct RequestedReport {
+    order_fence: OrderFence,
+    content: WorkerReport,
+}
+
 /// Returns a report of a worker, requested and received at `now`.
-fn report(sim: &mut Simulation, id: &str) -> WorkerReport {
-    let (now, fence) = (sim.now, sim.order_fence(id));
+fn report(sim: &mut Simulation, id: &str) -> RequestedReport {
+    let (now, order_fence) = (sim.now, sim.order_fence(id));
     let worker = sim.workers.get_mut(id).expect("the worker exists");
-    worker.hold(fence, 0, None, now).expect("the fence is the newest")
+    let content = worker.hold(order_fence, 0, None, now).expect("the fence is the newest");
+    RequestedReport { order_fence, content }
 }
 
 /// Applies a report that was requested at `sent` and arrives now.
-fn apply(sim: &mut Simulation, id: &str, sent: Instant, report: &WorkerReport) {
-    let timing = ReportTiming { order_fence: sim.order_fence(id), sent, received: sim.now };
+fn apply(sim: &mut Simulation, id: &str, sent: Instant, report: &RequestedReport) {
+    let order_fence = report.order_fence;
+    let timing = ReportTiming { order_fence, sent, received: sim.now };
     let key = sim.engine.worker_key(id).expect("the engine knows the worker");
-    sim.engine.apply_report(key, timing, report, &mut Vec::new());
+    sim.engine.apply_report(key, timing, &report.content, &mut Vec::new());
     sim.renew_entry(key);
 }
 
@@ -221,7 +231,7 @@
     assert_eq!(retired.len(), 1);
     let (empty, sent) = (report(&mut sim, "w0"), sim.now);
     let mut running = empty.clone();
-    running.running.push(RunningEntry {
+    running.content.running.push(RunningEntry {
         task: task_name("a", 0),
         attempt: 7,
         checkpoint: String::new(),
@@ -278,7 +288,7 @@
         sim.engine.workers[key].incarnation
     };
     let current = incarnation(&sim);
-    assert_ne!(current, delayed.incarnation);
+    assert_ne!(current, delayed.content.incarnation);
     apply(&mut sim, "w0", sent, &delayed);
     assert_eq!(incarnation(&sim), current);
     sim.submit(submission("a", vec![step(4, 500)]));
--- a/crates/standin/src/fleet/state.rs
+++ b/crates/standin/src/fleet/state.rs
@@ -206,7 +206,7 @@
         let start = FakeStart {
             task: order.task.clone(),
             attempt: order.attempt,
-            fence: order.fence,
+            fence: order.order_fence,
             until_ms: order.until_ms,
             run_time: order.spec.parse().ok().map(Duration::from_millis),
             run_end: RunEnd::Done,
@@ -261,7 +261,7 @@
     pub(super) fn stop(&mut self, order: RunOrder) -> PlatformResult<WorkerReply<()>> {
         let now = self.now;
         let worker = self.worker_mut(&order.target.id)?;
-        Ok(match worker.stop(&order.task, order.attempt, order.fence, now) {
+        Ok(match worker.stop(&order.task, order.attempt, order.order_fence, now) {
             true => WorkerReply::Done(()),
             false => WorkerReply::Fenced,
         })
@@ -283,7 +283,7 @@
         let acknowledged =
             ends.filter(|end| end.number <= order.acknowledged && end.end == RunEnd::Done);
         let acknowledged: Vec<TaskName> = acknowledged.map(|end| end.task.clone()).collect();
-        let report = worker.hold(order.fence, order.acknowledged, order.until_ms, now);
+        let report = worker.hold(order.order_fence, order.acknowledged, order.until_ms, now);
         Ok(match report {
             Some(report) => {
                 self.history.acknowledged_done.extend(acknowledged);
