Calls for advice that end with their term do not count as given up

The wait for an answer returned nothing both at the time limit and when the term of the call had ended, so that each takeover logged `call for advice given up` and raised the counter for calls that the engine had not given up. The two ends are now told apart; after the term nothing is logged or counted.

--- a/crates/plugins/src/fleet/advice.rs
+++ b/crates/plugins/src/fleet/advice.rs
@@ -34,15 +34,16 @@
         format!("job={} step={} workers={} took_ms={took_ms}", name.job, name.step, workers.len())
     };
     let (label, outcome) = match reply {
-        Some(Ok(AdviceResponse { grants, valid: validity })) => {
+        CallEnd::TermEnded => return,
+        CallEnd::Reply(Ok(AdviceResponse { grants, valid: validity })) => {
             log::info!("advice received {} granted={}", call(), grants.len());
             ("answered", AdviceOutcome::Answered { grants, validity })
         }
-        Some(Err(error)) => {
+        CallEnd::Reply(Err(error)) => {
             log::warn!("advice not received {} reason={error}", call());
             ("failed", AdviceOutcome::Failed)
         }
-        None => {
+        CallEnd::GivenUp => {
             log::warn!("call for advice given up {}", call());
             ("given-up", AdviceOutcome::GivenUp)
         }
@@ -52,21 +53,34 @@
     kernel.wake_signals.plan.notify_one();
 }
 
-/// Waits for the answer to a call for advice; returns `None` if the call has to be given up.
+/// Way in which a call for advice ended.
+enum CallEnd {
+    /// The service answered, or the call failed.
+    Reply(PlatformResult<AdviceResponse>),
+    /// The time limit of the call has passed.
+    GivenUp,
+    /// The term that sent the call has ended, so that nobody needs the answer.
+    TermEnded,
+}
+
+/// Waits until a call for advice ends.
 async fn await_advice(
     kernel: &Arc<Kernel>,
     fence: u64,
     step: TaskRef,
     request: AdviceRequest,
-) -> Option<PlatformResult<AdviceResponse>> {
+) -> CallEnd {
     let call = (port(kernel).advise)(request);
     tokio::pin!(call);
     loop {
         let now = kernel.clock.now();
         let left = with_term(kernel, fence, |term| term.engine.advice_time_left(&step, now));
-        let left = left.flatten().filter(|left| !left.is_zero())?;
+        let Some(Some(left)) = left else { return CallEnd::TermEnded };
+        if left.is_zero() {
+            return CallEnd::GivenUp;
+        }
         tokio::select! {
-            reply = &mut call => return Some(reply),
+            reply = &mut call => return CallEnd::Reply(reply),
             () = sleep(left) => {}
         }
     }
