Each cancellation logs where its job was found

Cancellations that were answered at once, of a job that is shown as cancelled or whose withdrawal is stored, had no line. `begin_cancel` decides, as `begin_submit` does for a submission, and `cancel` waits and logs.

--- a/crates/plugins/src/fleet/queue_calls.rs
+++ b/crates/plugins/src/fleet/queue_calls.rs
@@ -267,6 +267,7 @@
         JobPlace::Known(_) => return SubmissionState::Answered(Reply::Accepted),
         JobPlace::BeingWritten | JobPlace::Waiting => {
             let outcome = term.wait_for_accept(&submission.job);
+            // A job in one of these places has waiters; without them another daemon may still answer.
             return outcome.map_or_else(
                 || SubmissionState::Answered(Reply::NotOwner),
                 SubmissionState::Waiting,
@@ -409,44 +410,35 @@
     }
 }
 
+/// Progress of a cancellation: answered, or waiting for its write.
+enum CancelState {
+    Answered(Reply),
+    Waiting(oneshot::Receiver<()>),
+}
+
 /// Cancels a job wherever it is. One that is not accepted is withdrawn, so that it is cancelled as soon as a submission of it is
 /// accepted.
 async fn cancel(kernel: &Arc<Kernel>, request: u64, job: &JobId, deadline: Instant) -> Reply {
-    let (sender, receiver) = oneshot::channel();
-    let place = {
-        let now = kernel.clock.now();
+    let (place, state) = {
         let mut guard = kernel.tables.term.lock();
         let Some(term) = guard.as_mut() else { return Reply::NotOwner };
-        let place = term.locate(job);
-        match place {
-            JobPlace::Known(key) => {
-                term.engine.cancel(job, now);
-                if term.engine.jobs[key].visible_phase == Phase::Cancelled {
-                    return Reply::Cancelled;
-                }
-            }
-            JobPlace::Withdrawn if term.engine.is_withdrawal_stored(job) => {
-                return absent_reply(term, now);
-            }
-            JobPlace::BeingWritten | JobPlace::Waiting | JobPlace::Withdrawn | JobPlace::Absent => {
-                if !term.engine.withdraw(job, now) {
-                    let reason = "too many unknown jobs are being cancelled";
-                    return Reply::refused(reason, WITHDRAWN_RETRY_AFTER);
-                }
+        (term.locate(job), begin_cancel(term, job, kernel.clock.now()))
+    };
+    let reply = match state {
+        CancelState::Answered(reply) => reply,
+        CancelState::Waiting(written) => {
+            kernel.wake_signals.write.notify_one();
+            kernel.wake_signals.plan.notify_one();
+            let remaining = deadline.saturating_duration_since(kernel.clock.now());
+            match tokio::time::timeout(remaining, written).await {
+                Ok(Ok(())) => with_term(kernel, |term| match term.engine.job_key(job) {
+                    Some(_) => Reply::Cancelled,
+                    None => Reply::Gone,
+                }),
+                // The term or the time limit has ended, and the write may still take effect.
+                Ok(Err(_)) | Err(_) => Reply::InDoubt,
             }
         }
-        term.flush_waiters.push(sender);
-        place
-    };
-    kernel.wake_signals.write.notify_one();
-    kernel.wake_signals.plan.notify_one();
-    let remaining = deadline.saturating_duration_since(kernel.clock.now());
-    let reply = match tokio::time::timeout(remaining, receiver).await {
-        Ok(Ok(())) => with_term(kernel, |term| match term.engine.job_key(job) {
-            Some(_) => Reply::Cancelled,
-            None => Reply::Gone,
-        }),
-        Ok(Err(_)) | Err(_) => Reply::InDoubt,
     };
     log::info!(
         "cancellation request={request:016x} job={job} found={} outcome={reply:?}",
@@ -454,3 +446,27 @@
     );
     reply
 }
+
+fn begin_cancel(term: &mut Term, job: &JobId, now: Instant) -> CancelState {
+    match term.locate(job) {
+        JobPlace::Known(key) => {
+            term.engine.cancel(job, now);
+            if term.engine.jobs[key].visible_phase == Phase::Cancelled {
+                return CancelState::Answered(Reply::Cancelled);
+            }
+        }
+        JobPlace::Withdrawn if term.engine.is_withdrawal_stored(job) => {
+            return CancelState::Answered(absent_reply(term, now));
+        }
+        JobPlace::BeingWritten | JobPlace::Waiting | JobPlace::Withdrawn | JobPlace::Absent => {
+            if !term.engine.withdraw(job, now) {
+                let reason = "too many unknown jobs are being cancelled";
+                let refusal = Reply::refused(reason, WITHDRAWN_RETRY_AFTER);
+                return CancelState::Answered(refusal);
+            }
+        }
+    }
+    let (sender, receiver) = oneshot::channel();
+    term.flush_waiters.push(sender);
+    CancelState::Waiting(receiver)
+}
