A successor counts recorded maintenance calls from the end of its predecessor's lease

The time now counts from the predecessor's deadline, as for orders to workers. Found by reading, not seen in a play. `successor_counts_a_recorded_call_that_its_predecessor_sends_later` fails with the time of the read.

--- a/crates/plugins/src/fleet/takeover.rs
+++ b/crates/plugins/src/fleet/takeover.rs
@@ -105,7 +105,8 @@
     engine.restore_withdrawals(withdrawn, kernel.clock.now());
     restore_start_pools(&mut engine, &start_pools?);
     let recorded = restore_silent_records(&mut engine, &silent?);
-    restore_waves(kernel, &mut engine, &waves?, &wave_calls?);
+    let last_sent = predecessor_deadline.max(kernel.clock.now());
+    restore_waves(kernel, &mut engine, &waves?, &wave_calls?, last_sent);
     for entry in items.into_iter().filter_map(listed_entry) {
         engine.upsert_worker(entry, kernel.clock.now());
     }
@@ -265,7 +266,14 @@
     count
 }
 
-fn restore_waves(kernel: &Kernel, engine: &mut Engine, rows: &[TableRow], calls: &[TableRow]) {
+/// Restores the waves from their rows; the predecessor sends its last call at `last_sent` at the latest.
+fn restore_waves(
+    kernel: &Kernel,
+    engine: &mut Engine,
+    rows: &[TableRow],
+    calls: &[TableRow],
+    last_sent: Instant,
+) {
     let known = kernel.tables.fleet.lock().waves.clone();
     for (number, (request, seen)) in known {
         let deadline = seen + request.time_limit;
@@ -278,7 +286,7 @@
         }
         let row = calls.iter().find(|row| row.key == number.to_string());
         let calls = row.and_then(|row| decode_row::<WaveCalls>(WAVE_CALL_TABLE, row));
-        wave.restore_calls(calls.into_iter().flat_map(|calls| calls.called), kernel.clock.now());
+        wave.restore_calls(calls.into_iter().flat_map(|calls| calls.called), last_sent);
         if !wave.calls.is_empty() {
             log::info!(
                 "maintenance orders of a predecessor in doubt wave={number} orders={}",
--- a/crates/policy/src/fleet/maintenance.rs
+++ b/crates/policy/src/fleet/maintenance.rs
@@ -128,8 +128,14 @@
     }
 
     /// Restores the calls that an earlier owner has recorded, each of which may still be carried out.
-    pub fn restore_calls(&mut self, instances: impl IntoIterator<Item = InstanceId>, now: Instant) {
-        let in_doubt_until = Some(now + CALL_DELIVERY_MAX);
+    ///
+    /// That owner sends its last call at `last_sent` at the latest, which may be after the record was read.
+    pub fn restore_calls(
+        &mut self,
+        instances: impl IntoIterator<Item = InstanceId>,
+        last_sent: Instant,
+    ) {
+        let in_doubt_until = Some(last_sent + CALL_DELIVERY_MAX);
         let calls = instances.into_iter().filter(|id| self.stages.contains_key(id));
         self.calls = calls.map(|id| (id, MaintenanceCall { sent: None, in_doubt_until })).collect();
     }
--- a/crates/policy/tests/fleet_engine/maintenance_calls.rs
+++ b/crates/policy/tests/fleet_engine/maintenance_calls.rs
@@ -138,3 +138,15 @@
     let stages = &fleet.sim.engine.waves[&1].stages;
     assert!(!matches!(stages["m2"], MaintenanceStage::Down(_)));
 }
+
+// As above, but the predecessor, whose lease had not ended, sent the recorded call after its successor had read the record.
+#[test]
+fn successor_counts_a_recorded_call_that_its_predecessor_sends_later() {
+    const LEASE_LEFT: Duration = ms(2_000);
+    let mut fleet = Fleet::new();
+    let deadline = fleet.sim.now + LEASE_LEFT;
+    let wave = fleet.sim.engine.waves.get_mut(&1).expect("there is a wave");
+    wave.restore_calls(["m2".into()], deadline);
+    let called = fleet.run(LEASE_LEFT + CALL_DELAY_MAX, FleetOutcome::NotRun);
+    assert!(called.iter().all(|id| **id == *"m2"), "{called:?}");
+}
